--- /dev/null
+++ b/lupinreach/adapter/__init__.py
@@ -0,0 +1,1 @@
+"""The simulator's wire in front of the decision module."""
--- /dev/null
+++ b/lupinreach/adapter/wire.py
@@ -0,0 +1,357 @@
+"""The simulator's wire in front of the decision module: its words to ours and back. Nothing here decides."""
+
+from __future__ import annotations
+
+import base64
+import binascii
+import json
+from typing import Any, Callable, Hashable
+
+from lupinreach.balance import Balancer, Call
+from lupinreach.model import (
+    Ask, Customer, Ending, Group, Kind, Limits, Listing, Load, News, Product, Rules, Settings, State,
+)
+
+KINDS = {"repeatable": Kind.IDEMPOTENT, "by_key": Kind.DEDUPLICATED, "once": Kind.NON_IDEMPOTENT}
+GROUPS = {"all": Group.ALL, "zone": Group.ZONE, "cell": Group.CELL}
+ENDINGS = {
+    "delivered": Ending.FULFILLED, "app_error": Ending.ERRORED, "shed": Ending.TURNED_AWAY,
+    "expired": Ending.TIMED_OUT, "dial_failed": Ending.UNREACHABLE, "dropped": Ending.RESET,
+    "revoked": Ending.CANCELLED, "unused": Ending.UNSENT,
+}
+LOADS = {
+    "outstanding": "in_flight", "backlog": "waiting", "utilization": "busy", "recent_ms": "latency",
+    "throughput": "calls_per_s", "errors_per_s": "errors_per_s",
+}
+HINTED, REPEATED, WRITES = 1, 2, 4
+MOST_LISTS = 16
+MOST_PEER_BYTES = 256
+
+
+class BadInput(Exception):
+    """The input is not what the wire's page says; the text names what is wrong."""
+
+
+class BadSettings(Exception):
+    """An instance's settings can't be used."""
+
+
+def _of(words: dict[str, Any], word: Any, what: str) -> Any:
+    try:
+        return words[word]
+    except (KeyError, TypeError):
+        raise BadInput(f"unknown {what} {word!r}") from None
+
+
+def _section(raw: dict[str, Any], name: str) -> dict[str, Any]:
+    part = raw.get(name) or {}
+    if not isinstance(part, dict):
+        raise BadSettings(f"{name} is no object")
+    return part
+
+
+def read_settings(raw: Any) -> Settings:
+    """The settings in our words; unknown keys are skipped, absent ones get their default."""
+    if not isinstance(raw, dict):
+        raise BadSettings("settings are no object")
+    try:
+        limits, rules = _section(raw, "ceilings"), _section(raw, "invariants")
+        report = _section(raw, "report")
+        products = tuple(_product(p) for p in raw["categories"])
+        if not products:
+            raise BadSettings("settings name no categories")
+        return Settings(
+            products=products,
+            rules=Rules(
+                drain_grace=float(rules.get("drain_grace", 0.0)),
+                fall_multiple=float(rules.get("fall_multiple", 1.0)),
+                fall=float(rules.get("fall", 1000.0)) or 1000.0,
+                start_capacity=float(rules.get("start_capacity", 0.0)),
+                cold=float(rules.get("cold", 0.0)),
+                ask_within=float(rules.get("ask_within", 0.0)),
+                answer_slack=float(rules.get("answer_slack", 0.0)),
+            ),
+            limits=Limits(
+                max_shots=int(limits.get("max_attempts", 1)),
+                second_copies=bool(limits.get("second_copies", False)),
+                may_cancel=bool(limits.get("may_cancel", False)),
+                probes=bool(limits.get("probes", False)),
+                peers=bool(limits.get("peer_messages", False)),
+                retry_after=bool(limits.get("retry_after", False)),
+                max_retry_after=float(limits.get("max_retry_after", 0.0)),
+                connect_timeout=float(limits.get("connect_timeout", 0.0)),
+            ),
+            customers=tuple(
+                Customer(str(c.get("name", "")), float(c.get("fraction", 0.0)), float(c.get("quota_per_s", 0.0)))
+                for c in raw.get("accounts") or ()
+            ),
+            agents=int(raw.get("fleet_size", 1)),
+            me=int(raw.get("me", 0)),
+            zone=int(raw.get("locality", 0)),
+            must_ask=raw.get("discovery", "pushed") == "on_request",
+            over_share_value=float(raw.get("over_share_worth", 1.0)),
+            value_by_work=raw.get("counted_by") == "work",
+            load_fields=tuple(LOADS.get(str(f), str(f)) for f in report.get("fields") or ()),
+            load_on_answers=report.get("how") == "inline",
+            step=float(raw.get("step", 1.0)) or 1.0,
+        )
+    except KeyError as missing:
+        raise BadSettings(f"settings lack {missing.args[0]!r}") from None
+    except (TypeError, ValueError, AttributeError) as bad:
+        raise BadSettings(f"settings are malformed: {bad}") from None
+
+
+def _product(raw: dict[str, Any]) -> Product:
+    kind, group = raw.get("semantics", "once"), raw.get("group", "all")
+    if kind not in KINDS:
+        raise BadSettings(f"unknown semantics {kind!r}")
+    if group not in GROUPS:
+        raise BadSettings(f"unknown group {group!r}")
+    return Product(
+        name=str(raw.get("name", "")),
+        slo=float(raw.get("aim") or 0.0),
+        timeout=float(raw["give_up"]),
+        billed_value=float(raw.get("credit", 1.0)),
+        kind=KINDS[kind],
+        group=GROUPS[group],
+        memory=float(raw.get("memory_span", 0.0)),
+        late_value=float(raw.get("late_worth", 0.0)),
+        slo_stretch=float(raw.get("aim_stretch", 0.0)),
+        streamed=bool(raw.get("streamed", False)),
+    )
+
+
+class Instance:
+    """One agent's balancer and the maps from the wire's ids to it; also the balancer's port."""
+
+    def __init__(self, number: int, actions: list[dict[str, Any]], now: float, raw: Any, seed: int) -> None:
+        self._number = number
+        self._actions = actions
+        self._indices: dict[int, int] = {}  # wire id of a backend -> index; emptied when the instance ends
+        self._ids: list[int] = []
+        self._calls: dict[Hashable, Call] = {}  # each leaves once nothing more can come for it
+        settings = read_settings(raw)
+        self._fields = settings.load_fields
+        self._balancer = Balancer(settings, seed, self)
+        self._balancer.start(now)
+
+    # The port: what the module asks for.
+
+    def _act(self, name: str, **fields: Any) -> None:
+        self._actions.append({"t": name, "i": self._number, **fields})
+
+    def send(self, token: Hashable, backend: int, until: float) -> None:
+        self._act("try", tid=token, backend=self._ids[backend], try_until=until)
+
+    def cancel(self, token: Hashable, shot: int) -> None:
+        self._act("undo_send", tid=token, **{"try": shot})
+
+    def rate_limit(self, token: Hashable, retry_after: float) -> None:
+        self._act("busy", tid=token, retry_after=retry_after)
+
+    def error(self, token: Hashable) -> None:
+        self._act("surrender", tid=token)
+
+    def wake(self, at: float, mark: str) -> None:
+        self._act("wake_at", at=at, mark=mark)
+
+    def directory(self, follow: bool) -> None:
+        if follow:
+            self._act("track", enable=True)
+        else:
+            self._act("list_all")
+
+    def probe(self, backend: int) -> None:
+        self._act("poll", backend=self._ids[backend])
+
+    def peers(self, message: bytes) -> None:
+        self._act("tell", dst="*", msg=base64.b64encode(message[:MOST_PEER_BYTES]).decode())
+
+    def log(self, text: str) -> None:
+        self._act("write_log", note_text=text)
+
+    # The wire's events.
+
+    def _index(self, wire_id: int) -> int:
+        index = self._indices.get(wire_id)
+        if index is None:
+            index = self._indices[wire_id] = len(self._ids)
+            self._ids.append(wire_id)
+        return index
+
+    def _load(self, row: list[float] | None) -> Load | None:
+        if not row:
+            return None
+        named = dict(zip(self._fields, row))
+        known = {k: float(v) for k, v in named.items() if k in Load.__dataclass_fields__ and v is not None}
+        return Load(**known)
+
+    def req(self, now: float, e: dict[str, Any]) -> None:
+        flags = e.get("attrs", 0)
+        token = e["tid"]
+        call = self._balancer.take(now, Ask(
+            token=token,
+            product=e.get("cls", 0),
+            until=e["valid_until"],
+            customer=e.get("project", 0),
+            key=e.get("resource"),
+            cost=e.get("cost") if flags & HINTED else None,
+            again=bool(flags & REPEATED),
+            write=bool(flags & WRITES),
+        ))
+        if not call.closed:
+            self._calls[token] = call
+
+    def head_received(self, now: float, e: dict[str, Any]) -> None:
+        call = self._calls.get(e["tid"])
+        if call is not None:
+            call.began(now, e.get("try", 0))
+
+    def reply(self, now: float, e: dict[str, Any]) -> None:
+        token = e["tid"]
+        call = self._calls.get(token)
+        if call is None:
+            return
+        call.ended(now, e.get("try", 0), _of(ENDINGS, e.get("ending"), "ending"), e.get("rtt", 0.0),
+                   bool(e.get("complete")), self._load(e.get("metrics")))
+        if call.closed:
+            del self._calls[token]
+
+    def cancelled_by_client(self, now: float, e: dict[str, Any]) -> None:
+        token = e["tid"]
+        call = self._calls.get(token)
+        if call is not None:
+            call.left(now)
+            if call.closed:
+                del self._calls[token]
+
+    def timer(self, now: float, e: dict[str, Any]) -> None:
+        self._balancer.woke(now, e.get("mark", ""))
+
+    def check_result(self, now: float, e: dict[str, Any]) -> None:
+        self._balancer.probed(now, self._index(e["backend"]), _of(ENDINGS, e.get("ending"), "ending"),
+                              e.get("rtt", 0.0), self._load(e.get("metrics")))
+
+    def from_peer(self, now: float, e: dict[str, Any]) -> None:
+        try:
+            message = base64.b64decode(e.get("msg", ""), validate=True)
+        except (binascii.Error, TypeError, ValueError):
+            raise BadInput("msg is no base64") from None
+        self._balancer.heard(now, e.get("sender", 0), message)
+
+    def directory_update(self, now: float, e: dict[str, Any], hosts: list[dict[str, Any]]) -> None:
+        try:
+            news = News(e.get("how", 0))
+            entries = [
+                Listing(self._index(h["backend"]), State(h.get("lifecycle", 0)), h.get("boot_time", 0.0),
+                        float(h.get("nominal", 1.0)), h.get("locality", 0), h.get("cell", 0))
+                for h in hosts
+            ]
+        except ValueError as bad:
+            raise BadInput(f"directory_update: {bad}") from None
+        self._balancer.listed(now, news, entries)
+
+
+EVENTS: dict[str, Callable[[Instance, float, dict[str, Any]], None]] = {
+    "req": Instance.req, "head_received": Instance.head_received, "reply": Instance.reply,
+    "cancelled_by_client": Instance.cancelled_by_client, "timer": Instance.timer,
+    "check_result": Instance.check_result, "from_peer": Instance.from_peer,
+}
+
+
+class Host:
+    """All instances of one process. They share the numbered lists of the wire and nothing else."""
+
+    def __init__(self) -> None:
+        self._instances: dict[int, Instance | None] = {}  # None: its settings were malformed
+        self._lists: dict[int, list[dict[str, Any]]] = {}  # at most MOST_LISTS, each replaced by its successor
+
+    def batch(self, line: str) -> str:
+        """One line in, one line out."""
+        try:
+            raw = json.loads(line)
+        except ValueError:
+            raise BadInput("not JSON") from None
+        if not isinstance(raw, dict):
+            raise BadInput("a batch must be an object")
+        now, news = raw.get("ts"), raw.get("news")
+        if isinstance(now, bool) or not isinstance(now, (int, float)):
+            raise BadInput("ts is missing or no number")
+        if not isinstance(news, list):
+            raise BadInput("news is missing or no array")
+        actions: list[dict[str, Any]] = []
+        for e in news:
+            if not isinstance(e, dict):
+                raise BadInput("an event must be an object")
+            try:
+                self._event(float(now), e, actions)
+            except KeyError as missing:
+                raise BadInput(f"{e.get('t')}: field {missing.args[0]!r} is missing") from None
+        return json.dumps({"actions": actions}, separators=(",", ":"))
+
+    def _event(self, now: float, e: dict[str, Any], actions: list[dict[str, Any]]) -> None:
+        name = e.get("t")
+        if name == "inventory":
+            self._inventory(e)
+            return
+        if name not in EVENTS and name not in ("attach", "power_off", "directory_update"):
+            raise BadInput(f"unknown event {name!r}")
+        number = e["i"]
+        if name == "attach":
+            self._attach(now, number, e, actions)
+            return
+        if number not in self._instances:
+            raise BadInput(f"{name}: instance {number!r} was never attached")
+        if name == "power_off":
+            del self._instances[number]
+            return
+        instance = self._instances[number]
+        if instance is None:
+            return
+        instance._actions = actions
+        if name == "directory_update":
+            handler, rest = Instance.directory_update, (self._hosts(e),)
+        else:
+            handler, rest = EVENTS[name], ()
+        try:
+            handler(instance, now, e, *rest)
+        except BadInput:
+            raise
+        except KeyError as missing:
+            if missing.args and missing.args[0] in ("tid", "valid_until", "backend"):
+                raise
+            self._fault(number, name, missing, actions)
+        except Exception as bad:  # whatever breaks in the module is the instance's fault, told to the host
+            self._fault(number, name, bad, actions)
+
+    def _inventory(self, e: dict[str, Any]) -> None:
+        page = e.get("page", 0)
+        if not isinstance(page, int) or not 0 <= page < MOST_LISTS:
+            raise BadInput(f"inventory: page {page!r} is no list number")
+        hosts = e.get("hosts", [])
+        if not isinstance(hosts, list) or not all(isinstance(h, dict) for h in hosts):
+            raise BadInput("inventory: hosts is no array of objects")
+        self._lists[page] = hosts
+
+    def _hosts(self, e: dict[str, Any]) -> list[dict[str, Any]]:
+        if e.get("how", 0) == News.FAILED.value:
+            return []
+        page = e.get("page", 0)
+        if page not in self._lists:
+            raise BadInput(f"directory_update: list {page!r} was never sent")
+        return self._lists[page]
+
+    def _attach(self, now: float, number: int, e: dict[str, Any], actions: list[dict[str, Any]]) -> None:
+        self._instances[number] = None
+        try:
+            self._instances[number] = Instance(number, actions, now, e["settings"], e.get("prng", 0))
+        except BadSettings as bad:
+            actions.append({"t": "bug", "i": number, "note_text": str(bad)})
+
+    @staticmethod
+    def _fault(number: int, name: str, bad: Exception, actions: list[dict[str, Any]]) -> None:
+        trace, where = bad.__traceback__, ""
+        while trace is not None:
+            where = f"{trace.tb_frame.f_code.co_name}:{trace.tb_lineno}"
+            trace = trace.tb_next
+        actions.append({"t": "bug", "i": number, "note_text": f"{type(bad).__name__} on {name} in {where}: {bad}"})
--- /dev/null
+++ b/lupinreach/balance.py
@@ -0,0 +1,627 @@
+"""Every decision of lupinreach: where a shot goes, when another follows, when a client is told no.
+
+How to invoke it. A front builds `Balancer(settings, seed, port)` and calls `start(now)`; then `take(now, ask)`
+for each API call, which returns its `Call`. All that happens to the API call later is a call on that handle
+(`began`, `ended`, `left`). News that belongs to no API call comes in by `listed`, `woke`, `probed` and `heard`.
+The module acts only through the `Port` of model.py, reads no clock and draws chance from its seed alone.
+
+The design (docs/design.md): for each latency SLO a pool of the backends whose smoothed latency meets it; a miss
+ejects, a trial restores, and shots rotate evenly inside the pool. Beside it stand these mechanisms:
+  1. cold credit: a starting backend earns its shots from what warm ones are sent           (Balancer._earn)
+  2. in-flight bounds: each backend holds only as many shots as it answers well in time      (Backend.learn_bound)
+  3. a short line: API calls that find all bounds full wait a moment, dearest first          (Balancer._pump)
+  4. further shots: after a failure or beside a late shot, out of a budget                   (Call.ended, _second)
+  5. bounded ejection: half of the backends always stay, the cause is then not a backend     (Balancer._eject)
+"""
+
+from __future__ import annotations
+
+from bisect import insort
+from zlib import crc32
+
+from lupinreach.model import (
+    NEVER_RAN, Ask, Ending, Group, Kind, Listing, Load, News, Port, Product, Settings, State,
+)
+
+# The design's own figures.
+NEWEST = 0.3  # weight of the newest latency sample
+MISS = 2.0  # a failed shot counts as a sample of this many SLOs; no sample counts for more
+DEFAULT_SLO = 2.0  # with no SLO given: this many times the median smoothed latency
+
+# The project's figures, each a ratio to something from the settings or to something measured.
+HOLD = 4.0  # x longest SLO: from an ejection to the trial
+CROWDED = 1.5  # x mean in flight for a backend's size, plus one half: above it the backend's turn is skipped
+KEEP = 0.5  # share of the ready backends that ejection leaves in a pool
+TYPICAL = 0.02  # weight of the newest sample in what an SLO's API calls usually take
+FULL_AT = 0.5  # x SLO: a smoothed latency above it narrows the in-flight bound, below it widens it
+NARROW = 0.9  # the bound's factor when it narrows
+FIRST_BOUND = 4.0  # shots in flight that a backend of mean size is given before anything is known
+PATIENCE = 0.25  # x SLO: how long an API call stands in line
+LATE_AT = 0.5  # x SLO: a shot out for longer gets company, or is called off where copies are not allowed
+BUDGET = 0.15  # further shots that may repeat work, for each API call taken
+BUDGET_MAX = 10.0  # the most of them that may be saved up
+RETRY_AFTER = 0.25  # x SLO: when a rate-limited client is told to come back
+LEAST_ROOM = 0.5  # share of a bound that the API calls of least value may fill; the dearest may fill all of it
+LOOK = 0.05  # x shortest SLO: the time between two looks at what is out
+ASK_FIRST, ASK_MOST = 0.05, 0.4  # x ask_within: the first and the longest wait before the directory is asked again
+
+
+class Target:
+    """One latency SLO and what its API calls usually take."""
+
+    __slots__ = ("index", "slo", "given", "typical", "cost")
+
+    def __init__(self, index: int, slo: float) -> None:
+        self.index = index
+        self.slo = slo
+        self.given = slo > 0
+        self.typical = 0.0  # ms from send to answer; 0 = none seen
+        self.cost = 0.0  # mean cost hint; 0 = none seen
+
+
+class Offer:
+    """A product as the decisions use it."""
+
+    __slots__ = ("kind", "group", "memory", "target", "late_counts", "value", "room")
+
+    def __init__(self, product: Product, target: Target) -> None:
+        self.kind = product.kind
+        self.group = product.group
+        self.memory = product.memory
+        self.target = target
+        self.late_counts = product.late_value > 0
+        self.value = product.billed_value
+        self.room = 1.0
+
+
+class Backend:
+    """What this agent knows of one backend. Emptied when the directory drops it and nothing is out."""
+
+    __slots__ = ("index", "zone", "cell", "size", "state", "boot_time", "told", "figure", "held", "trial",
+                 "flight", "bound", "turn", "credit", "back_at", "sent")
+
+    def __init__(self, index: int, targets: int) -> None:
+        self.index = index
+        self.zone = self.cell = 0
+        self.size = 1.0
+        self.state = State.GONE
+        self.boot_time = 0.0
+        self.told = 0.0
+        self.figure: list[float | None] = [None] * targets  # smoothed latency per SLO, None = unsampled
+        self.held: list[float] = [0.0] * targets  # per SLO: 0 = in the pool, else when a trial is due
+        self.trial: list[Shot | None] = [None] * targets
+        self.flight = 0
+        self.bound = FIRST_BOUND
+        self.turn = 0.0
+        self.credit = 0.0
+        self.back_at = 0.0
+        self.sent = 0.0
+
+    def learn_bound(self, target: Target, latency: float) -> None:
+        """Widen the bound while answers come well within the SLO, narrow it when they don't.
+
+        Guards against queues that grow until every answer is late, and against backends that choke on them.
+        """
+        if latency > FULL_AT * target.slo:
+            self.bound = max(1.0, min(self.bound, self.flight + 1.0) * NARROW)
+        elif self.flight + 1 >= self.bound - 1:
+            self.bound += 1 / self.bound
+
+
+class Shot:
+    """One shot of an API call; lives as long as its API call."""
+
+    __slots__ = ("number", "backend", "sent", "out", "ran", "overdue", "trial", "called_off")
+
+    def __init__(self, number: int, backend: Backend, sent: float) -> None:
+        self.number = number
+        self.backend = backend
+        self.sent = sent
+        self.out = True
+        self.ran = True  # may have run, until its ending proves that it didn't
+        self.overdue = False
+        self.trial = False
+        self.called_off = False
+
+
+class Call:
+    """The handle of one API call."""
+
+    __slots__ = ("_to", "token", "offer", "target", "until", "taken", "work", "room", "shots", "out", "done",
+                 "streaming", "waiting")
+
+    def __init__(self, to: Balancer, now: float, ask: Ask, work: float, room: float) -> None:
+        self._to = to
+        self.token = ask.token
+        self.offer = to.offers[ask.product]
+        self.target = self.offer.target
+        self.until = ask.until
+        self.taken = now
+        self.work = work
+        self.room = room
+        self.shots: list[Shot] = []
+        self.out = 0
+        self.done = False
+        self.streaming = False
+        self.waiting = False
+
+    @property
+    def closed(self) -> bool:
+        """True once nothing more can come for this handle."""
+        return self.done and not self.out
+
+    # The rules, asked before every shot and every rate-limit reply.
+
+    def may_send(self, now: float) -> bool:
+        """If any further shot is allowed at all; `may_use` says where to."""
+        to = self._to
+        if self.done or self.streaming or now >= self.until or len(self.shots) >= to.max_shots:
+            return False
+        if self.out and not to.copies:
+            return False
+        if self.offer.kind is Kind.NON_IDEMPOTENT:
+            return not any(s.ran for s in self.shots)
+        if self.offer.kind is Kind.DEDUPLICATED:
+            first = min((s.sent for s in self.shots if s.ran), default=None)
+            return first is None or now + to.step < first + self.offer.memory
+        return True
+
+    def may_use(self, b: Backend) -> bool:
+        """If a shot that `may_send` allows may go to this backend."""
+        if b.state is not State.READY:
+            return False
+        if self.offer.kind is Kind.DEDUPLICATED and self.offer.group is not Group.ALL:
+            zone = self.offer.group is Group.ZONE
+            for s in self.shots:
+                if s.ran and (s.backend.zone != b.zone if zone else s.backend.cell != b.cell):
+                    return False
+        return True
+
+    def may_rate_limit(self) -> bool:
+        """If telling the client that trying again is harmless would be true."""
+        if self.offer.kind is Kind.IDEMPOTENT:
+            return True
+        if self.offer.kind is Kind.DEDUPLICATED and self.offer.group is Group.ALL:
+            return True
+        return not any(s.ran for s in self.shots)
+
+    # What happens to the API call.
+
+    def began(self, now: float, number: int) -> None:
+        """The answer has begun to stream: this shot is now the client's."""
+        self.streaming = True
+        self.shots[number].overdue = True
+
+    def left(self, now: float) -> None:
+        """The client has gone; nothing more is owed."""
+        self._to.finish(self, now)
+
+    def ended(self, now: float, number: int, ending: Ending, latency: float, complete: bool,
+              load: Load | None = None) -> None:
+        """A shot has ended."""
+        shot = self.shots[number]
+        if not shot.out:
+            return
+        shot.out = False
+        shot.ran = ending not in NEVER_RAN
+        self.out -= 1
+        to = self._to
+        to.landed(now, self, shot, ending, latency)
+        if complete:
+            to.finish(self, now)
+        elif not self.done and not self.out and not self.streaming:
+            if shot.ran and not shot.called_off and not to.spend():
+                to.give_up(now, self)
+            else:
+                to.place(now, self)
+        to.pump(now)
+        if self.closed:
+            to.forget(self)
+
+
+class Balancer:
+    """One agent. Shares nothing with another."""
+
+    def __init__(self, settings: Settings, seed: int, port: Port) -> None:
+        self._port = port
+        self._seed = seed
+        self._drawn = 0
+        slos = sorted({p.slo for p in settings.products})
+        self._targets = [Target(i, slo) for i, slo in enumerate(slos)]
+        self.offers = [Offer(p, self._targets[slos.index(p.slo)]) for p in settings.products]
+        given = [s for s in slos if s > 0] or [min(p.timeout for p in settings.products) / MISS]
+        for t in self._targets:
+            t.slo = t.slo or given[0]
+        dearest = max(o.value for o in self.offers) or 1.0
+        for o in self.offers:
+            o.room = LEAST_ROOM + (1 - LEAST_ROOM) * o.value / dearest
+        limits, rules = settings.limits, settings.rules
+        self.max_shots = limits.max_shots
+        self.copies = limits.second_copies
+        self.step = settings.step
+        self._may_cancel = limits.may_cancel
+        self._most_retry_after = limits.max_retry_after if limits.retry_after else 0.0
+        self._hold = HOLD * given[-1]
+        self._look = max(settings.step, LOOK * given[0])
+        self._fall = rules.fall
+        self._cold = rules.cold
+        self._start = rules.start_capacity
+        self._must_ask = settings.must_ask
+        self._ask_first, self._ask_most = ASK_FIRST * rules.ask_within, ASK_MOST * rules.ask_within
+        self._ask_wait = self._ask_first
+        self._fractions = [c.fraction for c in settings.customers]
+        self._over = [0.0] * len(settings.customers)  # API calls beyond the share, drained by each one taken
+        self._backends: dict[int, Backend] = {}  # emptied as the directory drops them
+        self._ring: list[Backend] = []  # the ready ones, in an order of this agent's own
+        self._clock = 0.0  # the turn that was last given
+        self._flight = 0
+        self._live: dict[Call, None] = {}  # API calls with something out; each leaves when all its shots ended
+        self._line: list[Call] = []  # API calls waiting for room; each leaves after its patience at the latest
+        self._budget = BUDGET_MAX / 2
+        self._rate = 0.0  # work per ms sent to a warm backend of size 1, smoothed over `fall`
+        self._earned_at = 0.0
+        self._looking = False
+
+    # Events that belong to no API call.
+
+    def start(self, now: float) -> None:
+        self._earned_at = now
+        if self._must_ask:
+            self._port.directory(True)
+
+    def take(self, now: float, ask: Ask) -> Call:
+        """Take an API call; it gets exactly one final answer."""
+        offer = self.offers[ask.product]
+        target = offer.target
+        if ask.cost:
+            target.cost += TYPICAL * (ask.cost - target.cost) if target.cost else ask.cost
+        work = ask.cost or target.typical or target.slo * LATE_AT
+        room = offer.room * (LEAST_ROOM if self._over_share(ask.customer) else 1.0)
+        call = Call(self, now, ask, work, room)
+        self._budget = min(BUDGET_MAX, self._budget + BUDGET)
+        self.place(now, call)
+        return call
+
+    def listed(self, now: float, news: News, entries: list[Listing]) -> None:
+        """The directory has spoken."""
+        if news is News.FAILED:
+            # Guards against a directory that turns away a crowd: each agent comes back at its own time.
+            self._port.wake(now + self._ask_wait * (0.5 + self._chance()), "ask")
+            self._ask_wait = min(self._ask_most, 2 * self._ask_wait)
+            return
+        if news is not News.CACHED:
+            self._ask_wait = self._ask_first
+        for e in entries:
+            b = self._backends.get(e.backend)
+            if b is None:
+                b = self._backends[e.backend] = Backend(e.backend, len(self._targets))
+                b.turn = self._clock
+            elif e.boot_time > b.boot_time:
+                # A restart: what was known of the old process says nothing of the new one.
+                b.figure = [None] * len(self._targets)
+                b.held = [0.0] * len(self._targets)
+                b.bound = FIRST_BOUND
+                b.credit = 0.0
+            b.zone, b.cell, b.size = e.zone, e.cell, e.size or 1.0
+            b.state, b.boot_time = e.state, max(b.boot_time, e.boot_time)
+        if news is not News.CHANGES:
+            named = {e.backend for e in entries}
+            for b in self._backends.values():
+                if b.index not in named:
+                    b.state = State.GONE
+        for b in [b for b in self._backends.values() if b.state is State.GONE and not b.flight]:
+            del self._backends[b.index]
+        known = {b.index for b in self._ring if b.state is State.READY}
+        self._ring = [b for b in self._ring if b.state is State.READY]
+        for b in self._backends.values():
+            if b.state is State.READY and b.index not in known:
+                self._ring.insert(int(self._chance() * (len(self._ring) + 1)), b)
+        mean = sum(b.size for b in self._ring) / len(self._ring) if self._ring else 1.0
+        for b in self._ring:
+            b.size /= mean
+        self.pump(now)
+
+    def woke(self, now: float, mark: str) -> None:
+        if mark == "ask":
+            self._port.directory(True)
+        elif mark == "look":
+            self._looking = False
+            self._sweep(now)
+
+    def probed(self, now: float, backend: int, ending: Ending, latency: float, load: Load | None) -> None:
+        """The outcome of a probe; this version sends none."""
+
+    def heard(self, now: float, sender: int, message: bytes) -> None:
+        """A word from another agent; this version sends none and heeds none."""
+
+    # Placing a shot.
+
+    def place(self, now: float, call: Call) -> None:
+        """Send the API call on, put it in line, or answer it at once."""
+        if call.done:
+            return
+        if not call.may_send(now) or (not call.offer.late_counts and now >= call.taken + call.target.slo):
+            self.give_up(now, call)
+            return
+        b = self._choose(now, call)
+        if b is not None:
+            self._send(now, call, b)
+        elif now < call.taken + PATIENCE * call.target.slo and self._ring:
+            self._wait(now, call)
+        else:
+            self.give_up(now, call)
+
+    def give_up(self, now: float, call: Call) -> None:
+        """Give the final answer: rate-limited where that is true, else errored."""
+        if call.may_rate_limit() and now < call.until:
+            self._port.rate_limit(call.token, min(RETRY_AFTER * call.target.slo, self._most_retry_after))
+        else:
+            self._port.error(call.token)
+        self.finish(call, now)
+
+    def finish(self, call: Call, now: float) -> None:
+        """The API call is over; what is still out for it is called off."""
+        if call.done:
+            return
+        call.done = True
+        if call.waiting:
+            call.waiting = False
+            self._line.remove(call)
+        if self._may_cancel and not call.streaming:
+            for s in call.shots:
+                if s.out and not s.called_off:
+                    s.called_off = True
+                    self._port.cancel(call.token, s.number)
+
+    def forget(self, call: Call) -> None:
+        self._live.pop(call, None)
+
+    def spend(self) -> bool:
+        """Take one further shot out of the budget."""
+        if self._budget < 1:
+            return False
+        self._budget -= 1
+        return True
+
+    def _wait(self, now: float, call: Call) -> None:
+        """Put the API call in line, behind those at least as dear for their work.
+
+        The line is never longer than what the API calls out now make room for within the patience, so that
+        most waits end in an answer. Guards against calls held only to be turned away.
+        """
+        call.waiting = True
+        insort(self._line, call, key=lambda c: -c.room)
+        pace = max(t.typical for t in self._targets) or call.target.slo
+        if len(self._line) > max(1.0, self._flight * PATIENCE * call.target.slo / pace):
+            self.give_up(now, self._line[-1])
+        self._watch(now)
+
+    def pump(self, now: float) -> None:
+        """Place what stands in line, dearest first, until one finds no room."""
+        while self._line:
+            call = self._line[0]
+            b = self._choose(now, call) if call.may_send(now) else None
+            if b is None:
+                return
+            call.waiting = False
+            del self._line[0]
+            self._send(now, call, b)
+
+    def _expire(self, now: float) -> None:
+        """Answer what has stood in line too long."""
+        for call in [c for c in self._line if now >= c.taken + PATIENCE * c.target.slo or not c.may_send(now)]:
+            self.give_up(now, call)
+
+    def _choose(self, now: float, call: Call) -> Backend | None:
+        """The next turn in the pool of the API call's SLO."""
+        t = call.target.index
+        tried = {s.backend for s in call.shots}
+        usable = [b for b in self._ring if call.may_use(b)]
+        if tried and any(b not in tried for b in usable):
+            usable = [b for b in usable if b not in tried]
+        pool = [b for b in usable if not b.held[t]]
+        if call.offer.kind is not Kind.NON_IDEMPOTENT and not call.shots:
+            for b in usable:
+                if b.held[t] and now >= b.held[t] and b.trial[t] is None and self._has_credit(now, b, call):
+                    return b
+        best = None
+        self._earn(now)
+        crowd = CROWDED * self._flight / max(1, len(self._ring))
+        for b in pool or usable:
+            if b.flight >= max(1.0, b.bound * call.room) or not self._has_credit(now, b, call):
+                continue
+            if b.flight > crowd * b.size + 0.5:
+                rank = (1, b.flight / b.size)
+            else:
+                rank = (0, b.turn)
+            if best is None or rank < best[0]:
+                best = (rank, b)
+        return best[1] if best else None
+
+    def _send(self, now: float, call: Call, b: Backend) -> None:
+        t = call.target.index
+        shot = Shot(len(call.shots), b, now)
+        if b.held[t] and now >= b.held[t] and b.trial[t] is None:
+            b.trial[t] = shot
+            shot.trial = True
+        call.shots.append(shot)
+        call.out += 1
+        b.flight += 1
+        self._flight += 1
+        weight = b.size * self._ramp(now, b)
+        self._clock = max(self._clock, min(b.turn, self._clock + call.work / weight))
+        b.turn = max(b.turn, self._clock) + call.work / weight
+        if self._is_cold(now, b):
+            b.credit -= call.work
+        else:
+            b.sent += call.work
+        self._live[call] = None
+        self._watch(now)
+        self._port.send(call.token, b.index, call.until)
+
+    # Cold backends.
+
+    def _is_cold(self, now: float, b: Backend) -> bool:
+        return 0 < b.boot_time and now < b.boot_time + self._cold
+
+    def _capacity(self, now: float, b: Backend) -> float:
+        """The part of its capacity that a backend surely has by now."""
+        age = max(0.0, now - b.boot_time)
+        return min(1.0, self._start + (1 - self._start) * age / self._cold)
+
+    def _ramp(self, now: float, b: Backend) -> float:
+        """A fresh or returning backend counts for less in the choice, by its age."""
+        ramp = self._capacity(now, b) if self._is_cold(now, b) else 1.0
+        if b.back_at and now < b.back_at + self._hold:
+            ramp *= max(self._start, (now - b.back_at) / self._hold)
+        return ramp
+
+    def _earn(self, now: float) -> None:
+        """Credit cold backends with their part of what a warm one is sent.
+
+        Guards against pushing over a backend that has just started: summed over agents, what the backend gets
+        stays in proportion, since each agent gives out only a part of what it itself sends a warm one.
+        """
+        passed = now - self._earned_at
+        if passed < self.step:
+            return
+        self._earned_at = now
+        warm = [b for b in self._ring if not self._is_cold(now, b)]
+        if warm:
+            size = sum(b.size for b in warm)
+            sent = sum(b.sent for b in warm) / size
+            for b in warm:
+                b.sent = 0.0
+            keep = max(0.0, 1 - passed / self._fall)
+            self._rate = self._rate * keep + (1 - keep) * sent / passed
+        for b in self._ring:
+            if self._is_cold(now, b):
+                earned = self._rate * b.size * self._capacity(now, b)
+                most = max(earned * self._fall / 2, self._mean_work())
+                b.credit = min(most, b.credit + earned * passed)
+
+    def _mean_work(self) -> float:
+        return max(t.cost or t.typical or t.slo * LATE_AT for t in self._targets)
+
+    def _has_credit(self, now: float, b: Backend, call: Call) -> bool:
+        return not self._is_cold(now, b) or b.credit >= call.work
+
+    # Learning from what came back.
+
+    def landed(self, now: float, call: Call, shot: Shot, ending: Ending, latency: float) -> None:
+        """Book the end of a shot."""
+        b = shot.backend
+        b.flight -= 1
+        self._flight -= 1
+        target = call.target
+        failed = ending is not Ending.FULFILLED
+        if shot.trial:
+            b.trial[target.index] = None
+        if ending in (Ending.UNSENT, Ending.CANCELLED) or (shot.overdue and failed) or shot.called_off:
+            if shot.trial and b.held[target.index]:
+                b.held[target.index] = now + (self._hold if shot.overdue else 0.0)
+            return
+        if not failed:
+            target.typical += TYPICAL * (latency - target.typical) if target.typical else latency
+        if not shot.overdue:
+            self._sample(now, b, call, latency, failed, shot)
+        if not failed:
+            b.learn_bound(target, b.figure[target.index] or latency)
+        elif ending is Ending.TURNED_AWAY:
+            b.bound = max(1.0, min(b.bound, b.flight + 1.0) * NARROW)
+
+    def _sample(self, now: float, b: Backend, call: Call, latency: float, failed: bool, shot: Shot) -> None:
+        """One sample for the backend's figure of every SLO, scaled to what each SLO's API calls usually take.
+
+        Guards against agents with little traffic that would learn of a slow backend once for each product.
+        """
+        own = call.target
+        if call.work > own.cost > 0:
+            latency *= own.cost / call.work  # guards against a long API call that ejects a sound backend
+        for t in self._targets:
+            scale = t.typical / own.typical if own.typical and t.typical else t.slo / own.slo
+            sample = MISS * t.slo if failed else min(MISS * t.slo, latency * scale)
+            i = t.index
+            old = b.figure[i]
+            if b.held[i]:
+                if not shot.trial and t is own:
+                    continue
+                if sample <= t.slo and shot.trial:
+                    b.held[i] = 0.0
+                    b.figure[i] = sample
+                    b.back_at = now
+                    b.turn = max(b.turn, self._clock)
+                    self._port.log(f"backend {b.index} restored for SLO {t.slo:.0f} ms")
+                elif shot.trial:
+                    b.held[i] = now + self._hold
+                continue
+            b.figure[i] = sample if old is None and not failed else self._mix(old, t, sample)
+            if b.figure[i] > t.slo:
+                self._eject(now, b, t)
+
+    def _mix(self, old: float | None, t: Target, sample: float) -> float:
+        if old is None:
+            others = [f for o in self._ring if (f := o.figure[t.index]) is not None]
+            old = sum(others) / len(others) if others else 0.0
+        return old + NEWEST * (sample - old)
+
+    def _eject(self, now: float, b: Backend, t: Target) -> None:
+        """Take a backend out of a pool, unless too few would be left: then the cause is not the backend."""
+        i = t.index
+        ready = len(self._ring)
+        left = sum(1 for o in self._ring if not o.held[i] and o is not b)
+        if left < KEEP * ready or left == 0:
+            # Guards against a shared slowdown that empties the pool and floods the few that are left.
+            b.figure[i] = min(b.figure[i] or 0.0, MISS * t.slo)
+            return
+        b.held[i] = now + self._hold
+        self._port.log(f"backend {b.index} ejected for SLO {t.slo:.0f} ms at {b.figure[i]:.0f} ms")
+
+    # Looking at what is out.
+
+    def _watch(self, now: float) -> None:
+        if not self._looking:
+            self._looking = True
+            self._port.wake(now + self._look, "look")
+
+    def _sweep(self, now: float) -> None:
+        for call in list(self._live):
+            for shot in call.shots:
+                if shot.out and not shot.overdue and now - shot.sent > call.target.slo:
+                    # Guards against backends that take work and answer nothing: evidence before the shot ends.
+                    shot.overdue = True
+                    self._sample(now, shot.backend, call, now - shot.sent, True, shot)
+            if not call.done and call.out == 1:
+                self._second(now, call)
+        self._expire(now)
+        self.pump(now)
+        if self._live or self._line:
+            self._watch(now)
+
+    def _second(self, now: float, call: Call) -> None:
+        """Send a copy beside a late shot, or call the shot off to send another."""
+        last = call.shots[-1]
+        if last.called_off or now - last.sent < LATE_AT * call.target.slo or call.offer.kind is Kind.NON_IDEMPOTENT:
+            return
+        if now >= call.taken + call.target.slo or len(call.shots) >= self.max_shots:
+            return
+        if self.copies:
+            b = self._choose(now, call) if call.may_send(now) else None
+            if b is not None and b is not last.backend and self.spend():
+                self._send(now, call, b)
+        elif self._may_cancel and call.offer.kind is Kind.IDEMPOTENT and self.spend():
+            last.called_off = True
+            self._port.cancel(call.token, last.number)
+
+    def _over_share(self, customer: int) -> bool:
+        """If this customer has asked this agent for more than its share of what the agent was asked."""
+        if not self._fractions:
+            return False
+        for i, fraction in enumerate(self._fractions):
+            self._over[i] = max(0.0, self._over[i] - fraction)
+        self._over[customer] = min(BUDGET_MAX * 2, self._over[customer] + 1)
+        return self._over[customer] > BUDGET_MAX
+
+    def _chance(self) -> float:
+        self._drawn += 1
+        return crc32(f"{self._seed}:{self._drawn}".encode()) / 2**32
--- /dev/null
+++ b/lupinreach/model.py
@@ -0,0 +1,179 @@
+"""Plain types that the decision module and its fronts share. Nothing here decides anything."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Hashable, Protocol
+
+
+class Kind(Enum):
+    """What a product allows once a shot may have run."""
+
+    IDEMPOTENT = "idempotent"
+    DEDUPLICATED = "deduplicated"
+    NON_IDEMPOTENT = "non-idempotent"
+
+
+class Group(Enum):
+    """Which backends drop each other's repeats of a deduplicated API call."""
+
+    ALL = "all"
+    ZONE = "zone"
+    CELL = "cell"
+
+
+class Ending(Enum):
+    """How a shot ended."""
+
+    FULFILLED = "fulfilled"
+    ERRORED = "errored"
+    TURNED_AWAY = "turned away"
+    TIMED_OUT = "timed out"
+    UNREACHABLE = "unreachable"
+    RESET = "reset"
+    CANCELLED = "cancelled"
+    UNSENT = "unsent"
+
+
+# Endings that prove that the backend never ran the shot.
+NEVER_RAN = frozenset({Ending.TURNED_AWAY, Ending.UNREACHABLE, Ending.UNSENT})
+
+
+class State(Enum):
+    """What the directory says of a backend."""
+
+    GONE = 0
+    READY = 1
+    DRAINING = 2
+
+
+class News(Enum):
+    """What a piece of directory news holds."""
+
+    CHANGES = 0
+    FULL = 1
+    CACHED = 2
+    FAILED = 3
+
+
+@dataclass(frozen=True)
+class Product:
+    name: str
+    slo: float  # ms; 0 = none given
+    timeout: float  # ms, for all tries of a client together
+    billed_value: float
+    kind: Kind
+    group: Group = Group.ALL
+    memory: float = 0.0  # ms for which a repeat of a deduplicated API call is dropped
+    late_value: float = 0.0  # part of the billed value that an answer past the SLO still earns
+    slo_stretch: float = 0.0  # the SLO grows by this many times the work
+    streamed: bool = False
+
+
+@dataclass(frozen=True)
+class Customer:
+    name: str
+    fraction: float = 0.0  # of the service
+    quota_per_s: float = 0.0
+
+
+@dataclass(frozen=True)
+class Rules:
+    drain_grace: float
+    fall_multiple: float
+    fall: float
+    start_capacity: float
+    cold: float
+    ask_within: float = 0.0
+    answer_slack: float = 0.0
+
+
+@dataclass(frozen=True)
+class Limits:
+    max_shots: int
+    second_copies: bool = False
+    may_cancel: bool = False
+    probes: bool = False
+    peers: bool = False
+    retry_after: bool = False
+    max_retry_after: float = 0.0
+    connect_timeout: float = 0.0
+
+
+@dataclass(frozen=True)
+class Settings:
+    products: tuple[Product, ...]
+    rules: Rules
+    limits: Limits
+    customers: tuple[Customer, ...] = ()
+    agents: int = 1
+    me: int = 0
+    zone: int = 0
+    must_ask: bool = True  # the directory speaks only when asked
+    over_share_value: float = 1.0
+    value_by_work: bool = False
+    load_fields: tuple[str, ...] = ()
+    load_on_answers: bool = False
+    step: float = 1.0
+
+
+@dataclass(frozen=True)
+class Listing:
+    """One backend as the directory lists it."""
+
+    backend: int
+    state: State
+    boot_time: float = 0.0  # 0 = long ago
+    size: float = 1.0
+    zone: int = 0
+    cell: int = 0
+
+
+@dataclass(frozen=True)
+class Ask:
+    """One API call as it arrives."""
+
+    token: Hashable  # the front's own name for it; comes back through the port
+    product: int
+    until: float  # when the client stops waiting for this try
+    customer: int = 0
+    key: int | None = None
+    cost: float | None = None  # ms of work on a standard core, roughly
+    again: bool = False  # the client says that this is a repeat
+    write: bool = False
+
+
+@dataclass(frozen=True)
+class Load:
+    """A backend's own report; a figure that it does not give is None."""
+
+    in_flight: float | None = None
+    waiting: float | None = None
+    busy: float | None = None
+    latency: float | None = None
+    calls_per_s: float | None = None
+    errors_per_s: float | None = None
+    extra: dict[str, float] = field(default_factory=dict)
+
+
+class Port(Protocol):
+    """What the module asks of the front that hosts it."""
+
+    def send(self, token: Hashable, backend: int, until: float) -> None: ...
+
+    def cancel(self, token: Hashable, shot: int) -> None: ...
+
+    def rate_limit(self, token: Hashable, retry_after: float) -> None: ...
+
+    def error(self, token: Hashable) -> None: ...
+
+    def wake(self, at: float, mark: str) -> None: ...
+
+    def directory(self, follow: bool) -> None: ...
+
+    def probe(self, backend: int) -> None: ...
+
+    def peers(self, message: bytes) -> None: ...
+
+    def log(self, text: str) -> None: ...
