--- a/lupinreach/balance.py
+++ b/lupinreach/balance.py
@@ -35,13 +35,14 @@
 TYPICAL = 0.02  # weight of the newest sample in what an SLO's API calls usually take
 FULL_AT = 0.5  # x SLO: a smoothed latency above it narrows the in-flight bound, below it widens it
 NARROW = 0.9  # the bound's factor when it narrows
-FIRST_BOUND = 4.0  # shots in flight that a backend of mean size is given before anything is known
+FIRST_BOUND = 2.0  # shots in flight that a backend of mean size is given before anything is known
 PATIENCE = 0.25  # x SLO: how long an API call stands in line
 LATE_AT = 0.5  # x SLO: a shot out for longer gets company, or is called off where copies are not allowed
 BUDGET = 0.15  # further shots that may repeat work, for each API call taken
 BUDGET_MAX = 10.0  # the most of them that may be saved up
 RETRY_AFTER = 0.25  # x SLO: when a rate-limited client is told to come back
 LEAST_ROOM = 0.5  # share of a bound that the API calls of least value may fill; the dearest may fill all of it
+FADE = 2.0  # x longest SLO: after it a load report counts for nothing
 LOOK = 0.05  # x shortest SLO: the time between two looks at what is out
 ASK_FIRST, ASK_MOST = 0.05, 0.4  # x ask_within: the first and the longest wait before the directory is asked again
 
@@ -78,7 +79,7 @@
     """What this agent knows of one backend. Emptied when the directory drops it and nothing is out."""
 
     __slots__ = ("index", "zone", "cell", "size", "state", "boot_time", "told", "figure", "held", "trial",
-                 "flight", "bound", "turn", "credit", "back_at", "sent")
+                 "flight", "others", "heard_at", "bound", "turn", "credit", "back_at", "sent")
 
     def __init__(self, index: int, targets: int) -> None:
         self.index = index
@@ -90,21 +91,29 @@
         self.figure: list[float | None] = [None] * targets  # smoothed latency per SLO, None = unsampled
         self.held: list[float] = [0.0] * targets  # per SLO: 0 = in the pool, else when a trial is due
         self.trial: list[Shot | None] = [None] * targets
-        self.flight = 0
+        self.flight = 0  # shots of this agent
+        self.others = 0.0  # shots of other agents, by the backend's last report
+        self.heard_at = 0.0
         self.bound = FIRST_BOUND
         self.turn = 0.0
         self.credit = 0.0
         self.back_at = 0.0
         self.sent = 0.0
 
-    def learn_bound(self, target: Target, latency: float) -> None:
+    def load(self, now: float, memory: float) -> float:
+        """Shots in flight here from all agents, as far as known; a report fades out over `memory`."""
+        if not self.others:
+            return self.flight
+        return self.flight + self.others * max(0.0, 1 - (now - self.heard_at) / memory)
+
+    def learn_bound(self, load: float, fullness: float) -> None:
         """Widen the bound while answers come well within the SLO, narrow it when they don't.
 
         Guards against queues that grow until every answer is late, and against backends that choke on them.
         """
-        if latency > FULL_AT * target.slo:
-            self.bound = max(1.0, min(self.bound, self.flight + 1.0) * NARROW)
-        elif self.flight + 1 >= self.bound - 1:
+        if fullness > FULL_AT:
+            self.bound = max(1.0, min(self.bound, load + 1.0) * NARROW)
+        elif load + 1 >= self.bound - 1:
             self.bound += 1 / self.bound
 
 
@@ -206,6 +215,9 @@
         shot.ran = ending not in NEVER_RAN
         self.out -= 1
         to = self._to
+        if load is not None and load.in_flight is not None:
+            b = shot.backend
+            b.others, b.heard_at = max(0.0, load.in_flight - b.flight), now
         to.landed(now, self, shot, ending, latency)
         if complete:
             to.finish(self, now)
@@ -242,6 +254,7 @@
         self._may_cancel = limits.may_cancel
         self._most_retry_after = limits.max_retry_after if limits.retry_after else 0.0
         self._hold = HOLD * given[-1]
+        self._fade = FADE * given[-1]
         self._look = max(settings.step, LOOK * given[0])
         self._fall = rules.fall
         self._cold = rules.cold
@@ -346,7 +359,7 @@
         b = self._choose(now, call)
         if b is not None:
             self._send(now, call, b)
-        elif now < call.taken + PATIENCE * call.target.slo and self._ring:
+        elif now < self._stands_until(call) and self._ring:
             self._wait(now, call)
         else:
             self.give_up(now, call)
@@ -409,9 +422,13 @@
 
     def _expire(self, now: float) -> None:
         """Answer what has stood in line too long."""
-        for call in [c for c in self._line if now >= c.taken + PATIENCE * c.target.slo or not c.may_send(now)]:
+        for call in [c for c in self._line if now >= self._stands_until(c) or not c.may_send(now)]:
             self.give_up(now, call)
 
+    def _stands_until(self, call: Call) -> float:
+        # Guards against a client timeout that falls between two looks at the line.
+        return min(call.taken + PATIENCE * call.target.slo, call.until - 2 * self._look)
+
     def _choose(self, now: float, call: Call) -> Backend | None:
         """The next turn in the pool of the API call's SLO."""
         t = call.target.index
@@ -426,12 +443,14 @@
                     return b
         best = None
         self._earn(now)
-        crowd = CROWDED * self._flight / max(1, len(self._ring))
+        loads = {b: b.load(now, self._fade) for b in self._ring}
+        crowd = CROWDED * sum(loads.values()) / max(1, len(self._ring))
         for b in pool or usable:
-            if b.flight >= max(1.0, b.bound * call.room) or not self._has_credit(now, b, call):
+            load = loads[b]
+            if load >= max(1.0, b.bound * call.room) or not self._has_credit(now, b, call):
                 continue
-            if b.flight > crowd * b.size + 0.5:
-                rank = (1, b.flight / b.size)
+            if load > crowd * b.size + 0.5:
+                rank = (1, load / b.size)
             else:
                 rank = (0, b.turn)
             if best is None or rank < best[0]:
@@ -526,9 +545,10 @@
         if not shot.overdue:
             self._sample(now, b, call, latency, failed, shot)
         if not failed:
-            b.learn_bound(target, b.figure[target.index] or latency)
+            fullness = max((b.figure[t.index] or 0.0) / t.slo for t in self._targets)
+            b.learn_bound(b.load(now, self._fade), fullness)
         elif ending is Ending.TURNED_AWAY:
-            b.bound = max(1.0, min(b.bound, b.flight + 1.0) * NARROW)
+            b.learn_bound(b.load(now, self._fade), MISS)
 
     def _sample(self, now: float, b: Backend, call: Call, latency: float, failed: bool, shot: Shot) -> None:
         """One sample for the backend's figure of every SLO, scaled to what each SLO's API calls usually take.
