--- a/lupinreach/balance.py
+++ b/lupinreach/balance.py
@@ -34,6 +34,8 @@
 KEEP = 0.5  # share of the ready backends that ejection leaves in a pool
 TYPICAL = 0.02  # weight of the newest sample in what an SLO's API calls usually take
 FULL_AT = 0.5  # x SLO: a smoothed latency above it narrows the in-flight bound, below it widens it
+SOON = 0.05  # weight of the newest shot in the share of slow ones
+FULL_SHARE = 1 / 3  # share of shots slower than FULL_AT from which the agent's own bound narrows
 NARROW = 0.9  # the bound's factor when it narrows
 FIRST_BOUND = 2.0  # shots in flight that a backend of mean size is given before anything is known
 PATIENCE = 0.25  # x SLO: how long an API call stands in line
@@ -112,7 +114,7 @@
         Guards against queues that grow until every answer is late, and against backends that choke on them.
         """
         if fullness > FULL_AT:
-            self.bound = max(1.0, min(self.bound, load + 1.0) * NARROW)
+            self.bound = max(1.0, self.bound * NARROW)
         elif load + 1 >= self.bound - 1:
             self.bound += 1 / self.bound
 
@@ -268,6 +270,10 @@
         self._ring: list[Backend] = []  # the ready ones, in an order of this agent's own
         self._clock = 0.0  # the turn that was last given
         self._flight = 0
+        self._fullness = 0.0  # smoothed share of shots, to backends in the pools, slower than FULL_AT
+        self._bound = 0.0  # shots in flight that this agent allows itself in all; set with the first list
+        self._narrowed_at = 0.0
+        self._peak = 0  # most shots out since the bound was last narrowed
         self._live: dict[Call, None] = {}  # API calls with something out; each leaves when all its shots ended
         self._line: list[Call] = []  # API calls waiting for room; each leaves after its patience at the latest
         self._budget = BUDGET_MAX / 2
@@ -332,6 +338,8 @@
         mean = sum(b.size for b in self._ring) / len(self._ring) if self._ring else 1.0
         for b in self._ring:
             b.size /= mean
+        if not self._bound:
+            self._bound = FIRST_BOUND * len(self._ring)
         self.pump(now)
 
     def woke(self, now: float, mark: str) -> None:
@@ -432,6 +440,8 @@
     def _choose(self, now: float, call: Call) -> Backend | None:
         """The next turn in the pool of the API call's SLO."""
         t = call.target.index
+        if self._flight >= max(1.0, self._bound * call.room):
+            return None
         tried = {s.backend for s in call.shots}
         usable = [b for b in self._ring if call.may_use(b)]
         if tried and any(b not in tried for b in usable):
@@ -467,6 +477,7 @@
         call.out += 1
         b.flight += 1
         self._flight += 1
+        self._peak = max(self._peak, self._flight)
         weight = b.size * self._ramp(now, b)
         self._clock = max(self._clock, min(b.turn, self._clock + call.work / weight))
         b.turn = max(b.turn, self._clock) + call.work / weight
@@ -556,6 +567,8 @@
         Guards against agents with little traffic that would learn of a slow backend once for each product.
         """
         own = call.target
+        if not b.held[own.index]:
+            self._learn_bound(now, MISS if failed else min(MISS, latency / own.slo))
         if call.work > own.cost > 0:
             latency *= own.cost / call.work  # guards against a long API call that ejects a sound backend
         for t in self._targets:
@@ -579,6 +592,22 @@
             if b.figure[i] > t.slo:
                 self._eject(now, b, t)
 
+    def _learn_bound(self, now: float, ratio: float) -> None:
+        """The agent's bound on all its shots: widen while answers come well in time, narrow when they don't.
+
+        Guards against many agents with a shot or two each on every backend, where no backend's own bound can
+        get low enough: together they would still choke the fleet.
+        """
+        # Counted by how many are late and not by how much, so that a few long ones don't narrow it.
+        self._fullness += SOON * ((ratio > FULL_AT) - self._fullness)
+        if self._fullness > FULL_SHARE:
+            if now >= self._narrowed_at + max(t.typical for t in self._targets):
+                self._narrowed_at = now
+                self._bound = max(1.0, min(self._bound, self._peak) * NARROW)
+                self._peak = self._flight
+        elif self._flight + 1 >= self._bound * LEAST_ROOM:
+            self._bound += 1 / self._bound
+
     def _mix(self, old: float | None, t: Target, sample: float) -> float:
         if old is None:
             others = [f for o in self._ring if (f := o.figure[t.index]) is not None]
