--- a/lupinreach/balance.py
+++ b/lupinreach/balance.py
@@ -30,7 +30,7 @@
 
 # The project's figures, each a ratio to something from the settings or to something measured.
 HOLD = 4.0  # x longest SLO: from an ejection to the trial
-CROWDED = 1.5  # x mean in flight for a backend's size, plus one half: above it the backend's turn is skipped
+CROWDED = 1.0  # x mean in flight for a backend's size: above it the backend's turn is skipped
 KEEP = 0.5  # share of the ready backends that ejection leaves in a pool
 TYPICAL = 0.02  # weight of the newest sample in what an SLO's API calls usually take
 FULL_AT = 0.5  # x SLO: a smoothed latency above it narrows the in-flight bound, below it widens it
@@ -440,7 +440,9 @@
     def _choose(self, now: float, call: Call) -> Backend | None:
         """The next turn in the pool of the API call's SLO."""
         t = call.target.index
-        if self._flight >= max(1.0, self._bound * call.room):
+        # Room is kept for the dearest only as far as shots are slow: with all in time, all may fill the bound.
+        kept = (1 - call.room) * min(1.0, self._fullness / FULL_SHARE)
+        if self._flight >= max(1.0, self._bound * (1 - kept)):
             return None
         tried = {s.backend for s in call.shots}
         usable = [b for b in self._ring if call.may_use(b)]
@@ -457,9 +459,9 @@
         crowd = CROWDED * sum(loads.values()) / max(1, len(self._ring))
         for b in pool or usable:
             load = loads[b]
-            if load >= max(1.0, b.bound * call.room) or not self._has_credit(now, b, call):
+            if load >= b.bound or not self._has_credit(now, b, call):
                 continue
-            if load > crowd * b.size + 0.5:
+            if load > crowd * b.size:
                 rank = (1, load / b.size)
             else:
                 rank = (0, b.turn)
