--- a/lupinreach/balance.py
+++ b/lupinreach/balance.py
@@ -39,8 +39,8 @@
 NARROW = 0.9  # the bound's factor when it narrows
 FIRST_BOUND = 2.0  # shots in flight that a backend of mean size is given before anything is known
 PATIENCE = 0.25  # x SLO: how long an API call stands in line
-LATE_AT = 0.5  # x SLO: a shot out for longer gets company, or is called off where copies are not allowed
-BUDGET = 0.15  # further shots that may repeat work, for each API call taken
+LATE_AT = 0.8  # x SLO: a shot out for longer gets company, or is called off where copies are not allowed
+BUDGET = 0.05  # further shots that may repeat work, for each API call taken
 BUDGET_MAX = 10.0  # the most of them that may be saved up
 RETRY_AFTER = 0.25  # x SLO: when a rate-limited client is told to come back
 LEAST_ROOM = 0.5  # share of a bound that the API calls of least value may fill; the dearest may fill all of it
@@ -398,8 +398,8 @@
         self._live.pop(call, None)
 
     def spend(self) -> bool:
-        """Take one further shot out of the budget."""
-        if self._budget < 1:
+        """Take one further shot out of the budget; none while shots are slow in general."""
+        if self._budget < 1 or self._fullness > FULL_SHARE / 2:
             return False
         self._budget -= 1
         return True
