One bound per agent, narrowed in proportion; backends that fail at once rest

Cause: bounds per backend and steps of a tenth refused loads that fit, since a few long API calls or pauses crossed the threshold by chance.

--- a/lupinreach/balance.py
+++ b/lupinreach/balance.py
@@ -8,7 +8,7 @@
 The design (docs/design.md): for each latency SLO a pool of the backends whose smoothed latency meets it; a miss
 ejects, a trial restores, and shots rotate evenly inside the pool. Beside it stand these mechanisms:
   1. cold credit: a starting backend earns its shots from what warm ones are sent           (Balancer._earn)
-  2. in-flight bounds: each backend holds only as many shots as it answers well in time      (Backend.learn_bound)
+  2. a bound in flight: the agent has no more shots out than come back well in time   (Balancer._learn_bound)
   3. a short line: API calls that find all bounds full wait a moment, dearest first          (Balancer._pump)
   4. further shots: after a failure or beside a late shot, out of a budget                   (Call.ended, _second)
   5. bounded ejection: half of the backends always stay, the cause is then not a backend     (Balancer._eject)
@@ -24,19 +24,20 @@
 )
 
 # The design's own figures.
-NEWEST = 0.3  # weight of the newest latency sample
+NEWEST = 0.15  # weight of the newest latency sample
 MISS = 2.0  # a failed shot counts as a sample of this many SLOs; no sample counts for more
 DEFAULT_SLO = 2.0  # with no SLO given: this many times the median smoothed latency
 
 # The project's figures, each a ratio to something from the settings or to something measured.
 HOLD = 4.0  # x longest SLO: from an ejection to the trial
 CROWDED = 1.0  # x mean in flight for a backend's size: above it the backend's turn is skipped
+STANDS_OUT = 2.0  # x median figure of the others: below it a miss is shared and does not eject
 KEEP = 0.5  # share of the ready backends that ejection leaves in a pool
 TYPICAL = 0.02  # weight of the newest sample in what an SLO's API calls usually take
-FULL_AT = 0.5  # x SLO: a smoothed latency above it narrows the in-flight bound, below it widens it
+FULL_AT = 0.5  # x SLO: a shot that takes longer is a slow one
 SOON = 0.05  # weight of the newest shot in the share of slow ones
 FULL_SHARE = 1 / 3  # share of shots slower than FULL_AT from which the agent's own bound narrows
-NARROW = 0.9  # the bound's factor when it narrows
+NARROW = 0.3  # how far the bound narrows, for a share of slow shots that is over by 1
 FIRST_BOUND = 2.0  # shots in flight that a backend of mean size is given before anything is known
 PATIENCE = 0.25  # x SLO: how long an API call stands in line
 LATE_AT = 0.8  # x SLO: a shot out for longer gets company, or is called off where copies are not allowed
@@ -81,7 +82,7 @@
     """What this agent knows of one backend. Emptied when the directory drops it and nothing is out."""
 
     __slots__ = ("index", "zone", "cell", "size", "state", "boot_time", "told", "figure", "held", "trial",
-                 "flight", "others", "heard_at", "bound", "turn", "credit", "back_at", "sent")
+                 "flight", "others", "heard_at", "rest_until", "refusals", "turn", "credit", "back_at", "sent")
 
     def __init__(self, index: int, targets: int) -> None:
         self.index = index
@@ -96,7 +97,8 @@
         self.flight = 0  # shots of this agent
         self.others = 0.0  # shots of other agents, by the backend's last report
         self.heard_at = 0.0
-        self.bound = FIRST_BOUND
+        self.rest_until = 0.0  # after a quick failure no turn until then
+        self.refusals = 0  # quick failures since the last answer
         self.turn = 0.0
         self.credit = 0.0
         self.back_at = 0.0
@@ -108,16 +110,6 @@
             return self.flight
         return self.flight + self.others * max(0.0, 1 - (now - self.heard_at) / memory)
 
-    def learn_bound(self, load: float, fullness: float) -> None:
-        """Widen the bound while answers come well within the SLO, narrow it when they don't.
-
-        Guards against queues that grow until every answer is late, and against backends that choke on them.
-        """
-        if fullness > FULL_AT:
-            self.bound = max(1.0, self.bound * NARROW)
-        elif load + 1 >= self.bound - 1:
-            self.bound += 1 / self.bound
-
 
 class Shot:
     """One shot of an API call; lives as long as its API call."""
@@ -319,7 +311,7 @@
                 # A restart: what was known of the old process says nothing of the new one.
                 b.figure = [None] * len(self._targets)
                 b.held = [0.0] * len(self._targets)
-                b.bound = FIRST_BOUND
+                b.rest_until, b.refusals = 0.0, 0
                 b.credit = 0.0
             b.zone, b.cell, b.size = e.zone, e.cell, e.size or 1.0
             b.state, b.boot_time = e.state, max(b.boot_time, e.boot_time)
@@ -459,7 +451,7 @@
         crowd = CROWDED * sum(loads.values()) / max(1, len(self._ring))
         for b in pool or usable:
             load = loads[b]
-            if load >= b.bound or not self._has_credit(now, b, call):
+            if now < b.rest_until or not self._has_credit(now, b, call):
                 continue
             if load > crowd * b.size:
                 rank = (1, load / b.size)
@@ -558,10 +550,11 @@
         if not shot.overdue:
             self._sample(now, b, call, latency, failed, shot)
         if not failed:
-            fullness = max((b.figure[t.index] or 0.0) / t.slo for t in self._targets)
-            b.learn_bound(b.load(now, self._fade), fullness)
-        elif ending is Ending.TURNED_AWAY:
-            b.learn_bound(b.load(now, self._fade), MISS)
+            b.refusals = 0
+        elif latency < target.typical:
+            # Guards against a backend that fails at once and, always idle, would draw every turn.
+            b.rest_until = now + min(self._hold, target.typical * 2**b.refusals)
+            b.refusals += 1
 
     def _sample(self, now: float, b: Backend, call: Call, latency: float, failed: bool, shot: Shot) -> None:
         """One sample for the backend's figure of every SLO, scaled to what each SLO's API calls usually take.
@@ -605,9 +598,10 @@
         if self._fullness > FULL_SHARE:
             if now >= self._narrowed_at + max(t.typical for t in self._targets):
                 self._narrowed_at = now
-                self._bound = max(1.0, min(self._bound, self._peak) * NARROW)
+                excess = self._fullness - FULL_SHARE
+                self._bound = max(1.0, min(self._bound, self._peak) * (1 - NARROW * excess))
                 self._peak = self._flight
-        elif self._flight + 1 >= self._bound * LEAST_ROOM:
+        elif self._flight + 1 >= self._bound * (1 - LEAST_ROOM):
             self._bound += 1 / self._bound
 
     def _mix(self, old: float | None, t: Target, sample: float) -> float:
@@ -620,8 +614,10 @@
         """Take a backend out of a pool, unless too few would be left: then the cause is not the backend."""
         i = t.index
         ready = len(self._ring)
-        left = sum(1 for o in self._ring if not o.held[i] and o is not b)
-        if left < KEEP * ready or left == 0:
+        left = [o.figure[i] for o in self._ring if not o.held[i] and o is not b]
+        known = sorted(f for f in left if f is not None)
+        usual = known[len(known) // 2] if known else 0.0
+        if len(left) < KEEP * ready or not left or (b.figure[i] or 0.0) < STANDS_OUT * usual:
             # Guards against a shared slowdown that empties the pool and floods the few that are left.
             b.figure[i] = min(b.figure[i] or 0.0, MISS * t.slo)
             return
