--- a/lupinreach/balance.py
+++ b/lupinreach/balance.py
@@ -34,7 +34,8 @@
 STANDS_OUT = 2.0  # x median figure of the others: below it a miss is shared and does not eject
 KEEP = 0.5  # share of the ready backends that ejection leaves in a pool
 TYPICAL = 0.02  # weight of the newest sample in what an SLO's API calls usually take
-FULL_AT = 0.5  # x SLO: a shot that takes longer is a slow one
+FULL_AT = 0.5  # x SLO: a shot that takes longer is a slow one, and so is one that takes
+EASE = 3.0  # x what the SLO's API calls took when they last took least
 SOON = 0.05  # weight of the newest shot in the share of slow ones
 FULL_SHARE = 1 / 3  # share of shots slower than FULL_AT from which the agent's own bound narrows
 NARROW = 0.3  # how far the bound narrows, for a share of slow shots that is over by 1
@@ -53,7 +54,7 @@
 class Target:
     """One latency SLO and what its API calls usually take."""
 
-    __slots__ = ("index", "slo", "given", "typical", "cost")
+    __slots__ = ("index", "slo", "given", "typical", "cost", "recent", "ease")
 
     def __init__(self, index: int, slo: float) -> None:
         self.index = index
@@ -61,6 +62,11 @@
         self.given = slo > 0
         self.typical = 0.0  # ms from send to answer; 0 = none seen
         self.cost = 0.0  # mean cost hint; 0 = none seen
+        self.recent = self.ease = 0.0  # smoothed latency, and its lowest of late
+
+    def slow(self, latency: float) -> bool:
+        """If a shot took so long that backends must be holding too many."""
+        return latency > min(FULL_AT * self.slo, EASE * self.ease)
 
 
 class Offer:
@@ -81,7 +87,7 @@
 class Backend:
     """What this agent knows of one backend. Emptied when the directory drops it and nothing is out."""
 
-    __slots__ = ("index", "zone", "cell", "size", "state", "boot_time", "told", "figure", "held", "trial",
+    __slots__ = ("index", "zone", "cell", "size", "state", "boot_time", "told", "figure", "held", "trial", "silent_since",
                  "flight", "others", "heard_at", "rest_until", "refusals", "turn", "credit", "back_at", "sent")
 
     def __init__(self, index: int, targets: int) -> None:
@@ -93,7 +99,8 @@
         self.told = 0.0
         self.figure: list[float | None] = [None] * targets  # smoothed latency per SLO, None = unsampled
         self.held: list[float] = [0.0] * targets  # per SLO: 0 = in the pool, else when a trial is due
-        self.trial: list[Shot | None] = [None] * targets
+        self.trial: Shot | None = None
+        self.silent_since = 0.0  # with shots out: the last answer, or the first send after it
         self.flight = 0  # shots of this agent
         self.others = 0.0  # shots of other agents, by the backend's last report
         self.heard_at = 0.0
@@ -238,6 +245,7 @@
         given = [s for s in slos if s > 0] or [min(p.timeout for p in settings.products) / MISS]
         for t in self._targets:
             t.slo = t.slo or given[0]
+            t.recent = t.ease = t.slo * FULL_AT / EASE
         dearest = max(o.value for o in self.offers) or 1.0
         for o in self.offers:
             o.room = LEAST_ROOM + (1 - LEAST_ROOM) * o.value / dearest
@@ -443,7 +451,7 @@
         pool = [b for b in usable if not b.held[t]]
         if call.offer.kind is not Kind.NON_IDEMPOTENT and not call.shots:
             for b in usable:
-                if b.held[t] and now >= b.held[t] and b.trial[t] is None and self._has_credit(now, b, call):
+                if b.held[t] and now >= b.held[t] and b.trial is None and self._has_credit(now, b, call):
                     return b
         best = None
         self._earn(now)
@@ -451,7 +459,8 @@
         crowd = CROWDED * sum(loads.values()) / max(1, len(self._ring))
         for b in pool or usable:
             load = loads[b]
-            if now < b.rest_until or not self._has_credit(now, b, call):
+            silent = b.flight and now - b.silent_since > FULL_AT * call.target.slo
+            if silent or now < b.rest_until or not self._has_credit(now, b, call):
                 continue
             if load > crowd * b.size:
                 rank = (1, load / b.size)
@@ -464,11 +473,13 @@
     def _send(self, now: float, call: Call, b: Backend) -> None:
         t = call.target.index
         shot = Shot(len(call.shots), b, now)
-        if b.held[t] and now >= b.held[t] and b.trial[t] is None:
-            b.trial[t] = shot
+        if b.held[t] and now >= b.held[t] and b.trial is None:
+            b.trial = shot
             shot.trial = True
         call.shots.append(shot)
         call.out += 1
+        if not b.flight:
+            b.silent_since = now
         b.flight += 1
         self._flight += 1
         self._peak = max(self._peak, self._flight)
@@ -540,16 +551,19 @@
         target = call.target
         failed = ending is not Ending.FULFILLED
         if shot.trial:
-            b.trial[target.index] = None
+            b.trial = None
         if ending in (Ending.UNSENT, Ending.CANCELLED) or (shot.overdue and failed) or shot.called_off:
             if shot.trial and b.held[target.index]:
                 b.held[target.index] = now + (self._hold if shot.overdue else 0.0)
             return
         if not failed:
             target.typical += TYPICAL * (latency - target.typical) if target.typical else latency
+            target.recent += SOON * (latency - target.recent)
+            target.ease = min(target.ease * (1 + TYPICAL**2), target.recent)
         if not shot.overdue:
             self._sample(now, b, call, latency, failed, shot)
         if not failed:
+            b.silent_since = now
             b.refusals = 0
         elif latency < target.typical:
             # Guards against a backend that fails at once and, always idle, would draw every turn.
@@ -563,7 +577,7 @@
         """
         own = call.target
         if not b.held[own.index]:
-            self._learn_bound(now, MISS if failed else min(MISS, latency / own.slo))
+            self._learn_bound(now, failed or own.slow(latency))
         if call.work > own.cost > 0:
             latency *= own.cost / call.work  # guards against a long API call that ejects a sound backend
         for t in self._targets:
@@ -572,29 +586,29 @@
             i = t.index
             old = b.figure[i]
             if b.held[i]:
-                if not shot.trial and t is own:
+                if not shot.trial:
                     continue
-                if sample <= t.slo and shot.trial:
+                if sample <= t.slo:
                     b.held[i] = 0.0
                     b.figure[i] = sample
                     b.back_at = now
                     b.turn = max(b.turn, self._clock)
                     self._port.log(f"backend {b.index} restored for SLO {t.slo:.0f} ms")
-                elif shot.trial:
+                else:
                     b.held[i] = now + self._hold
                 continue
             b.figure[i] = sample if old is None and not failed else self._mix(old, t, sample)
             if b.figure[i] > t.slo:
                 self._eject(now, b, t)
 
-    def _learn_bound(self, now: float, ratio: float) -> None:
+    def _learn_bound(self, now: float, slow: bool) -> None:
         """The agent's bound on all its shots: widen while answers come well in time, narrow when they don't.
 
         Guards against many agents with a shot or two each on every backend, where no backend's own bound can
         get low enough: together they would still choke the fleet.
         """
         # Counted by how many are late and not by how much, so that a few long ones don't narrow it.
-        self._fullness += SOON * ((ratio > FULL_AT) - self._fullness)
+        self._fullness += SOON * (slow - self._fullness)
         if self._fullness > FULL_SHARE:
             if now >= self._narrowed_at + max(t.typical for t in self._targets):
                 self._narrowed_at = now
@@ -637,6 +651,9 @@
                 if shot.out and not shot.overdue and now - shot.sent > call.target.slo:
                     # Guards against backends that take work and answer nothing: evidence before the shot ends.
                     shot.overdue = True
+                    if shot.backend.silent_since <= shot.sent:
+                        # Nothing at all came back since: one such shot says enough.
+                        shot.backend.figure = [MISS * t.slo for t in self._targets]
                     self._sample(now, shot.backend, call, now - shot.sent, True, shot)
             if not call.done and call.out == 1:
                 self._second(now, call)
