Share the first bound among the agents

Cause: each agent began as if alone, so crowds of agents choked backends before their bounds had narrowed.

--- a/lupinreach/balance.py
+++ b/lupinreach/balance.py
@@ -273,6 +273,7 @@
         self._fullness = 0.0  # smoothed share of shots, to backends in the pools, slower than FULL_AT
         self._bound = 0.0  # shots in flight that this agent allows itself in all; set with the first list
         self._narrowed_at = 0.0
+        self._agents = settings.agents
         self._peak = 0  # most shots out since the bound was last narrowed
         self._live: dict[Call, None] = {}  # API calls with something out; each leaves when all its shots ended
         self._line: list[Call] = []  # API calls waiting for room; each leaves after its patience at the latest
@@ -339,7 +340,7 @@
         for b in self._ring:
             b.size /= mean
         if not self._bound:
-            self._bound = FIRST_BOUND * len(self._ring)
+            self._bound = max(FIRST_BOUND, FIRST_BOUND * len(self._ring) / self._agents)
         self.pump(now)
 
     def woke(self, now: float, mark: str) -> None:
