--- a/lupinreach/balance.py
+++ b/lupinreach/balance.py
@@ -46,7 +46,6 @@
 BUDGET_MAX = 10.0  # the most of them that may be saved up
 RETRY_AFTER = 0.25  # x SLO: when a rate-limited client is told to come back
 LEAST_ROOM = 0.5  # share of a bound that the API calls of least value may fill; the dearest may fill all of it
-FADE = 2.0  # x longest SLO: after it a load report counts for nothing
 LOOK = 0.05  # x shortest SLO: the time between two looks at what is out
 ASK_FIRST, ASK_MOST = 0.05, 0.4  # x ask_within: the first and the longest wait before the directory is asked again
 
@@ -88,7 +87,7 @@
     """What this agent knows of one backend. Emptied when the directory drops it and nothing is out."""
 
     __slots__ = ("index", "zone", "cell", "size", "state", "boot_time", "told", "figure", "held", "trial", "silent_since",
-                 "flight", "others", "heard_at", "rest_until", "refusals", "turn", "credit", "back_at", "sent")
+                 "flight", "rest_until", "refusals", "turn", "credit", "back_at", "sent")
 
     def __init__(self, index: int, targets: int) -> None:
         self.index = index
@@ -101,9 +100,7 @@
         self.held: list[float] = [0.0] * targets  # per SLO: 0 = in the pool, else when a trial is due
         self.trial: Shot | None = None
         self.silent_since = 0.0  # with shots out: the last answer, or the first send after it
-        self.flight = 0  # shots of this agent
-        self.others = 0.0  # shots of other agents, by the backend's last report
-        self.heard_at = 0.0
+        self.flight = 0
         self.rest_until = 0.0  # after a quick failure no turn until then
         self.refusals = 0  # quick failures since the last answer
         self.turn = 0.0
@@ -111,12 +108,6 @@
         self.back_at = 0.0
         self.sent = 0.0
 
-    def load(self, now: float, memory: float) -> float:
-        """Shots in flight here from all agents, as far as known; a report fades out over `memory`."""
-        if not self.others:
-            return self.flight
-        return self.flight + self.others * max(0.0, 1 - (now - self.heard_at) / memory)
-
 
 class Shot:
     """One shot of an API call; lives as long as its API call."""
@@ -216,9 +207,6 @@
         shot.ran = ending not in NEVER_RAN
         self.out -= 1
         to = self._to
-        if load is not None and load.in_flight is not None:
-            b = shot.backend
-            b.others, b.heard_at = max(0.0, load.in_flight - b.flight), now
         to.landed(now, self, shot, ending, latency)
         if complete:
             to.finish(self, now)
@@ -256,7 +244,6 @@
         self._may_cancel = limits.may_cancel
         self._most_retry_after = limits.max_retry_after if limits.retry_after else 0.0
         self._hold = HOLD * given[-1]
-        self._fade = FADE * given[-1]
         self._look = max(settings.step, LOOK * given[0])
         self._fall = rules.fall
         self._cold = rules.cold
@@ -456,15 +443,13 @@
                     return b
         best = None
         self._earn(now)
-        loads = {b: b.load(now, self._fade) for b in self._ring}
-        crowd = CROWDED * sum(loads.values()) / max(1, len(self._ring))
+        crowd = CROWDED * self._flight / max(1, len(self._ring))
         for b in pool or usable:
-            load = loads[b]
             silent = b.flight and now - b.silent_since > FULL_AT * call.target.slo
             if silent or now < b.rest_until or not self._has_credit(now, b, call):
                 continue
-            if load > crowd * b.size:
-                rank = (1, load / b.size)
+            if b.flight > crowd * b.size:
+                rank = (1, b.flight / b.size)
             else:
                 rank = (0, b.turn)
             if best is None or rank < best[0]:
