--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -67,8 +67,25 @@
             call.final.append("fulfilled")
         self.bench.calls[token].ended(self.bench.now, number, ending, self.bench.now - shot.at, complete)
 
+    def compare(self):
+        """Ask both what is allowed, whether or not the module would do it."""
+        token, now = self.rng.choice(list(self.plain)), self.bench.now
+        plain, call = self.plain[token], self.bench.calls[token]
+        b = self.rng.choice(list(self.listings.values()))
+        known = self.bench.agent._backends.get(b.backend)
+        if known is not None:
+            allowed = plain.why_not_send(now, b, self.listings) is None
+            module = call.may_send(now) and call.may_use(known)
+            last_moment = not module and plain.why_not_send(now + 1.0, b, self.listings) is not None
+            if allowed != module and not last_moment:
+                self.wrong.append(f"the module says {module} to a shot, the model {allowed} (API call {token})")
+        if not plain.final and call.may_rate_limit() != (plain.why_not_answer("rate-limited") is None):
+            self.wrong.append(f"the module and the model differ on a rate-limit reply (API call {token})")
+
     def step(self):
         rng, bench = self.rng, self.bench
+        if self.plain:
+            self.compare()
         what = rng.random()
         if what < self.crowd:
             token, product = self.taken, rng.randrange(len(KINDS))
