--- a/lupinreach/balance.py
+++ b/lupinreach/balance.py
@@ -1,17 +1,19 @@
 """Every decision of lupinreach: where a shot goes, when another follows, when a client is told no.
 
-How to invoke it. A front builds `Balancer(settings, seed, port)` and calls `start(now)`; then `take(now, ask)`
-for each API call, which returns its `Call`. All that happens to the API call later is a call on that handle
-(`began`, `ended`, `left`). News that belongs to no API call comes in by `listed`, `woke`, `probed` and `heard`.
-The module acts only through the `Port` of model.py, reads no clock and draws chance from its seed alone.
-
-The design (docs/design.md): for each latency SLO a pool of the backends whose smoothed latency meets it; a miss
-ejects, a trial restores, and shots rotate evenly inside the pool. Beside it stand these mechanisms:
-  1. cold credit: a starting backend earns its shots from what warm ones are sent           (Balancer._earn)
-  2. a bound in flight: the agent has no more shots out than come back well in time   (Balancer._learn_bound)
-  3. a short line: API calls that find all bounds full wait a moment, dearest first          (Balancer._pump)
-  4. further shots: after a failure or beside a late shot, out of a budget                   (Call.ended, _second)
-  5. bounded ejection: half of the backends always stay, the cause is then not a backend     (Balancer._eject)
+How to invoke it. A front builds `Balancer(settings, seed, port)` and calls `start(now)`; then
+`take(now, ask)` for each API call, which returns its `Call`. All that happens to the API call later is a call
+on that handle (`began`, `ended`, `left`). News that belongs to no API call comes in by `listed`, `woke`,
+`probed` and `heard`. The module acts only through the `Port` of model.py, reads no clock and draws chance from
+its seed alone.
+
+The design (docs/design.md): for each latency SLO a pool of the backends whose smoothed latency meets it; a
+miss ejects, a trial restores, and shots rotate evenly inside the pool. Beside it stand these mechanisms:
+  1. cold credit: a starting backend earns its shots from what warm ones are sent          (Balancer._earn)
+  2. a bound in flight: no more shots out than come back well in time                      (_learn_bound)
+  3. a short line: API calls that find the bound full wait a moment, dearest first         (_wait, pump)
+  4. further shots: after a failure or beside a late shot, out of a budget                 (Call.ended, _second)
+  5. bounded ejection: half of the backends stay, and what is slow with all others         (_eject)
+  6. rest and silence: no turn after a quick failure or while nothing at all comes back    (_choose, landed)
 """
 
 from __future__ import annotations
@@ -45,9 +47,9 @@
 BUDGET = 0.05  # further shots that may repeat work, for each API call taken
 BUDGET_MAX = 10.0  # the most of them that may be saved up
 RETRY_AFTER = 0.25  # x SLO: when a rate-limited client is told to come back
-LEAST_ROOM = 0.5  # share of a bound that the API calls of least value may fill; the dearest may fill all of it
+LEAST_ROOM = 0.5  # share of the bound that the API calls of least value may fill; the dearest fill it all
 LOOK = 0.05  # x shortest SLO: the time between two looks at what is out
-ASK_FIRST, ASK_MOST = 0.05, 0.4  # x ask_within: the first and the longest wait before the directory is asked again
+ASK_FIRST, ASK_MOST = 0.05, 0.4  # x ask_within: first and longest wait until the directory is asked again
 
 
 class Target:
@@ -260,11 +262,11 @@
         self._narrowed_at = 0.0
         self._agents = settings.agents
         self._peak = 0  # most shots out since the bound was last narrowed
-        self._live: dict[Call, None] = {}  # API calls with something out; each leaves when all its shots ended
-        self._line: list[Call] = []  # API calls waiting for room; each leaves after its patience at the latest
+        self._live: dict[Call, None] = {}  # API calls with shots out; each leaves when its last shot ended
+        self._line: list[Call] = []  # API calls waiting for room; each leaves after its patience at last
         self._cost = 0.0  # mean cost hint; 0 = none seen
         self._budget = BUDGET_MAX / 2
-        self._rate = 0.0  # work (in API calls of mean cost) per ms sent to a warm backend, smoothed over `fall`
+        self._rate = 0.0  # work (API calls of mean cost) per ms to a warm backend, smoothed over `fall`
         self._earned_at = 0.0
         self._looking = False
 
@@ -425,7 +427,7 @@
     def _choose(self, now: float, call: Call) -> Backend | None:
         """The next turn in the pool of the API call's SLO."""
         t = call.target.index
-        # Room is kept for the dearest only as far as shots are slow: with all in time, all may fill the bound.
+        # Room is kept for the dearest only as far as shots are slow: with all in time, all may fill it.
         kept = (1 - call.room) * min(1.0, self._fullness / FULL_SHARE)
         if self._flight >= max(1.0, self._bound * (1 - kept)):
             return None
@@ -631,7 +633,7 @@
         for call in list(self._live):
             for shot in call.shots:
                 if shot.out and not shot.overdue and now - shot.sent > call.target.slo:
-                    # Guards against backends that take work and answer nothing: evidence before the shot ends.
+                    # Guards against backends that take work and answer nothing: evidence before it ends.
                     shot.overdue = True
                     if shot.backend.silent_since <= shot.sent:
                         # Nothing at all came back since: one such shot says enough.
@@ -647,7 +649,9 @@
     def _second(self, now: float, call: Call) -> None:
         """Send a copy beside a late shot, or call the shot off to send another."""
         last = call.shots[-1]
-        if last.called_off or now - last.sent < LATE_AT * call.target.slo or call.offer.kind is Kind.NON_IDEMPOTENT:
+        if last.called_off or call.offer.kind is Kind.NON_IDEMPOTENT:
+            return
+        if now < last.sent + LATE_AT * call.target.slo:
             return
         if now >= call.taken + call.target.slo or len(call.shots) >= self.max_shots:
             return
