--- a/lupinreach/balance.py
+++ b/lupinreach/balance.py
@@ -3,15 +3,15 @@
 How to invoke it. A front builds `Balancer(settings, seed, port)` and calls `start(now)`; then
 `take(now, ask)` for each API call, which returns its `Call`. All that happens to the API call later is a call
 on that handle (`began`, `ended`, `left`). News that belongs to no API call comes in by `listed`, `woke`,
-`probed` and `heard`. The module acts only through the `Port` of model.py, reads no clock and draws chance from
-its seed alone.
+`probed` and `heard`. The module acts only through the `Port` of model.py, reads no clock and draws chance
+from its seed alone.
 
 The design (docs/design.md): for each latency SLO a pool of the backends whose smoothed latency meets it; a
 miss ejects, a trial restores, and shots rotate evenly inside the pool. Beside it stand these mechanisms:
   1. cold credit: a starting backend earns its shots from what warm ones are sent          (Balancer._earn)
   2. a bound in flight: no more shots out than come back well in time                      (_learn_bound)
   3. a short line: API calls that find the bound full wait a moment, dearest first         (_wait, pump)
-  4. further shots: after a failure or beside a late shot, out of a budget                 (Call.ended, _second)
+  4. further shots: after a failure or beside a late shot, out of a budget            (Call.ended, _second)
   5. bounded ejection: half of the backends stay, and what is slow with all others         (_eject)
   6. rest and silence: no turn after a quick failure or while nothing at all comes back    (_choose, landed)
 """
