--- a/lupinreach/balance.py
+++ b/lupinreach/balance.py
@@ -49,6 +49,7 @@
 RETRY_AFTER = 0.25  # x SLO: when a rate-limited client is told to come back
 LEAST_ROOM = 0.5  # share of the bound that the API calls of least value may fill; the dearest fill it all
 LOOK = 0.05  # x shortest SLO: the time between two looks at what is out
+FALL_USE = 0.5  # x fall_multiple: what cold backends earn while most are cold and can't be spared
 ASK_FIRST, ASK_MOST = 0.05, 0.4  # x ask_within: first and longest wait until the directory is asked again
 
 
@@ -246,7 +247,8 @@
         self._hold = HOLD * given[-1]
         self._look = max(settings.step, LOOK * given[0])
         self._fall = rules.fall
-        self._cold = rules.cold
+        self._cold = rules.cold or 1.0
+        self._when_few = max(1.0, rules.fall_multiple * FALL_USE)
         self._start = rules.start_capacity
         self._must_ask = settings.must_ask
         self._ask_first, self._ask_most = ASK_FIRST * rules.ask_within, ASK_MOST * rules.ask_within
@@ -327,6 +329,11 @@
         mean = sum(b.size for b in self._ring) / len(self._ring) if self._ring else 1.0
         for b in self._ring:
             b.size /= mean
+        for t in self._targets:
+            held = sorted((b for b in self._ring if b.held[t.index]), key=lambda b: b.figure[t.index] or 0.0)
+            for b in held[:max(0, len(held) - int((1 - KEEP) * len(self._ring)))]:
+                # Guards against a list that shrinks to the ejected: they'd get shots but no way back.
+                b.held[t.index] = 0.0
         if not self._bound:
             self._bound = max(FIRST_BOUND, FIRST_BOUND * len(self._ring) / self._agents)
         self.pump(now)
@@ -513,10 +520,13 @@
             for b in warm:
                 b.sent = 0.0
             keep = max(0.0, 1 - passed / self._fall)
-            self._rate = self._rate * keep + (1 - keep) * sent / passed
+            rate = self._rate * keep + (1 - keep) * sent / passed
+            # Falls slowly: guards against losing the rate, and with it all credit, while the warm ones fail.
+            self._rate = max(rate, self._rate * (1 - passed / self._cold))
+        few = len(warm) < KEEP * len(self._ring)
         for b in self._ring:
             if self._is_cold(now, b):
-                earned = self._rate * b.size * self._capacity(now, b)
+                earned = self._rate * b.size * self._capacity(now, b) * (self._when_few if few else 1.0)
                 most = max(earned * self._fall / 2, 1.0)
                 b.credit = min(most, b.credit + earned * passed)
 
@@ -543,7 +553,7 @@
             target.recent += SOON * (latency - target.recent)
             target.ease = min(target.ease * (1 + TYPICAL**2), target.recent)
         if not shot.overdue:
-            self._sample(now, b, call, latency, failed, shot)
+            self._sample(now, call, shot, ending, latency)
         if not failed:
             b.silent_since = now
             b.refusals = 0
@@ -552,13 +562,14 @@
             b.rest_until = now + min(self._hold, target.typical * 2**b.refusals)
             b.refusals += 1
 
-    def _sample(self, now: float, b: Backend, call: Call, latency: float, failed: bool, shot: Shot) -> None:
+    def _sample(self, now: float, call: Call, shot: Shot, ending: Ending, latency: float) -> None:
         """One sample for the backend's figure of every SLO, scaled to what each SLO's API calls usually take.
 
         Guards against agents with little traffic that would learn of a slow backend once for each product.
         """
-        own = call.target
-        if not b.held[own.index]:
+        b, own, failed = shot.backend, call.target, ending is not Ending.FULFILLED
+        # A failure to connect or an error says that something is wrong, but not that too much is out.
+        if not b.held[own.index] and ending not in (Ending.UNREACHABLE, Ending.ERRORED):
             self._learn_bound(now, failed or own.slow(latency))
         latency /= max(1.0, call.work)  # guards against a long API call that ejects a sound backend
         for t in self._targets:
@@ -638,7 +649,7 @@
                     if shot.backend.silent_since <= shot.sent:
                         # Nothing at all came back since: one such shot says enough.
                         shot.backend.figure = [MISS * t.slo for t in self._targets]
-                    self._sample(now, shot.backend, call, now - shot.sent, True, shot)
+                    self._sample(now, call, shot, Ending.TIMED_OUT, now - shot.sent)
             if not call.done and call.out == 1:
                 self._second(now, call)
         self._expire(now)
--- a/tests/test_design.py
+++ b/tests/test_design.py
@@ -13,10 +13,10 @@
     """Serve API calls, slowly at one backend, until it has had `count` of them or is left out."""
     had = 0
     for n in range(count * 8):
-        call = bench.take(("m", n))
-        at = bench.sent_to(("m", n))[0]
+        call = bench.take((backend, n))
+        at = bench.sent_to((backend, n))[0]
         bench.move(40)
-        bench.calls[("m", n)].ended(bench.now, 0, Ending.FULFILLED, 2 * SLO if at == backend else 60.0, True)
+        call.ended(bench.now, 0, Ending.FULFILLED, 2 * SLO if at == backend else 60.0, True)
         assert call.closed
         had += at == backend
     return had
@@ -115,6 +115,26 @@
     assert {bench.serve(n, 20.0) for n in range(10)} == {0, 1}
 
 
+def test_a_list_that_shrinks_to_the_ejected_restores_half():
+    # Found in an incident: most backends went, and the rest, all ejected, got few shots and no way back.
+    bench = Bench(settings())
+    for backend in (2, 3):
+        misses(bench, backend)
+    assert held(bench, 2) and held(bench, 3)
+    bench.list(News.FULL, [Listing(i, READY) for i in (2, 3)])
+    assert sum(1 for b in bench.agent._ring if not b.held[0]) == 1
+
+
+def test_failures_to_connect_do_not_narrow_the_bound():
+    bench = Bench(settings(((Kind.NON_IDEMPOTENT, Group.ALL),)))
+    for n in range(60):
+        bench.take(n)
+        bench.move(50)
+        while bench.calls[n].out:
+            bench.answer(n, 2.0, Ending.UNREACHABLE)
+    assert bench.agent._fullness < FULL_SHARE
+
+
 def test_a_failed_directory_is_asked_again_with_a_growing_wait():
     bench = Bench(settings())
     waits = []
@@ -137,6 +157,23 @@
     assert 0 < turns[9] <= 0.45 * warm
 
 
+def test_when_all_backends_restart_the_credit_keeps_the_rate_of_the_warm():
+    # Found in an incident: the whole fleet restarted within seconds and almost everything was refused.
+    bench = Bench(settings(cold=20_000.0))
+    for n in range(300):
+        bench.serve(n, 20.0)
+    bench.list(News.FULL, [Listing(i, READY, bench.now) for i in range(4)])
+    bench.move(4000.0)
+    served = 0
+    for n in range(300):
+        call = bench.take(("cold", n))
+        bench.move(20.0)
+        if call.out:
+            call.ended(bench.now, 0, Ending.FULFILLED, 20.0, True)
+            served += 1
+    assert 60 < served < 300
+
+
 def test_a_restart_is_known_by_its_boot_time():
     bench = Bench(settings(cold=60_000.0))
     for n in range(40):
