--- a/lupinreach/balance.py
+++ b/lupinreach/balance.py
@@ -646,10 +646,10 @@
                 if shot.out and not shot.overdue and now - shot.sent > call.target.slo:
                     # Guards against backends that take work and answer nothing: evidence before it ends.
                     shot.overdue = True
-                    if shot.backend.silent_since <= shot.sent:
-                        # Nothing at all came back since: one such shot says enough.
-                        shot.backend.figure = [MISS * t.slo for t in self._targets]
                     self._sample(now, call, shot, Ending.TIMED_OUT, now - shot.sent)
+                    if shot.backend.silent_since <= shot.sent:
+                        # Nothing at all came back since: that counts twice.
+                        self._sample(now, call, shot, Ending.TIMED_OUT, now - shot.sent)
             if not call.done and call.out == 1:
                 self._second(now, call)
         self._expire(now)
