--- a/lupinreach/balance.py
+++ b/lupinreach/balance.py
@@ -47,6 +47,7 @@
 BUDGET = 0.05  # further shots that may repeat work, for each API call taken
 BUDGET_MAX = 10.0  # the most of them that may be saved up
 RETRY_AFTER = 0.25  # x SLO: when a rate-limited client is told to come back
+SILENT = 4.0  # x the backend's figure: a lone shot out for longer than that and its SLO ejects
 LEAST_ROOM = 0.5  # share of the bound that the API calls of least value may fill; the dearest fill it all
 LOOK = 0.05  # x shortest SLO: the time between two looks at what is out
 FALL_USE = 0.5  # x fall_multiple: what cold backends earn while most are cold and can't be spared
@@ -646,10 +647,11 @@
                 if shot.out and not shot.overdue and now - shot.sent > call.target.slo:
                     # Guards against backends that take work and answer nothing: evidence before it ends.
                     shot.overdue = True
+                    b, usual = shot.backend, shot.backend.figure[call.target.index] or 0.0
+                    if b.silent_since <= shot.sent and now - shot.sent > SILENT * usual:
+                        # Nothing at all came back since, nor ever takes as long: one such shot says enough.
+                        b.figure = [MISS * t.slo for t in self._targets]
                     self._sample(now, call, shot, Ending.TIMED_OUT, now - shot.sent)
-                    if shot.backend.silent_since <= shot.sent:
-                        # Nothing at all came back since: that counts twice.
-                        self._sample(now, call, shot, Ending.TIMED_OUT, now - shot.sent)
             if not call.done and call.out == 1:
                 self._second(now, call)
         self._expire(now)
--- a/tests/test_design.py
+++ b/tests/test_design.py
@@ -87,6 +87,16 @@
     assert held(bench, at)
 
 
+def test_one_late_shot_does_not_eject_a_backend_that_is_slow_by_nature():
+    # Found on a standard day: agents with little traffic ejected sound slow backends, and the rest choked.
+    bench = Bench(settings(((Kind.NON_IDEMPOTENT, Group.ALL),)))
+    for n in range(8):
+        bench.serve(n, 180.0)
+    bench.take("late")
+    bench.move(1.2 * SLO)
+    assert not bench.port.logged
+
+
 def test_one_long_api_call_does_not_eject():
     bench = Bench(settings())
     for n in range(20):
