--- a/lupinreach/balance.py
+++ b/lupinreach/balance.py
@@ -74,7 +74,7 @@
 class Offer:
     """A product as the decisions use it."""
 
-    __slots__ = ("kind", "group", "memory", "target", "late_counts", "value", "room")
+    __slots__ = ("kind", "group", "memory", "target", "late_counts", "value")
 
     def __init__(self, product: Product, target: Target) -> None:
         self.kind = product.kind
@@ -82,8 +82,7 @@
         self.memory = product.memory
         self.target = target
         self.late_counts = product.late_value > 0
-        self.value = product.billed_value
-        self.room = 1.0
+        self.value = max(product.billed_value, 1e-9)
 
 
 class Backend:
@@ -236,9 +235,7 @@
         for t in self._targets:
             t.slo = t.slo or given[0]
             t.recent = t.ease = t.slo * FULL_AT / EASE
-        dearest = max(o.value for o in self.offers) or 1.0
-        for o in self.offers:
-            o.room = LEAST_ROOM + (1 - LEAST_ROOM) * o.value / dearest
+        self._by_work = settings.value_by_work
         limits, rules = settings.limits, settings.rules
         self.max_shots = limits.max_shots
         self.copies = limits.second_copies
@@ -287,12 +284,18 @@
         if ask.cost:
             self._cost += TYPICAL * (ask.cost - self._cost) if self._cost else ask.cost
             work = ask.cost / self._cost
-        room = offer.room * (LEAST_ROOM if self._over_share(ask.customer) else 1.0)
+        room = LEAST_ROOM + (1 - LEAST_ROOM) * self._worth(offer) / max(map(self._worth, self.offers))
+        if self._over_share(ask.customer):
+            room *= LEAST_ROOM
         call = Call(self, now, ask, work, room)
         self._budget = min(BUDGET_MAX, self._budget + BUDGET)
         self.place(now, call)
         return call
 
+    def _worth(self, offer: Offer) -> float:
+        """Billed value for the work that an API call takes, as far as known."""
+        return offer.value if self._by_work else offer.value / (offer.target.typical or offer.target.slo)
+
     def listed(self, now: float, news: News, entries: list[Listing]) -> None:
         """The directory has spoken."""
         if news is News.FAILED:
