--- a/lupinreach/adapter/wire.py
+++ b/lupinreach/adapter/wire.py
@@ -5,7 +5,9 @@
 import base64
 import binascii
 import json
-from typing import Any, Callable, Hashable
+from collections.abc import Callable, Hashable
+from functools import partial
+from typing import Any
 
 from lupinreach.balance import Balancer, Call
 from lupinreach.model import (
@@ -82,7 +84,7 @@
                 connect_timeout=float(limits.get("connect_timeout", 0.0)),
             ),
             customers=tuple(
-                Customer(str(c.get("name", "")), float(c.get("fraction", 0.0)), float(c.get("quota_per_s", 0.0)))
+                Customer(str(c.get("name", "")), float(c.get("fraction", 0)), float(c.get("quota_per_s", 0)))
                 for c in raw.get("accounts") or ()
             ),
             agents=int(raw.get("fleet_size", 1)),
@@ -126,7 +128,7 @@
 
     def __init__(self, number: int, actions: list[dict[str, Any]], now: float, raw: Any, seed: int) -> None:
         self._number = number
-        self._actions = actions
+        self.actions = actions  # of the reply that is being made
         self._indices: dict[int, int] = {}  # wire id of a backend -> index; emptied when the instance ends
         self._ids: list[int] = []
         self._calls: dict[Hashable, Call] = {}  # each leaves once nothing more can come for it
@@ -138,7 +140,7 @@
     # The port: what the module asks for.
 
     def _act(self, name: str, **fields: Any) -> None:
-        self._actions.append({"t": name, "i": self._number, **fields})
+        self.actions.append({"t": name, "i": self._number, **fields})
 
     def send(self, token: Hashable, backend: int, until: float) -> None:
         self._act("try", tid=token, backend=self._ids[backend], try_until=until)
@@ -182,9 +184,8 @@
     def _load(self, row: list[float] | None) -> Load | None:
         if not row:
             return None
-        named = dict(zip(self._fields, row))
-        known = {k: float(v) for k, v in named.items() if k in Load.__dataclass_fields__ and v is not None}
-        return Load(**known)
+        named = zip(self._fields, row, strict=False)
+        return Load(**{k: v for k, v in named if k in Load.__dataclass_fields__})
 
     def req(self, now: float, e: dict[str, Any]) -> None:
         flags = e.get("attrs", 0)
@@ -264,7 +265,7 @@
 
     def __init__(self) -> None:
         self._instances: dict[int, Instance | None] = {}  # None: its settings were malformed
-        self._lists: dict[int, list[dict[str, Any]]] = {}  # at most MOST_LISTS, each replaced by its successor
+        self._lists: dict[int, list[dict[str, Any]]] = {}  # at most MOST_LISTS; a new one replaces the old
 
     def batch(self, line: str) -> str:
         """One line in, one line out."""
@@ -308,13 +309,13 @@
         instance = self._instances[number]
         if instance is None:
             return
-        instance._actions = actions
+        instance.actions = actions
         if name == "directory_update":
-            handler, rest = Instance.directory_update, (self._hosts(e),)
+            handle = partial(instance.directory_update, now, e, self._hosts(e))
         else:
-            handler, rest = EVENTS[name], ()
+            handle = partial(EVENTS[name], instance, now, e)
         try:
-            handler(instance, now, e, *rest)
+            handle()
         except BadInput:
             raise
         except KeyError as missing:
@@ -354,4 +355,5 @@
         while trace is not None:
             where = f"{trace.tb_frame.f_code.co_name}:{trace.tb_lineno}"
             trace = trace.tb_next
-        actions.append({"t": "bug", "i": number, "note_text": f"{type(bad).__name__} on {name} in {where}: {bad}"})
+        text = f"{type(bad).__name__} on {name} in {where}: {bad}"
+        actions.append({"t": "bug", "i": number, "note_text": text})
--- a/lupinreach/balance.py
+++ b/lupinreach/balance.py
@@ -593,11 +593,11 @@
                 else:
                     b.held[i] = now + self._hold
                 continue
-            b.figure[i] = sample if old is None and not failed else self._mix(old, t, sample)
+            figure = b.figure[i] = sample if old is None and not failed else self._mix(old, t, sample)
             if not t.given:
-                figures = sorted(f for o in self._ring if (f := o.figure[i]) is not None)
+                figures = sorted(f for o in self._ring if (f := o.figure[i]) is not None) or [figure]
                 t.slo = DEFAULT_SLO * figures[len(figures) // 2]
-            if b.figure[i] > t.slo:
+            if figure > t.slo:
                 self._eject(now, b, t)
 
     def _learn_bound(self, now: float, slow: bool) -> None:
--- a/lupinreach/model.py
+++ b/lupinreach/model.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from collections.abc import Hashable
+from dataclasses import dataclass
 from enum import Enum
-from typing import Hashable, Protocol
+from typing import Protocol
 
 
 class Kind(Enum):
@@ -154,7 +155,6 @@
     latency: float | None = None
     calls_per_s: float | None = None
     errors_per_s: float | None = None
-    extra: dict[str, float] = field(default_factory=dict)
 
 
 class Port(Protocol):
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -1,4 +1,4 @@
-"""Shared by the tests: settings, a port that records, and a slow, plain model of the four rules' allowances."""
+"""Shared by the tests: settings, a port that records, and a slow, plain model of the rules."""
 
 from __future__ import annotations
 
@@ -72,7 +72,8 @@
         self.agent = Balancer(given, seed, self.port)
         self.agent.start(self.now)
         self.calls: dict[Any, Any] = {}
-        self.list(News.CACHED, entries or [Listing(i, READY, zone=i % 2, cell=i % 3) for i in range(backends)])
+        ready = [Listing(i, READY, zone=i % 2, cell=i % 3) for i in range(backends)]
+        self.list(News.CACHED, entries or ready)
 
     def list(self, news, entries):
         self.agent.listed(self.now, news, entries)
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -108,7 +108,8 @@
 ])
 def test_malformed_settings_are_reported_for_their_instance(change, text):
     host = Host()
-    got = acts(host, 1.0, {"t": "inventory", "page": 0, "hosts": HOSTS}, *attach(4, SETTINGS | change), *attach(5))
+    hosts = {"t": "inventory", "page": 0, "hosts": HOSTS}
+    got = acts(host, 1.0, hosts, *attach(4, SETTINGS | change), *attach(5))
     bugs = [a for a in got if a["t"] == "bug"]
     assert len(bugs) == 1 and bugs[0]["i"] == 4 and text in bugs[0]["note_text"]
 
@@ -136,7 +137,8 @@
 
 
 def run(text):
-    return subprocess.run([sys.executable, "-m", "lupinreach.adapter"], input=text, capture_output=True, text=True)
+    command = [sys.executable, "-m", "lupinreach.adapter"]
+    return subprocess.run(command, input=text, capture_output=True, text=True)
 
 
 def test_the_process_answers_each_line_and_exits_at_the_end_of_input():
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -29,7 +29,8 @@
         self.wrong: list[str] = []
         self.called_off: list[tuple[int, int]] = []
         port = self.bench.port
-        port.send, port.rate_limit, port.error, port.cancel = self.send, self.rate_limit, self.error, self.cancel
+        port.send, port.cancel = self.send, self.cancel
+        port.rate_limit, port.error = self.rate_limit, self.error
 
     def send(self, token, backend, until):
         call, now = self.plain[token], self.bench.now
@@ -78,7 +79,7 @@
             module = call.may_send(now) and call.may_use(known)
             last_moment = not module and plain.why_not_send(now + 1.0, b, self.listings) is not None
             if allowed != module and not last_moment:
-                self.wrong.append(f"the module says {module} to a shot, the model {allowed} (API call {token})")
+                self.wrong.append(f"module {module}, model {allowed} on a shot (API call {token})")
         if not plain.final and call.may_rate_limit() != (plain.why_not_answer("rate-limited") is None):
             self.wrong.append(f"the module and the model differ on a rate-limit reply (API call {token})")
 
@@ -100,7 +101,8 @@
             out = [(t, n) for t, c in self.plain.items() for n, s in enumerate(c.shots) if s.ending is None]
             if out:
                 token, number = rng.choice(out)
-                self.end(token, number, Ending.FULFILLED if rng.random() < self.good else rng.choice(FAILURES))
+                good = rng.random() < self.good
+                self.end(token, number, Ending.FULFILLED if good else rng.choice(FAILURES))
         elif what < 0.80:
             self.relist()
         elif what < 0.82:
