--- a/lupinreach/balance.py
+++ b/lupinreach/balance.py
@@ -258,7 +258,7 @@
         self._clock = 0.0  # the turn that was last given
         self._flight = 0
         self._fullness = 0.0  # smoothed share of shots, to backends in the pools, slower than FULL_AT
-        self._bound = 0.0  # shots in flight that this agent allows itself in all; set with the first list
+        self._bound = self._least = 1.0  # shots that this agent may have out in all, and the least of that
         self._narrowed_at = 0.0
         self._agents = settings.agents
         self._peak = 0  # most shots out since the bound was last narrowed
@@ -338,8 +338,10 @@
             for b in held[:max(0, len(held) - int((1 - KEEP) * len(self._ring)))]:
                 # Guards against a list that shrinks to the ejected: they'd get shots but no way back.
                 b.held[t.index] = 0.0
-        if not self._bound:
-            self._bound = max(FIRST_BOUND, FIRST_BOUND * len(self._ring) / self._agents)
+        # Guards against agents that stay narrow on a fleet that grows: two shots for each ready backend,
+        # shared among the agents, are not what chokes it.
+        self._least = max(1.0, FIRST_BOUND * len(self._ring) / self._agents)
+        self._bound = max(self._least, self._bound)
         self.pump(now)
 
     def woke(self, now: float, mark: str) -> None:
@@ -612,10 +614,11 @@
             if now >= self._narrowed_at + max(t.typical for t in self._targets):
                 self._narrowed_at = now
                 excess = self._fullness - FULL_SHARE
-                self._bound = max(1.0, min(self._bound, self._peak) * (1 - NARROW * excess))
+                self._bound = min(self._bound, self._peak) * (1 - NARROW * excess)
                 self._peak = self._flight
         elif self._flight + 1 >= self._bound * (1 - LEAST_ROOM):
             self._bound += 1 / self._bound
+        self._bound = max(self._least, self._bound)
 
     def _mix(self, old: float | None, t: Target, sample: float) -> float:
         if old is None:
