Slow shots weigh by the time since the last one; the bound may fall under one shot

Cause: an agent with two shots a second needed some ten seconds to see a full fleet, and could not go under one shot out.

--- a/lupinreach/balance.py
+++ b/lupinreach/balance.py
@@ -39,6 +39,8 @@
 FULL_AT = 0.5  # x SLO: a shot that takes longer is a slow one, and so is one that takes
 EASE = 3.0  # x what the SLO's API calls took when they last took least
 SOON = 0.05  # weight of the newest shot in the share of slow ones
+SPAN = 4.0  # x longest SLO: evidence of slow shots older than that counts for nothing, yet
+SUDDEN = 0.5  # one shot never weighs more than this
 FULL_SHARE = 1 / 3  # share of shots slower than FULL_AT from which the agent's own bound narrows
 NARROW = 0.3  # how far the bound narrows, for a share of slow shots that is over by 1
 FIRST_BOUND = 2.0  # shots in flight that a backend of mean size is given before anything is known
@@ -259,7 +261,8 @@
         self._flight = 0
         self._fullness = 0.0  # smoothed share of shots, to backends in the pools, slower than FULL_AT
         self._bound = self._least = 1.0  # shots that this agent may have out in all, and the least of that
-        self._narrowed_at = 0.0
+        self._narrowed_at = self._felt_at = self._sent_at = 0.0
+        self._span = SPAN * given[-1]
         self._agents = settings.agents
         self._peak = 0  # most shots out since the bound was last narrowed
         self._live: dict[Call, None] = {}  # API calls with shots out; each leaves when its last shot ended
@@ -340,7 +343,7 @@
                 b.held[t.index] = 0.0
         # Guards against agents that stay narrow on a fleet that grows: two shots for each ready backend,
         # shared among the agents, are not what chokes it.
-        self._least = max(1.0, FIRST_BOUND * len(self._ring) / self._agents)
+        self._least = FIRST_BOUND * max(1, len(self._ring)) / self._agents
         self._bound = max(self._least, self._bound)
         self.pump(now)
 
@@ -412,7 +415,7 @@
         """
         call.waiting = True
         insort(self._line, call, key=lambda c: -c.room)
-        pace = max(t.typical for t in self._targets) or call.target.slo
+        pace = self._pace() or call.target.slo
         if len(self._line) > max(1.0, self._flight * PATIENCE * call.target.slo / pace):
             self.give_up(now, self._line[-1])
         self._watch(now)
@@ -442,7 +445,8 @@
         t = call.target.index
         # Room is kept for the dearest only as far as shots are slow: with all in time, all may fill it.
         kept = (1 - call.room) * min(1.0, self._fullness / FULL_SHARE)
-        if self._flight >= max(1.0, self._bound * (1 - kept)):
+        bound = self._bound * (1 - kept)
+        if self._flight >= max(1.0, bound) or (bound < 1 and now < self._sent_at + self._pace() / bound):
             return None
         tried = {s.backend for s in call.shots}
         usable = [b for b in self._ring if call.may_use(b)]
@@ -480,6 +484,7 @@
             b.silent_since = now
         b.flight += 1
         self._flight += 1
+        self._sent_at = now
         self._peak = max(self._peak, self._flight)
         weight = b.size * self._ramp(now, b)
         self._clock = max(self._clock, min(b.turn, self._clock + call.work / weight))
@@ -609,9 +614,12 @@
         get low enough: together they would still choke the fleet.
         """
         # Counted by how many are late and not by how much, so that a few long ones don't narrow it.
-        self._fullness += SOON * (slow - self._fullness)
+        # An agent with a shot or two a second must not need twenty of them to see that the fleet is full.
+        weight = min(SUDDEN, max(SOON, (now - self._felt_at) / self._span))
+        self._felt_at = now
+        self._fullness += weight * (slow - self._fullness)
         if self._fullness > FULL_SHARE:
-            if now >= self._narrowed_at + max(t.typical for t in self._targets):
+            if now >= self._narrowed_at + self._pace():
                 self._narrowed_at = now
                 excess = self._fullness - FULL_SHARE
                 self._bound = min(self._bound, self._peak) * (1 - NARROW * excess)
@@ -620,6 +628,10 @@
             self._bound += 1 / self._bound
         self._bound = max(self._least, self._bound)
 
+    def _pace(self) -> float:
+        """What the slowest product usually takes, 0 = none seen."""
+        return max(t.typical for t in self._targets)
+
     def _mix(self, old: float | None, t: Target, sample: float) -> float:
         if old is None:
             others = [f for o in self._ring if (f := o.figure[t.index]) is not None]
