A trial needs an allowance: one for twenty API calls

Cause: with a shot or two a second and a trial due every hold for each ejected backend, trials took most of a small agent's shots and kept choked backends choked.

--- a/lupinreach/balance.py
+++ b/lupinreach/balance.py
@@ -48,6 +48,7 @@
 LATE_AT = 0.8  # x SLO: a shot out for longer gets company, or is called off where copies are not allowed
 BUDGET = 0.05  # further shots that may repeat work, for each API call taken
 BUDGET_MAX = 10.0  # the most of them that may be saved up
+TRIALS = 0.05  # trials for each API call taken
 RETRY_AFTER = 0.25  # x SLO: when a rate-limited client is told to come back
 SILENT = 4.0  # x the backend's figure: a lone shot out for longer than that and its SLO ejects
 LEAST_ROOM = 0.5  # share of the bound that the API calls of least value may fill; the dearest fill it all
@@ -269,6 +270,7 @@
         self._line: list[Call] = []  # API calls waiting for room; each leaves after its patience at last
         self._cost = 0.0  # mean cost hint; 0 = none seen
         self._budget = BUDGET_MAX / 2
+        self._trials = 1.0
         self._rate = 0.0  # work (API calls of mean cost) per ms to a warm backend, smoothed over `fall`
         self._earned_at = 0.0
         self._looking = False
@@ -292,6 +294,7 @@
             room *= LEAST_ROOM
         call = Call(self, now, ask, work, room)
         self._budget = min(BUDGET_MAX, self._budget + BUDGET)
+        self._trials = min(1.0, self._trials + TRIALS)
         self.place(now, call)
         return call
 
@@ -453,7 +456,7 @@
         if tried and any(b not in tried for b in usable):
             usable = [b for b in usable if b not in tried]
         pool = [b for b in usable if not b.held[t]]
-        if call.offer.kind is not Kind.NON_IDEMPOTENT and not call.shots:
+        if self._trials >= 1 and call.offer.kind is not Kind.NON_IDEMPOTENT and not call.shots:
             for b in usable:
                 if b.held[t] and now >= b.held[t] and b.trial is None and self._has_credit(now, b, call):
                     return b
@@ -478,6 +481,7 @@
         if b.held[t] and now >= b.held[t] and b.trial is None:
             b.trial = shot
             shot.trial = True
+            self._trials -= 1
         call.shots.append(shot)
         call.out += 1
         if not b.flight:
