--- a/lupinreach/adapter/wire.py
+++ b/lupinreach/adapter/wire.py
@@ -95,6 +95,7 @@
             value_by_work=raw.get("counted_by") == "work",
             load_fields=tuple(LOADS.get(str(f), str(f)) for f in report.get("fields") or ()),
             load_on_answers=report.get("how") == "inline",
+            warm_keys=bool(_section(raw, "family_info").get("warm_keys", False)),
             step=float(raw.get("step", 1.0)) or 1.0,
         )
     except KeyError as missing:
@@ -245,7 +246,7 @@
             news = News(e.get("how", 0))
             entries = [
                 Listing(self._index(h["backend"]), State(h.get("lifecycle", 0)), h.get("boot_time", 0.0),
-                        float(h.get("nominal", 1.0)), h.get("locality", 0), h.get("cell", 0))
+                        float(h.get("nominal", 1.0)), h.get("locality", 0), h.get("cell", 0), h["backend"])
                 for h in hosts
             ]
         except ValueError as bad:
--- a/lupinreach/balance.py
+++ b/lupinreach/balance.py
@@ -19,6 +19,8 @@
 from __future__ import annotations
 
 from bisect import insort
+from heapq import nlargest
+from math import log
 from zlib import crc32
 
 from lupinreach.model import (
@@ -38,6 +40,7 @@
 TYPICAL = 0.02  # weight of the newest sample in what an SLO's API calls usually take
 FULL_AT = 0.5  # x SLO: a shot that takes longer is a slow one, and so is one that takes
 EASE = 3.0  # x what the SLO's API calls took when they last took least
+HOMES = 2  # backends that a key is at home at, where backends do less work for keys that they met
 SOON = 0.05  # weight of the newest shot in the share of slow ones
 SPAN = 4.0  # x longest SLO: evidence of slow shots older than that counts for nothing, yet
 SUDDEN = 0.5  # one shot never weighs more than this
@@ -91,12 +94,12 @@
 class Backend:
     """What this agent knows of one backend. Emptied when the directory drops it and nothing is out."""
 
-    __slots__ = ("index", "zone", "cell", "size", "state", "boot_time", "figure", "held", "trial",
+    __slots__ = ("index", "name", "zone", "cell", "size", "state", "boot_time", "figure", "held", "trial",
                  "silent_since", "flight", "rest_until", "refusals", "turn", "credit", "back_at", "sent")
 
     def __init__(self, index: int, targets: int) -> None:
         self.index = index
-        self.zone = self.cell = 0
+        self.name = self.zone = self.cell = 0
         self.size = 1.0
         self.state = State.GONE
         self.boot_time = 0.0
@@ -132,7 +135,7 @@
 class Call:
     """The handle of one API call."""
 
-    __slots__ = ("_to", "token", "offer", "target", "until", "taken", "work", "room", "shots", "out", "done",
+    __slots__ = ("_to", "token", "offer", "target", "until", "taken", "key", "work", "room", "shots", "out", "done",
                  "streaming", "waiting")
 
     def __init__(self, to: Balancer, now: float, ask: Ask, work: float, room: float) -> None:
@@ -142,6 +145,7 @@
         self.target = self.offer.target
         self.until = ask.until
         self.taken = now
+        self.key = ask.key
         self.work = work
         self.room = room
         self.shots: list[Shot] = []
@@ -258,6 +262,7 @@
         self._over = [0.0] * len(settings.customers)  # API calls beyond the share, drained by each one taken
         self._backends: dict[int, Backend] = {}  # emptied as the directory drops them
         self._ring: list[Backend] = []  # the ready ones, in an order of this agent's own
+        self._warm_keys = settings.warm_keys
         self._clock = 0.0  # the turn that was last given
         self._flight = 0
         self._fullness = 0.0  # smoothed share of shots, to backends in the pools, slower than FULL_AT
@@ -322,7 +327,7 @@
                 b.held = [0.0] * len(self._targets)
                 b.rest_until, b.refusals = 0.0, 0
                 b.credit = 0.0
-            b.zone, b.cell, b.size = e.zone, e.cell, e.size or 1.0
+            b.name, b.zone, b.cell, b.size = e.name, e.zone, e.cell, e.size or 1.0
             b.state, b.boot_time = e.state, max(b.boot_time, e.boot_time)
         if news is not News.CHANGES:
             named = {e.backend for e in entries}
@@ -460,10 +465,25 @@
             for b in usable:
                 if b.held[t] and now >= b.held[t] and b.trial is None and self._has_credit(now, b, call):
                     return b
-        best = None
         self._earn(now)
+        pool = pool or usable
+        if self._warm_keys and call.key is not None:
+            b = self._turn(now, call, self._homes(pool, call.key))
+            if b is not None:
+                return b
+        return self._turn(now, call, pool)
+
+    def _homes(self, pool: list[Backend], key: int) -> list[Backend]:
+        """The backends of the pool that a key is at home at, the same at all agents, by size."""
+        def rank(b: Backend) -> float:
+            return log((crc32(b"%d:%d" % (b.name, key)) * 2654435761 % 2**32 + 1) / 2**32) / b.size
+        return nlargest(HOMES, pool, key=rank)
+
+    def _turn(self, now: float, call: Call, among: list[Backend]) -> Backend | None:
+        """The next turn among these backends, one that is crowded only if all are."""
+        best = None
         crowd = CROWDED * self._flight / max(1, len(self._ring))
-        for b in pool or usable:
+        for b in among:
             silent = b.flight and now - b.silent_since > FULL_AT * call.target.slo
             if silent or now < b.rest_until or not self._has_credit(now, b, call):
                 continue
--- a/lupinreach/model.py
+++ b/lupinreach/model.py
@@ -116,6 +116,7 @@
     value_by_work: bool = False
     load_fields: tuple[str, ...] = ()
     load_on_answers: bool = False
+    warm_keys: bool = False  # a backend does less work for a key that its cell met lately
     step: float = 1.0
 
 
@@ -129,6 +130,7 @@
     size: float = 1.0
     zone: int = 0
     cell: int = 0
+    name: int = 0  # what all agents know it by, while `backend` is this agent's own index
 
 
 @dataclass(frozen=True)
--- a/tests/test_design.py
+++ b/tests/test_design.py
@@ -281,3 +281,21 @@
     bench.list(News.FULL, [Listing(0, READY)])
     assert not bench.agent._live and not bench.agent._line
     assert [b.state for b in bench.agent._backends.values()] == [State.READY]
+
+
+def test_shots_for_a_key_rotate_among_homes_that_all_agents_agree_on():
+    homes = []
+    for seed in (1, 2):
+        order = list(range(8)) if seed == 1 else list(range(7, -1, -1))
+        entries = [Listing(i, READY, name=100 + n) for i, n in enumerate(order)]
+        bench = Bench(settings(warm_keys=True), seed=seed, entries=entries)
+        names = Counter()
+        for n in range(20):
+            call = bench.take(n, key=77)
+            at = bench.sent_to(n)[0]
+            bench.move(30.0)
+            call.ended(bench.now, 0, Ending.FULFILLED, 30.0, True)
+            names[entries[at].name] += 1
+        assert set(names.values()) == {10}
+        homes.append(set(names))
+    assert homes[0] == homes[1]
