An agent uses as many backends as it takes API calls within a hold

Cause: with a shot or two a second over dozens of backends each agent lost a shot of its own on every backend that choked, and opened connections everywhere. The subset is the first of its order that are not ejected; all agents begin in one order at evenly spaced places.

--- a/lupinreach/balance.py
+++ b/lupinreach/balance.py
@@ -36,6 +36,7 @@
 HOLD = 4.0  # x longest SLO: from an ejection to the trial
 CROWDED = 1.0  # x mean in flight for a backend's size: above it the backend's turn is skipped
 STANDS_OUT = 2.0  # x median figure of the others: below it a miss is shared and does not eject
+LEAST_USED = 4  # backends that an agent uses at least; else as many as it takes API calls within a hold
 KEEP = 0.5  # share of the ready backends that ejection leaves in a pool
 TYPICAL = 0.02  # weight of the newest sample in what an SLO's API calls usually take
 FULL_AT = 0.5  # x SLO: a shot that takes longer is a slow one, and so is one that takes
@@ -269,13 +270,14 @@
         self._bound = self._least = 1.0  # shots that this agent may have out in all, and the least of that
         self._narrowed_at = self._felt_at = self._sent_at = 0.0
         self._span = SPAN * given[-1]
-        self._agents = settings.agents
+        self._agents, self._me = settings.agents, settings.me
         self._peak = 0  # most shots out since the bound was last narrowed
         self._live: dict[Call, None] = {}  # API calls with shots out; each leaves when its last shot ended
         self._line: list[Call] = []  # API calls waiting for room; each leaves after its patience at last
         self._cost = 0.0  # mean cost hint; 0 = none seen
         self._budget = BUDGET_MAX / 2
         self._trials = 1.0
+        self._taken = self._taken_at = 0.0  # API calls taken within a hold, smoothed
         self._rate = 0.0  # work (API calls of mean cost) per ms to a warm backend, smoothed over `fall`
         self._earned_at = 0.0
         self._looking = False
@@ -300,6 +302,8 @@
         call = Call(self, now, ask, work, room)
         self._budget = min(BUDGET_MAX, self._budget + BUDGET)
         self._trials = min(1.0, self._trials + TRIALS)
+        self._taken = 1 + self._taken * max(0.0, 1 - (now - self._taken_at) / self._hold)
+        self._taken_at = now
         self.place(now, call)
         return call
 
@@ -338,6 +342,13 @@
             del self._backends[b.index]
         known = {b.index for b in self._ring if b.state is State.READY}
         self._ring = [b for b in self._ring if b.state is State.READY]
+        if not known:
+            # All agents begin in one order, each at its own place, so that together they use all alike.
+            order = sorted((b for b in self._backends.values() if b.state is State.READY),
+                           key=lambda b: crc32(b"%d" % b.name))
+            first = self._me * len(order) // self._agents
+            self._ring = order[first:] + order[:first]
+            known = {b.index for b in self._ring}
         for b in self._backends.values():
             if b.state is State.READY and b.index not in known:
                 self._ring.insert(int(self._chance() * (len(self._ring) + 1)), b)
@@ -471,7 +482,7 @@
             b = self._turn(now, call, self._homes(pool, call.key))
             if b is not None:
                 return b
-        return self._turn(now, call, pool)
+        return self._turn(now, call, pool[:max(LEAST_USED, int(self._taken))])
 
     def _homes(self, pool: list[Backend], key: int) -> list[Backend]:
         """The backends of the pool that a key is at home at, the same at all agents, by size."""
@@ -482,7 +493,7 @@
     def _turn(self, now: float, call: Call, among: list[Backend]) -> Backend | None:
         """The next turn among these backends, one that is crowded only if all are."""
         best = None
-        crowd = CROWDED * self._flight / max(1, len(self._ring))
+        crowd = CROWDED * self._flight / max(1, len(among))
         for b in among:
             silent = b.flight and now - b.silent_since > FULL_AT * call.target.slo
             if silent or now < b.rest_until or not self._has_credit(now, b, call):
