--- a/lupinreach/balance.py
+++ b/lupinreach/balance.py
@@ -20,7 +20,7 @@
 
 from bisect import insort
 from heapq import nlargest
-from math import log
+from math import ceil, log
 from zlib import crc32
 
 from lupinreach.model import (
@@ -36,7 +36,8 @@
 HOLD = 4.0  # x longest SLO: from an ejection to the trial
 CROWDED = 1.0  # x mean in flight for a backend's size: above it the backend's turn is skipped
 STANDS_OUT = 2.0  # x median figure of the others: below it a miss is shared and does not eject
-LEAST_USED = 4  # backends that an agent uses at least; else as many as it takes API calls within a hold
+FRESH = 0.25  # backends that an agent uses for each API call that it takes within a hold, but at least
+SHARED_BY = 8.0  # so many that each backend is used by as many agents, and 2
 KEEP = 0.5  # share of the ready backends that ejection leaves in a pool
 TYPICAL = 0.02  # weight of the newest sample in what an SLO's API calls usually take
 FULL_AT = 0.5  # x SLO: a shot that takes longer is a slow one, and so is one that takes
@@ -270,7 +271,8 @@
         self._bound = self._least = 1.0  # shots that this agent may have out in all, and the least of that
         self._narrowed_at = self._felt_at = self._sent_at = 0.0
         self._span = SPAN * given[-1]
-        self._agents, self._me = settings.agents, settings.me
+        self._agents = settings.agents
+        self._least_used = 2
         self._peak = 0  # most shots out since the bound was last narrowed
         self._live: dict[Call, None] = {}  # API calls with shots out; each leaves when its last shot ended
         self._line: list[Call] = []  # API calls waiting for room; each leaves after its patience at last
@@ -342,13 +344,6 @@
             del self._backends[b.index]
         known = {b.index for b in self._ring if b.state is State.READY}
         self._ring = [b for b in self._ring if b.state is State.READY]
-        if not known:
-            # All agents begin in one order, each at its own place, so that together they use all alike.
-            order = sorted((b for b in self._backends.values() if b.state is State.READY),
-                           key=lambda b: crc32(b"%d" % b.name))
-            first = self._me * len(order) // self._agents
-            self._ring = order[first:] + order[:first]
-            known = {b.index for b in self._ring}
         for b in self._backends.values():
             if b.state is State.READY and b.index not in known:
                 self._ring.insert(int(self._chance() * (len(self._ring) + 1)), b)
@@ -362,6 +357,8 @@
                 b.held[t.index] = 0.0
         # Guards against agents that stay narrow on a fleet that grows: two shots for each ready backend,
         # shared among the agents, are not what chokes it.
+        # Guards against a backend whose load is up to one or two agents.
+        self._least_used = max(2, ceil(SHARED_BY * len(self._ring) / self._agents))
         self._least = FIRST_BOUND * max(1, len(self._ring)) / self._agents
         self._bound = max(self._least, self._bound)
         self.pump(now)
@@ -482,7 +479,7 @@
             b = self._turn(now, call, self._homes(pool, call.key))
             if b is not None:
                 return b
-        return self._turn(now, call, pool[:max(LEAST_USED, int(self._taken))])
+        return self._turn(now, call, pool[:max(self._least_used, int(FRESH * self._taken))])
 
     def _homes(self, pool: list[Backend], key: int) -> list[Backend]:
         """The backends of the pool that a key is at home at, the same at all agents, by size."""
@@ -493,7 +490,7 @@
     def _turn(self, now: float, call: Call, among: list[Backend]) -> Backend | None:
         """The next turn among these backends, one that is crowded only if all are."""
         best = None
-        crowd = CROWDED * self._flight / max(1, len(among))
+        crowd = CROWDED * self._flight / max(1, len(self._ring))
         for b in among:
             silent = b.flight and now - b.silent_since > FULL_AT * call.target.slo
             if silent or now < b.rest_until or not self._has_credit(now, b, call):
