--- a/lupinreach/balance.py
+++ b/lupinreach/balance.py
@@ -37,6 +37,7 @@
 CROWDED = 1.0  # x mean in flight for a backend's size: above it the backend's turn is skipped
 STANDS_OUT = 2.0  # x median figure of the others: below it a miss is shared and does not eject
 FRESH = 0.25  # backends that an agent uses for each API call that it takes within a hold, but at least
+EXCHANGE = 2.0  # x hold: the time between two exchanges of the slowest of them
 SHARED_BY = 8.0  # so many that each backend is used by as many agents, and 2
 KEEP = 0.5  # share of the ready backends that ejection leaves in a pool
 TYPICAL = 0.02  # weight of the newest sample in what an SLO's API calls usually take
@@ -272,7 +273,7 @@
         self._narrowed_at = self._felt_at = self._sent_at = 0.0
         self._span = SPAN * given[-1]
         self._agents = settings.agents
-        self._least_used = 2
+        self._least_used, self._exchange_at = 2, 0.0
         self._peak = 0  # most shots out since the bound was last narrowed
         self._live: dict[Call, None] = {}  # API calls with shots out; each leaves when its last shot ended
         self._line: list[Call] = []  # API calls waiting for room; each leaves after its patience at last
@@ -479,7 +480,15 @@
             b = self._turn(now, call, self._homes(pool, call.key))
             if b is not None:
                 return b
-        return self._turn(now, call, pool[:max(self._least_used, int(FRESH * self._taken))])
+        used = pool[:max(self._least_used, int(FRESH * self._taken))]
+        if len(used) < len(pool) and now >= self._exchange_at:
+            self._exchange_at = now + self._hold * EXCHANGE
+            worst = max(used, key=lambda b: b.figure[t] or 0.0)
+            if (worst.figure[t] or 0.0) > sum(b.figure[t] or 0.0 for b in used) / len(used):
+                # House custom: one is exchanged now and then, here the slowest for the next in order.
+                self._ring.remove(worst)
+                self._ring.append(worst)
+        return self._turn(now, call, used)
 
     def _homes(self, pool: list[Backend], key: int) -> list[Backend]:
         """The backends of the pool that a key is at home at, the same at all agents, by size."""
