--- a/lupinreach/balance.py
+++ b/lupinreach/balance.py
@@ -39,6 +39,7 @@
 FRESH = 0.25  # backends that an agent uses for each API call that it takes within a hold, but at least
 EXCHANGE = 2.0  # x hold: the time between two exchanges of the slowest of them
 SHARED_BY = 8.0  # so many that each backend is used by as many agents, and 2
+LOADED = 2.0  # x mean reported in flight for a backend's size: above it the backend rests
 KEEP = 0.5  # share of the ready backends that ejection leaves in a pool
 TYPICAL = 0.02  # weight of the newest sample in what an SLO's API calls usually take
 FULL_AT = 0.5  # x SLO: a shot that takes longer is a slow one, and so is one that takes
@@ -218,7 +219,7 @@
         shot.ran = ending not in NEVER_RAN
         self.out -= 1
         to = self._to
-        to.landed(now, self, shot, ending, latency)
+        to.landed(now, self, shot, ending, latency, load)
         if complete:
             to.finish(self, now)
         elif not self.done and not self.out and not self.streaming:
@@ -274,6 +275,7 @@
         self._span = SPAN * given[-1]
         self._agents = settings.agents
         self._least_used, self._exchange_at = 2, 0.0
+        self._crowd = 0.0  # mean reported in flight for a backend's size
         self._peak = 0  # most shots out since the bound was last narrowed
         self._live: dict[Call, None] = {}  # API calls with shots out; each leaves when its last shot ended
         self._line: list[Call] = []  # API calls waiting for room; each leaves after its patience at last
@@ -480,8 +482,9 @@
             b = self._turn(now, call, self._homes(pool, call.key))
             if b is not None:
                 return b
-        used = pool[:max(self._least_used, int(FRESH * self._taken))]
-        if len(used) < len(pool) and now >= self._exchange_at:
+        awake = [b for b in pool if now >= b.rest_until]
+        used = awake[:max(self._least_used, int(FRESH * self._taken))]
+        if len(used) < len(awake) and now >= self._exchange_at:
             self._exchange_at = now + self._hold * EXCHANGE
             worst = max(used, key=lambda b: b.figure[t] or 0.0)
             if (worst.figure[t] or 0.0) > sum(b.figure[t] or 0.0 for b in used) / len(used):
@@ -587,7 +590,8 @@
 
     # Learning from what came back.
 
-    def landed(self, now: float, call: Call, shot: Shot, ending: Ending, latency: float) -> None:
+    def landed(self, now: float, call: Call, shot: Shot, ending: Ending, latency: float,
+               load: Load | None) -> None:
         """Book the end of a shot."""
         b = shot.backend
         b.flight -= 1
@@ -606,6 +610,13 @@
             target.ease = min(target.ease * (1 + TYPICAL**2), target.recent)
         if not shot.overdue:
             self._sample(now, call, shot, ending, latency)
+        if load is not None and load.in_flight is not None:
+            # A report spots extremes and ranks nothing: agents that rank by late reports herd.
+            crowd = load.in_flight / b.size
+            self._crowd += TYPICAL * (crowd - self._crowd) if self._crowd else crowd
+            if crowd > LOADED * self._crowd:
+                # As long as what is over the mean takes to be worked off.
+                b.rest_until = max(b.rest_until, now + (crowd / self._crowd - 1) * target.typical)
         if not failed:
             b.silent_since = now
             b.refusals = 0
