--- a/lupinreach/balance.py
+++ b/lupinreach/balance.py
@@ -677,7 +677,7 @@
                 self._bound = min(self._bound, self._peak) * (1 - NARROW * excess)
                 self._peak = self._flight
         elif self._flight + 1 >= self._bound * (1 - LEAST_ROOM):
-            self._bound += 1 / self._bound
+            self._bound += min(self._bound, 1 / self._bound)
         self._bound = max(self._least, self._bound)
 
     def _pace(self) -> float:
