--- a/lupinreach/balance.py
+++ b/lupinreach/balance.py
@@ -101,8 +101,8 @@
 class Backend:
     """What this agent knows of one backend. Emptied when the directory drops it and nothing is out."""
 
-    __slots__ = ("index", "name", "zone", "cell", "listed", "size", "state", "boot_time", "figure", "held", "trial",
-                 "silent_since", "flight", "rest_until", "refusals", "turn", "credit", "back_at", "sent")
+    __slots__ = ("index", "name", "zone", "cell", "listed", "size", "state", "boot_time", "figure", "held",
+                 "trial", "silent_since", "flight", "rest_until", "refusals", "turn", "credit", "back_at", "sent")
 
     def __init__(self, index: int, targets: int) -> None:
         self.index = index
@@ -142,8 +142,8 @@
 class Call:
     """The handle of one API call."""
 
-    __slots__ = ("_to", "token", "offer", "target", "until", "taken", "key", "work", "room", "shots", "out", "done",
-                 "streaming", "waiting")
+    __slots__ = ("_to", "token", "offer", "target", "until", "taken", "key", "work", "room", "shots", "out",
+                 "done", "streaming", "waiting")
 
     def __init__(self, to: Balancer, now: float, ask: Ask, work: float, room: float) -> None:
         self._to = to
