--- a/lupinreach/balance.py
+++ b/lupinreach/balance.py
@@ -102,7 +102,8 @@
     """What this agent knows of one backend. Emptied when the directory drops it and nothing is out."""
 
     __slots__ = ("index", "name", "zone", "cell", "listed", "size", "state", "boot_time", "figure", "held",
-                 "trial", "silent_since", "flight", "rest_until", "refusals", "turn", "credit", "back_at", "sent")
+                 "trial", "silent_since", "flight", "rest_until", "refusals", "turn", "credit", "back_at",
+                 "sent")
 
     def __init__(self, index: int, targets: int) -> None:
         self.index = index
