--- a/lupinreach/balance.py
+++ b/lupinreach/balance.py
@@ -741,7 +741,9 @@
             for shot in call.shots:
                 if shot.out and not shot.overdue:
                     late = shot.sent + LATE_AT * call.target.slo
-                    due = min(due, late if now < late else shot.sent + call.target.slo)
+                    # A copy that found no room or no budget yet may find it until the SLO.
+                    due = min(due, late if now < late else shot.sent + call.target.slo,
+                              max(late, now + self._look))
         self._watch(now, due)
 
     def _second(self, now: float, call: Call) -> None:
