--- /dev/null
+++ b/lupinreach/__main__.py
@@ -0,0 +1,43 @@
+"""Entry point of the agent on sockets: start, signals, exit."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import sys
+
+from lupinreach.config import BadConfig, read_agent
+from lupinreach.net.agent import Agent
+
+
+async def run(agent: Agent) -> None:
+    """From start until a signal has stopped it."""
+    loop = asyncio.get_running_loop()
+    stop = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    loop.add_signal_handler(signal.SIGUSR1, agent.report)
+    loop.set_exception_handler(lambda _, context: agent.fault(
+        str(context.get("message")), context.get("exception") or RuntimeError("no exception given")))
+    await agent.start()
+    await stop.wait()
+    await agent.stop()
+
+
+async def main() -> int:
+    try:
+        agent = Agent(read_agent(os.environ))
+    except BadConfig as bad:
+        print(f"lupinreach: {bad}", file=sys.stderr)
+        return 2
+    try:
+        await run(agent)
+    except (BadConfig, OSError) as bad:
+        print(f"lupinreach: {bad}", file=sys.stderr)
+        return 1
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(asyncio.run(main()))
--- a/lupinreach/adapter/wire.py
+++ b/lupinreach/adapter/wire.py
@@ -10,21 +10,14 @@
 from typing import Any
 
 from lupinreach.balance import Balancer, Call
-from lupinreach.model import (
-    Ask, Customer, Ending, Group, Kind, Limits, Listing, Load, News, Product, Rules, Settings, State,
-)
+from lupinreach.config import BadConfig, read_settings
+from lupinreach.model import Ask, Ending, Listing, Load, News, State
 
-KINDS = {"repeatable": Kind.IDEMPOTENT, "by_key": Kind.DEDUPLICATED, "once": Kind.NON_IDEMPOTENT}
-GROUPS = {"all": Group.ALL, "zone": Group.ZONE, "cell": Group.CELL}
 ENDINGS = {
     "delivered": Ending.FULFILLED, "app_error": Ending.ERRORED, "shed": Ending.TURNED_AWAY,
     "expired": Ending.TIMED_OUT, "dial_failed": Ending.UNREACHABLE, "dropped": Ending.RESET,
     "revoked": Ending.CANCELLED, "unused": Ending.UNSENT,
 }
-LOADS = {
-    "outstanding": "in_flight", "backlog": "waiting", "utilization": "busy", "recent_ms": "latency",
-    "throughput": "calls_per_s", "errors_per_s": "errors_per_s",
-}
 HINTED, REPEATED, WRITES = 1, 2, 4
 MOST_LISTS = 16
 MOST_PEER_BYTES = 256
@@ -34,10 +27,6 @@
     """The input is not what the wire's page says; the text names what is wrong."""
 
 
-class BadSettings(Exception):
-    """An instance's settings can't be used."""
-
-
 def _of(words: dict[str, Any], word: Any, what: str) -> Any:
     try:
         return words[word]
@@ -45,85 +34,6 @@
         raise BadInput(f"unknown {what} {word!r}") from None
 
 
-def _section(raw: dict[str, Any], name: str) -> dict[str, Any]:
-    part = raw.get(name) or {}
-    if not isinstance(part, dict):
-        raise BadSettings(f"{name} is no object")
-    return part
-
-
-def read_settings(raw: Any) -> Settings:
-    """The settings in our words; unknown keys are skipped, absent ones get their default."""
-    if not isinstance(raw, dict):
-        raise BadSettings("settings are no object")
-    try:
-        limits, rules = _section(raw, "ceilings"), _section(raw, "invariants")
-        report = _section(raw, "report")
-        products = tuple(_product(p) for p in raw["categories"])
-        if not products:
-            raise BadSettings("settings name no categories")
-        return Settings(
-            products=products,
-            rules=Rules(
-                drain_grace=float(rules.get("drain_grace", 0.0)),
-                fall_multiple=float(rules.get("fall_multiple", 1.0)),
-                fall=float(rules.get("fall", 1000.0)) or 1000.0,
-                start_capacity=float(rules.get("start_capacity", 0.0)),
-                cold=float(rules.get("cold", 0.0)),
-                ask_within=float(rules.get("ask_within", 0.0)),
-                answer_slack=float(rules.get("answer_slack", 0.0)),
-            ),
-            limits=Limits(
-                max_shots=int(limits.get("max_attempts", 1)),
-                second_copies=bool(limits.get("second_copies", False)),
-                may_cancel=bool(limits.get("may_cancel", False)),
-                probes=bool(limits.get("probes", False)),
-                peers=bool(limits.get("peer_messages", False)),
-                retry_after=bool(limits.get("retry_after", False)),
-                max_retry_after=float(limits.get("max_retry_after", 0.0)),
-                connect_timeout=float(limits.get("connect_timeout", 0.0)),
-            ),
-            customers=tuple(
-                Customer(str(c.get("name", "")), float(c.get("fraction", 0)), float(c.get("quota_per_s", 0)))
-                for c in raw.get("accounts") or ()
-            ),
-            agents=int(raw.get("fleet_size", 1)),
-            me=int(raw.get("me", 0)),
-            zone=int(raw.get("locality", 0)),
-            must_ask=raw.get("discovery", "pushed") == "on_request",
-            over_share_value=float(raw.get("over_share_worth", 1.0)),
-            value_by_work=raw.get("counted_by") == "work",
-            load_fields=tuple(LOADS.get(str(f), str(f)) for f in report.get("fields") or ()),
-            load_on_answers=report.get("how") == "inline",
-            warm_keys=bool(_section(raw, "family_info").get("warm_keys", False)),
-            step=float(raw.get("step", 1.0)) or 1.0,
-        )
-    except KeyError as missing:
-        raise BadSettings(f"settings lack {missing.args[0]!r}") from None
-    except (TypeError, ValueError, AttributeError) as bad:
-        raise BadSettings(f"settings are malformed: {bad}") from None
-
-
-def _product(raw: dict[str, Any]) -> Product:
-    kind, group = raw.get("semantics", "once"), raw.get("group", "all")
-    if kind not in KINDS:
-        raise BadSettings(f"unknown semantics {kind!r}")
-    if group not in GROUPS:
-        raise BadSettings(f"unknown group {group!r}")
-    return Product(
-        name=str(raw.get("name", "")),
-        slo=float(raw.get("aim") or 0.0),
-        timeout=float(raw["give_up"]),
-        billed_value=float(raw.get("credit", 1.0)),
-        kind=KINDS[kind],
-        group=GROUPS[group],
-        memory=float(raw.get("memory_span", 0.0)),
-        late_value=float(raw.get("late_worth", 0.0)),
-        slo_stretch=float(raw.get("aim_stretch", 0.0)),
-        streamed=bool(raw.get("streamed", False)),
-    )
-
-
 class Instance:
     """One agent's balancer and the maps from the wire's ids to it; also the balancer's port."""
 
@@ -347,7 +257,7 @@
         self._instances[number] = None
         try:
             self._instances[number] = Instance(number, actions, now, e["settings"], e.get("prng", 0))
-        except BadSettings as bad:
+        except BadConfig as bad:
             actions.append({"t": "bug", "i": number, "note_text": str(bad)})
 
     @staticmethod
--- /dev/null
+++ b/lupinreach/config.py
@@ -0,0 +1,240 @@
+"""Settings and agent configuration: the one place where they are read, checked and given their defaults.
+
+Both fronts read through it. The input keeps the words of its pages; what comes out has ours. Every complaint
+names the faulty key by its whole path. Unknown keys are skipped.
+"""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+from math import inf, isfinite
+from typing import Any
+
+from lupinreach.model import Customer, Group, Kind, Limits, Product, Rules, Settings
+
+KINDS = {"repeatable": Kind.IDEMPOTENT, "by_key": Kind.DEDUPLICATED, "once": Kind.NON_IDEMPOTENT}
+GROUPS = {"all": Group.ALL, "zone": Group.ZONE, "cell": Group.CELL}
+LOADS = {
+    "outstanding": "in_flight", "backlog": "waiting", "utilization": "busy", "recent_ms": "latency",
+    "throughput": "calls_per_s", "errors_per_s": "errors_per_s",
+}
+MOST_CONFIG_BYTES = 16 << 20
+FEWEST_SOCKETS = 32  # below it there is no room for a client, a backend and the agent's own
+
+NEEDED: Any = object()  # in place of a default: the key must be there
+
+
+class BadConfig(ValueError):
+    """The input can't be used; the text names the key."""
+
+
+class Section:
+    """One object of the input, read key by key."""
+
+    def __init__(self, raw: Any, path: str = "") -> None:
+        if not isinstance(raw, dict):
+            raise BadConfig(f"{path or 'the input'}: must be an object")
+        self._raw: dict[str, Any] = raw
+        self._path = path
+
+    def at(self, key: str) -> str:
+        return f"{self._path}.{key}" if self._path else key
+
+    def _get(self, key: str, default: Any) -> Any:
+        value = self._raw.get(key)
+        if value is None and default is NEEDED:
+            raise BadConfig(f"{self.at(key)}: missing")
+        return value
+
+    def number(self, key: str, default: float = NEEDED, low: float = 0.0, high: float = inf) -> float:
+        value = self._get(key, default)
+        if value is None:
+            return default
+        if isinstance(value, bool) or not isinstance(value, (int, float)) or not isfinite(value):
+            raise BadConfig(f"{self.at(key)}: {value!r} is no number")
+        if not low <= value <= high:
+            raise BadConfig(f"{self.at(key)}: {value!r} is out of range")
+        return float(value)
+
+    def whole(self, key: str, default: int = NEEDED, low: int = 0, high: float = inf) -> int:
+        return int(self.number(key, default, low, high))
+
+    def flag(self, key: str, default: bool = False) -> bool:
+        value = self._get(key, default)
+        if value is None:
+            return default
+        if value not in (True, False):
+            raise BadConfig(f"{self.at(key)}: {value!r} is neither true nor false")
+        return bool(value)
+
+    def text(self, key: str, default: str = NEEDED) -> str:
+        value = self._get(key, default)
+        if value is None:
+            return default
+        if not isinstance(value, str):
+            raise BadConfig(f"{self.at(key)}: {value!r} is no text")
+        return value
+
+    def choice(self, key: str, words: Mapping[str, Any], default: str = NEEDED) -> Any:
+        value = self.text(key, default)
+        if value not in words:
+            raise BadConfig(f"{self.at(key)}: unknown {value!r}; known are {', '.join(words)}")
+        return words[value]
+
+    def address(self, key: str, default: str = NEEDED) -> Address:
+        return _address(self.text(key, default), self.at(key))
+
+    def mapping(self, key: str, default: Any = None) -> dict[str, Any]:
+        value = self._get(key, default)
+        if not isinstance(value, (dict, type(None))):
+            raise BadConfig(f"{self.at(key)}: must be an object")
+        return value or {}
+
+    def section(self, key: str) -> Section:
+        return Section(self.mapping(key), self.at(key))
+
+    def items(self, key: str, default: Any = ()) -> list[Any]:
+        value = self._get(key, default)
+        if value is None:
+            return list(default)
+        if not isinstance(value, list):
+            raise BadConfig(f"{self.at(key)}: must be an array")
+        return value
+
+    def sections(self, key: str, default: Any = ()) -> list[Section]:
+        return [Section(raw, f"{self.at(key)}[{i}]") for i, raw in enumerate(self.items(key, default))]
+
+    def texts(self, key: str) -> list[str]:
+        values = self.items(key)
+        for i, value in enumerate(values):
+            if not isinstance(value, str):
+                raise BadConfig(f"{self.at(key)}[{i}]: {value!r} is no text")
+        return values
+
+
+Address = tuple[str, int]
+
+
+def _address(text: str, path: str) -> Address:
+    host, colon, port = text.rpartition(":")
+    if not (host and colon and port.isdecimal() and int(port) < 1 << 16):
+        raise BadConfig(f"{path}: {text!r} is no address (host:port)")
+    return host.strip("[]"), int(port)
+
+
+def read_settings(raw: Any, path: str = "") -> Settings:
+    """The settings in our words; absent keys get their default."""
+    top = Section(raw, path)
+    limits, rules, report = top.section("ceilings"), top.section("invariants"), top.section("report")
+    products = tuple(_product(p) for p in top.sections("categories", NEEDED))
+    if not products:
+        raise BadConfig(f"{top.at('categories')}: empty")
+    return Settings(
+        products=products,
+        rules=Rules(
+            drain_grace=rules.number("drain_grace", 0.0),
+            fall_multiple=rules.number("fall_multiple", 1.0),
+            fall=rules.number("fall", 0.0) or 1000.0,
+            start_capacity=rules.number("start_capacity", 0.0),
+            cold=rules.number("cold", 0.0),
+            ask_within=rules.number("ask_within", 0.0),
+            answer_slack=rules.number("answer_slack", 0.0),
+        ),
+        limits=Limits(
+            max_shots=limits.whole("max_attempts", 1),
+            second_copies=limits.flag("second_copies"),
+            may_cancel=limits.flag("may_cancel"),
+            probes=limits.flag("probes"),
+            peers=limits.flag("peer_messages"),
+            retry_after=limits.flag("retry_after"),
+            max_retry_after=limits.number("max_retry_after", 0.0),
+            connect_timeout=limits.number("connect_timeout", 0.0),
+            connection_idle=limits.number("conn_idle", 0.0),
+        ),
+        customers=tuple(
+            Customer(c.text("name", ""), c.number("fraction", 0.0), c.number("quota_per_s", 0.0))
+            for c in top.sections("accounts")
+        ),
+        agents=top.whole("fleet_size", 1, low=1),
+        me=top.whole("me", 0),
+        zone=top.whole("locality", 0),
+        zones=tuple(top.texts("zones")),
+        must_ask=top.text("discovery", "pushed") == "on_request",
+        over_share_value=top.number("over_share_worth", 1.0),
+        value_by_work=top.text("counted_by", "request") == "work",
+        load_fields=tuple(LOADS.get(f, f) for f in report.texts("fields")),
+        load_on_answers=report.text("how", "off") == "inline",
+        warm_keys=top.section("family_info").flag("warm_keys"),
+        step=top.number("step", 0.0) or 1.0,
+    )
+
+
+def _product(raw: Section) -> Product:
+    return Product(
+        name=raw.text("name", ""),
+        slo=raw.number("aim", 0.0),
+        timeout=raw.number("give_up"),
+        billed_value=raw.number("credit", 1.0),
+        kind=raw.choice("semantics", KINDS, "once"),
+        group=raw.choice("group", GROUPS, "all"),
+        memory=raw.number("memory_span", 0.0),
+        late_value=raw.number("late_worth", 0.0),
+        slo_stretch=raw.number("aim_stretch", 0.0),
+        streamed=raw.flag("streamed"),
+    )
+
+
+@dataclass(frozen=True)
+class AgentConfig:
+    """What one agent on sockets is told at its start."""
+
+    name: str
+    listen: Address
+    directory: Address
+    seed: int
+    sockets: int  # descriptors that the process may hold
+    peer_listen: Address | None
+    peers: tuple[Address, ...]  # by the agents' numbers, this one's own among them
+    peers_all: Address | None
+    known: dict[str, Any]  # the list of backends as this agent last had it, in the directory's form
+    settings: Settings
+
+
+def read_agent(environment: Mapping[str, str]) -> AgentConfig:
+    """The agent's configuration: the file that PROXY_CONFIG names; the other variables go before its keys."""
+    path = environment.get("PROXY_CONFIG")
+    if not path:
+        raise BadConfig("PROXY_CONFIG: missing")
+    try:
+        with open(path, "rb") as file:
+            raw = json.loads(file.read(MOST_CONFIG_BYTES))
+    except OSError as bad:
+        raise BadConfig(f"PROXY_CONFIG: {path}: {bad.strerror}") from None
+    except ValueError as bad:
+        raise BadConfig(f"PROXY_CONFIG: {path} is no JSON: {bad}") from None
+    top = Section(raw)
+
+    def told(variable: str, key: str) -> Address:
+        if variable in environment:
+            return _address(environment[variable], variable)
+        return top.address(key)
+
+    seed = top.text("seed")
+    try:
+        number = int(seed, 16)
+    except ValueError:
+        raise BadConfig(f"seed: {seed!r} is no hexadecimal number") from None
+    return AgentConfig(
+        name=environment.get("PROXY_NAME") or top.text("name"),
+        listen=told("PROXY_LISTEN", "listen"),
+        directory=told("PROXY_DISCOVERY", "discovery"),
+        seed=number,
+        sockets=top.section("limits").whole("sockets", 1024, low=FEWEST_SOCKETS),
+        peer_listen=top.address("peer_listen") if top.text("peer_listen", "") else None,
+        peers=tuple(_address(text, f"peers[{i}]") for i, text in enumerate(top.texts("peers"))),
+        peers_all=top.address("peers_all") if top.text("peers_all", "") else None,
+        known=top.mapping("known"),
+        settings=read_settings(top.mapping("settings", NEEDED), "settings"),
+    )
--- a/lupinreach/model.py
+++ b/lupinreach/model.py
@@ -100,6 +100,7 @@
     retry_after: bool = False
     max_retry_after: float = 0.0
     connect_timeout: float = 0.0
+    connection_idle: float = 0.0  # a backend closes a connection that stood idle for so long; 0 = unknown
 
 
 @dataclass(frozen=True)
@@ -111,6 +112,7 @@
     agents: int = 1
     me: int = 0
     zone: int = 0
+    zones: tuple[str, ...] = ()  # their names, in the order of their numbers
     must_ask: bool = True  # the directory speaks only when asked
     over_share_value: float = 1.0
     value_by_work: bool = False
--- /dev/null
+++ b/lupinreach/net/__init__.py
@@ -0,0 +1,1 @@
+"""The agent on sockets: the network around the decision module. Nothing here decides."""
--- /dev/null
+++ b/lupinreach/net/agent.py
@@ -0,0 +1,164 @@
+"""One agent: the decision module, its port, and the parts of the network around it."""
+
+from __future__ import annotations
+
+import asyncio
+import resource
+import traceback
+from collections.abc import Coroutine
+from typing import Any
+
+from lupinreach.balance import Balancer
+from lupinreach.config import AgentConfig
+from lupinreach.model import Listing, News
+from lupinreach.net.call import ApiCall, CallOff, GiveUp, RateLimit, Send
+from lupinreach.net.clock import Clock
+from lupinreach.net.counters import Counters
+from lupinreach.net.directory import Directory
+from lupinreach.net.listener import Listener
+from lupinreach.net.log import Log
+from lupinreach.net.peers import Peers
+from lupinreach.net.pool import Pool
+from lupinreach.net.probes import probe
+
+OWN_DESCRIPTORS = 20  # standard streams, event loop, listener, watch, datagrams, files that Python opens
+GOES_ON = 0.5  # s for which a stopping agent goes on accepting
+LAST = 0.1  # s for which what was accepted last may still send its request
+
+
+class Agent:
+    """Owns everything that lives as long as the process; also the module's port."""
+
+    def __init__(self, config: AgentConfig, log: Log | None = None) -> None:
+        settings = config.settings
+        self.config = config
+        self.clock = Clock()
+        self.log = log or Log(config.name, self.clock)
+        self.counters = Counters()
+        self.names = [p.name for p in settings.products]
+        self.products = {p.name.encode(): (i, p) for i, p in enumerate(settings.products)}
+        self.longest_wait = max(p.timeout for p in settings.products)
+        self.stopping = False
+        self.changed = asyncio.Event()  # a client has gone, or a task has ended
+        self._listed = False
+        self._tasks: set[asyncio.Task[Any]] = set()  # each leaves when it ends
+        room = min(config.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0]) - OWN_DESCRIPTORS
+        self.listener = Listener(self, room // 2)
+        self.pool = Pool(room // 2, settings.limits.connect_timeout, settings.limits.connection_idle, self.counters)
+        self._peers = Peers(config.peers, config.peers_all, self.counters, self._heard)
+        self.balancer = Balancer(settings, config.seed, self)
+        self.list = Directory(config.directory, settings.zones, 2 * self.longest_wait, self.counters,
+                                   self.clock.now, self.spawn, self._tell, self.pool.forget, not settings.must_ask)
+
+    # From start to stop.
+
+    async def start(self) -> None:
+        if self.config.peer_listen is not None and self.config.settings.limits.peers:
+            await self._peers.open(self.config.peer_listen)
+        self.balancer.start(self.clock.now())
+        self.list.start(self.config.known)
+        self.listener.open()
+        self.log.event("started", listen="%s:%d" % self.listener.address, sockets=self.config.sockets)
+
+    @property
+    def ready(self) -> bool:
+        """If it can serve: it has a list of backends and is to stay."""
+        return self._listed and not self.stopping
+
+    async def stop(self) -> None:
+        """Not ready from now on; accept for a little while, answer all that was taken, end."""
+        self.stopping = True
+        self.log.event("stopping", clients=len(self.listener.clients))
+        # Idle connections go first, while a client that crosses with that can still open another.
+        self.listener.close_idle()
+        await asyncio.sleep(GOES_ON)
+        self.listener.close()
+        await asyncio.sleep(LAST)
+        self.listener.close_idle()
+        try:
+            async with asyncio.timeout(self.longest_wait / 1000):
+                while self.listener.clients:
+                    self.changed.clear()
+                    await self.changed.wait()
+                    self.listener.close_idle()
+        except TimeoutError:
+            pass
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._peers.close()
+        self.report("stopped")
+
+    def report(self, event: str = "counters") -> None:
+        self.log.event(event, clients=len(self.listener.clients), backends=self.pool.open,
+                       log_lines_dropped=self.log.dropped, **self.counters.snapshot())
+
+    # Tasks and faults.
+
+    def spawn(self, what: str, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+
+        def done(task: asyncio.Task[None]) -> None:
+            self._tasks.discard(task)
+            if not task.cancelled() and (fault := task.exception()) is not None:
+                self.fault(what, fault)
+
+        task.add_done_callback(done)
+        return task
+
+    def fault(self, what: str, fault: BaseException) -> None:
+        """An exception that nobody expected: told, counted, and outlived."""
+        self.counters.others[f"fault: {what}"] += 1
+        where = traceback.format_exception(fault)[-3:]
+        self.log.event("fault", what=what, why=repr(fault), where="".join(where))
+
+    # News for the module that belongs to no API call.
+
+    def _tell(self, news: News, entries: list[Listing]) -> None:
+        try:
+            self.balancer.listed(self.clock.now(), news, entries)
+        except Exception as fault:
+            self.fault("listed", fault)
+        self._listed = self._listed or bool(entries)
+
+    def _heard(self, sender: int, message: bytes) -> None:
+        try:
+            self.balancer.heard(self.clock.now(), sender, message)
+        except Exception as fault:
+            self.fault("heard", fault)
+
+    def _woke(self, at: float, mark: str) -> None:
+        try:
+            # Guards against a clock that rounds to just before the time asked for: the module would wait on.
+            self.balancer.woke(max(at, self.clock.now()), mark)
+        except Exception as fault:
+            self.fault("woke", fault)
+
+    # The port: what the module asks for.
+
+    def send(self, token: ApiCall, backend: int, until: float) -> None:
+        token.orders.put_nowait(Send(backend, until))
+
+    def cancel(self, token: ApiCall, shot: int) -> None:
+        token.orders.put_nowait(CallOff(shot))
+
+    def rate_limit(self, token: ApiCall, retry_after: float) -> None:
+        token.orders.put_nowait(RateLimit(retry_after))
+
+    def error(self, token: ApiCall) -> None:
+        token.orders.put_nowait(GiveUp())
+
+    def wake(self, at: float, mark: str) -> None:
+        asyncio.get_running_loop().call_at(self.clock.on_loop(at), self._woke, at, mark)
+
+    def directory(self, follow: bool) -> None:
+        self.list.ask(follow)
+
+    def probe(self, backend: int) -> None:
+        if self.config.settings.limits.probes:
+            self.spawn("probe", probe(self, backend))
+
+    def peers(self, message: bytes) -> None:
+        if self.config.settings.limits.peers:
+            self._peers.tell(message)
--- /dev/null
+++ b/lupinreach/net/call.py
@@ -0,0 +1,192 @@
+"""The life of one API call, from the client's request to the one final answer."""
+
+from __future__ import annotations
+
+import asyncio
+import re
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from lupinreach.model import Ask, Product
+from lupinreach.net import http, protocol
+from lupinreach.net.ends import ENDINGS, End
+from lupinreach.net.shot import Shot, read_load
+
+if TYPE_CHECKING:
+    from lupinreach.net.agent import Agent
+
+RATE_LIMITED, ERRORED, FAULT = 429, 502, 500
+MARGIN = 0.25  # of what the client waits: most that is kept back for timers and writes that run late
+NUMBER = re.compile(rb"[0-9]{1,12}(?:\.[0-9]{1,12})?")
+EXTRA = re.compile(rb"[^=,]+=[^=,]*(?:,[^=,]+=[^=,]*)*")
+
+
+class BadRequest(Exception):
+    """A request that goes on to no backend; the text says why."""
+
+
+@dataclass(frozen=True, slots=True)
+class Order:
+    """What the module asks for, or what happened, in the order in which it did."""
+
+
+@dataclass(frozen=True, slots=True)
+class Send(Order):
+    backend: int
+    until: float
+
+
+@dataclass(frozen=True, slots=True)
+class CallOff(Order):
+    number: int
+
+
+@dataclass(frozen=True, slots=True)
+class Landed(Order):
+    number: int
+
+
+@dataclass(frozen=True, slots=True)
+class RateLimit(Order):
+    retry_after: float
+
+
+@dataclass(frozen=True, slots=True)
+class GiveUp(Order):
+    pass
+
+
+@dataclass(frozen=True, slots=True)
+class Left(Order):
+    pass
+
+
+@dataclass(slots=True)
+class Out:
+    """A shot that was ordered."""
+
+    shot: Shot
+    task: asyncio.Task[None]
+    sent: float
+
+
+class ApiCall:
+    """One API call. It is the token that the module names it by; the port puts the module's orders here."""
+
+    def __init__(self, agent: Agent, request: http.Message, arrived: float,
+                 reply: Callable[[bytes], None], keeps: Callable[[], bool]) -> None:
+        """Raises BadRequest where the request is none of the protocol's."""
+        self._agent = agent
+        self._request = request
+        self._reply = reply
+        self._keeps = keeps
+        self.orders: asyncio.Queue[Order] = asyncio.Queue()  # a few for each shot; dies with the API call
+        self.answered = asyncio.get_running_loop().create_future()
+        self.ask = read_ask(self, request, arrived, agent.products, agent.config.settings.rules.answer_slack)
+        self._until = arrived + _number(request, protocol.DEADLINE) * 1000
+
+    async def run(self) -> None:
+        """From top to bottom: taken, shots out as the module orders them, one final answer."""
+        agent = self._agent
+        now = agent.clock.now
+        agent.counters.taken[agent.names[self.ask.product]] += 1
+        call, shots = None, []
+        try:
+            call = agent.balancer.take(now(), self.ask)
+            while not (self.answered.done() and call.closed):
+                match await self._next():
+                    case Send(backend, until):
+                        shots.append(self._shoot(len(shots), backend, until))
+                    case CallOff(number):
+                        shots[number].task.cancel()
+                    case Landed(number):
+                        shot = shots[number].shot
+                        agent.counters.shots[shot.end.value] += 1
+                        answer, served = shot.answer, shot.end is End.SERVED
+                        load = read_load(answer.header(protocol.LOAD)) if answer else None
+                        call.ended(now(), number, ENDINGS[shot.end], now() - shots[number].sent, served, load)
+                        if served and answer:
+                            self._answer("fulfilled", protocol.SERVED, answer.body,
+                                         http.passed_on(answer.lines, protocol.BETWEEN_BACKEND_AND_AGENT))
+                    case RateLimit(retry_after):
+                        wait = [b"Retry-After: %.3f\r\n" % (retry_after / 1000)] if retry_after > 0 else []
+                        self._answer("rate-limited", RATE_LIMITED, headers=wait)
+                    case GiveUp():
+                        self._answer("errored", ERRORED)
+                    case Left():
+                        call.left(now())
+                        self._close("left")
+        except Exception as fault:
+            # Guards against a fault of our own that would leave a client with no answer: 500 promises nothing.
+            agent.fault("api call", fault)
+            self._answer("fault", FAULT)
+            if call is not None:
+                call.left(now())
+            for out in shots:
+                out.task.cancel()
+
+    def client_spoke(self, reading: asyncio.Future[int]) -> None:
+        """Something has come from the client, or it has closed its connection."""
+        if not reading.cancelled() and reading.exception() is not None:
+            self.orders.put_nowait(Left())
+
+    async def _next(self) -> Order:
+        if self.answered.done():
+            return await self.orders.get()
+        async with asyncio.timeout_at(self._agent.clock.on_loop(self._until)):
+            return await self.orders.get()
+
+    def _shoot(self, number: int, backend: int, until: float) -> Out:
+        """Begin a shot; its end comes back as an order."""
+        agent, request = self._agent, self._request
+        sent = agent.clock.now()
+        left = b"Req-Deadline: %.3f\r\n" % max(0.001, (until - sent) / 1000)
+        message = http.request(
+            request.method, request.target, [*http.passed_on(request.lines, protocol.BETWEEN_CLIENT_AND_AGENT), left],
+            request.headers.get(b"host", b""), request.body)
+        shot = Shot(agent.pool, agent.list.address(backend), message, agent.clock.on_loop(until))
+        task = agent.spawn("shot", shot.run())
+        task.add_done_callback(lambda _: self.orders.put_nowait(Landed(number)))
+        return Out(shot, task, sent)
+
+    def _answer(self, what: str, status: int, body: http.Slice | bytes = b"",
+                headers: list[http.Slice] | list[bytes] | tuple[()] = ()) -> None:
+        if not self.answered.done():
+            self._reply(http.answer(status, headers, body, self._keeps()))
+            self._close(what)
+
+    def _close(self, what: str) -> None:
+        if not self.answered.done():
+            self._agent.counters.answered[what] += 1
+            self.answered.set_result(None)
+
+
+def read_ask(token: ApiCall, request: http.Message, arrived: float, products: dict[bytes, tuple[int, Product]],
+             slack: float) -> Ask:
+    """A request in our words."""
+    if request.method not in (b"GET", b"POST"):
+        raise BadRequest("the method must be GET or POST")
+    if not request.headers.get(protocol.ID):
+        raise BadRequest("Req-Id is missing")
+    kind = request.header(protocol.KIND)
+    if kind not in products:
+        raise BadRequest("Req-Kind is missing or unknown")
+    index, product = products[kind]
+    waits = min(product.timeout, _number(request, protocol.DEADLINE) * 1000)
+    if waits <= 0:
+        raise BadRequest("Req-Deadline must be above 0")
+    extra = request.header(protocol.EXTRA)
+    if extra and not EXTRA.fullmatch(extra):
+        raise BadRequest("Req-Extra is malformed")
+    cost = _number(request, protocol.COST) / 1000 if protocol.COST in request.headers else None
+    # The deadline counts from the client's sending, timers run late, and the answer has a way to go.
+    return Ask(token, index, arrived + waits - min(slack, MARGIN * waits), cost=cost,
+               again=request.header(protocol.RETRY) == b"1")
+
+
+def _number(request: http.Message, name: bytes) -> float:
+    text = request.header(name)
+    if text is None or not NUMBER.fullmatch(text):
+        raise BadRequest(f"{name.decode().title()} is missing or no number")
+    return float(text)
--- /dev/null
+++ b/lupinreach/net/channel.py
@@ -0,0 +1,100 @@
+"""One TCP connection and the buffer that its messages are read into."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+
+from tornado.iostream import IOStream, StreamClosedError
+
+from lupinreach.net.ends import End, Ended
+
+FIRST_BUFFER = 4096
+LEAST_ROOM = 512  # bytes of free buffer below which a read gets a larger or a fresh one
+
+
+class Channel:
+    """Reads and writes one connection.
+
+    Messages are slices of `buffer[start:end]`. Bytes once read are never overwritten: a full buffer is replaced
+    by a new one, so a slice stays good for as long as somebody holds it.
+    """
+
+    def __init__(self, sock: socket.socket, most: int) -> None:
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.stream = IOStream(sock, max_buffer_size=2 * most)
+        self._most = most  # bytes that may stand unread
+        self.buffer = bytearray(FIRST_BUFFER)
+        self.start = self.end = 0
+        self._reading: asyncio.Future[int] | None = None
+
+    def listen(self) -> asyncio.Future[int]:
+        """Go on reading; the future is done when something has come or the connection has ended."""
+        if self._reading is None:
+            self._make_room()
+            try:
+                self._reading = self.stream.read_into(memoryview(self.buffer)[self.end:], partial=True)
+            except StreamClosedError as closed:
+                self._reading = _failed(closed)
+        return self._reading
+
+    async def fill(self) -> None:
+        """Wait until more has been read."""
+        reading = self.listen()
+        try:
+            self.end += await reading
+        except StreamClosedError:
+            raise Ended(End.BROKE if self.stream.error else End.CUT_SHORT) from None
+        self._reading = None
+
+    def need(self, size: int) -> None:
+        """Make the next reads fit a message of that many bytes."""
+        if size > self._most:
+            raise Ended(End.TOO_LARGE)
+        if self._reading is None and len(self.buffer) - self.start < size:
+            self._renew(size + LEAST_ROOM)
+
+    def _make_room(self) -> None:
+        unread = self.end - self.start
+        if unread >= self._most:
+            raise Ended(End.TOO_LARGE)
+        if len(self.buffer) - self.end < LEAST_ROOM or (not unread and len(self.buffer) > FIRST_BUFFER):
+            # Guards against idle connections that keep the large buffer of one large message.
+            self._renew(max(FIRST_BUFFER, 2 * unread))
+
+    def _renew(self, size: int) -> None:
+        old, self.buffer = self.buffer, bytearray(min(size, self._most))
+        unread = self.end - self.start
+        self.buffer[:unread] = memoryview(old)[self.start:self.end]
+        self.start, self.end = 0, unread
+
+    @property
+    def heard(self) -> bool:
+        """If bytes, or the end of the connection, have come in that nobody has asked for yet."""
+        if self.end > self.start or self.stream.closed() or self.listen().done():
+            return True
+        try:
+            # What the kernel holds and the event loop has not seen: a connection that the other side has closed.
+            self.stream.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return False
+        except OSError:
+            pass
+        return True
+
+    def write(self, data: bytes) -> asyncio.Future[None]:
+        """Hand all of it to the kernel, in one write if it takes it; the future is done once it has."""
+        try:
+            return self.stream.write(data)
+        except StreamClosedError as closed:
+            return _failed(closed)
+
+    def close(self) -> None:
+        self.stream.close()
+
+
+def _failed(why: Exception) -> asyncio.Future:
+    future = asyncio.get_running_loop().create_future()
+    future.set_exception(why)
+    future.exception()  # counts as seen: whoever needs it asks again
+    return future
--- /dev/null
+++ b/lupinreach/net/clock.py
@@ -0,0 +1,15 @@
+"""The agent's one clock: Unix time in ms, set once from the system's and monotonic from then on."""
+
+import time
+
+
+class Clock:
+    def __init__(self) -> None:
+        self._anchor = time.time() * 1000 - time.monotonic() * 1000
+
+    def now(self) -> float:
+        return self._anchor + time.monotonic() * 1000
+
+    def on_loop(self, at: float) -> float:
+        """The event loop's time, in s, for a time of this clock."""
+        return (at - self._anchor) / 1000
--- /dev/null
+++ b/lupinreach/net/directory.py
@@ -0,0 +1,197 @@
+"""The directory: the list of backends, by watch or by call, and what each index of the module stands for."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from typing import Any
+from zlib import crc32
+
+import orjson
+
+from lupinreach.config import NEEDED, Address, BadConfig, Section
+from lupinreach.model import Listing, News, State
+from lupinreach.net import http, protocol
+from lupinreach.net.channel import Channel
+from lupinreach.net.counters import Counters
+from lupinreach.net.ends import End, Ended
+from lupinreach.net.pool import connect
+
+SILENT_BEATS = 3  # so many beats without a line, and the watch has failed
+MOST_LIST = 4 << 20  # bytes of one line, or of a whole list
+
+
+@dataclass(slots=True)
+class Entry:
+    """One backend as the list names it."""
+
+    index: int
+    address: Address
+    gone_at: float | None = None
+
+
+class Directory:
+    """Follows the directory and tells the module; holds the address of each backend."""
+
+    def __init__(self, address: Address, zones: tuple[str, ...], keep: float, counters: Counters,
+                 now: Callable[[], float], spawn: Callable[..., asyncio.Task[None]],
+                 tell: Callable[[News, list[Listing]], None], moved: Callable[[Address], None],
+                 by_itself: bool) -> None:
+        self._address = address
+        self._zones = {name: number for number, name in enumerate(zones)}
+        self._keep = keep  # ms for which a backend that is gone is remembered
+        self._counters = counters
+        self._now = now
+        self._spawn = spawn
+        self._tell = tell
+        self._by_itself = by_itself  # where the settings say that changes come unasked: the module asks for none
+        self._moved = moved  # told of an address that gets nothing more
+        self._version: int | None = None  # of the list as held; None: no list to add changes to
+        self._entries: dict[str, Entry] = {}  # by uid; emptied some time after a backend is gone
+        self._by_index: dict[int, Address] = {}  # the same by the module's index; an index is never used again
+        self._next = 0
+        self._task: asyncio.Task[None] | None = None
+
+    def address(self, backend: int) -> Address:
+        return self._by_index[backend]
+
+    # Asking.
+
+    def start(self, known: dict[str, Any]) -> None:
+        """Begin with the list as this agent last had it."""
+        if known:
+            self._take_in(known, "known", News.CACHED)
+        if self._by_itself:
+            self.ask(True)
+
+    def ask(self, follow: bool) -> None:
+        """A call of the module's: the changes from now on, or the full list once."""
+        if follow and self._task is not None:
+            self._task.cancel()
+        task = self._spawn("directory", self._call(follow))
+        if follow:
+            self._task = task
+
+    async def _call(self, follow: bool) -> None:
+        try:
+            if not follow or self._version is None:
+                # After a gap there is nothing that changes could be added to.
+                await self._list()
+            if follow:
+                await self._watch()
+            return
+        except (Ended, TimeoutError) as failed:
+            why = failed.end if isinstance(failed, Ended) else End.SILENT
+        except BadConfig as bad:
+            self._version = None
+            why = End.MALFORMED
+            self._counters.directory[str(bad)[:80]] += 1
+        self._counters.directory[f"failed: {why.value}"] += 1
+        if self._by_itself:
+            await asyncio.sleep(protocol.BEAT / 1000)
+            self.ask(True)
+        else:
+            self._tell(News.FAILED, [])
+
+    async def _list(self) -> None:
+        channel = await self._send(protocol.LIST_PATH)
+        try:
+            async with asyncio.timeout(SILENT_BEATS * protocol.BEAT / 1000):
+                answer = await http.read_answer(channel, MOST_LIST)
+            if answer.status != 200:
+                raise Ended(End.FAULT)
+            self._line(answer.body)
+        finally:
+            channel.close()
+
+    async def _watch(self) -> None:
+        """Follow the changes until the watch ends."""
+        channel = await self._send(protocol.WATCH_PATH + protocol.WATCH_AFTER % (self._version or 0))
+        silence = SILENT_BEATS * protocol.BEAT / 1000
+        try:
+            async with asyncio.timeout(silence):
+                head = await http.read_head(channel, answer=True)
+            if head.first[2] != 200 or not head.chunked:
+                raise Ended(End.FAULT)
+            chunks, line = http.Chunks(), bytearray()
+            while True:
+                pieces, used = chunks.feed(memoryview(channel.buffer)[channel.start:channel.end])
+                channel.start += used
+                for piece in pieces:
+                    *whole, rest = bytes(piece).split(b"\n")
+                    for part in whole:
+                        self._line(line + part)
+                        line.clear()
+                    line += rest
+                if len(line) > MOST_LIST:
+                    raise Ended(End.TOO_LARGE)
+                if chunks.done:
+                    break
+                async with asyncio.timeout(silence):
+                    await channel.fill()
+            raise Ended(End.LEFT)
+        finally:
+            channel.close()
+
+    async def _send(self, target: bytes) -> Channel:
+        self._counters.directory["called"] += 1
+        host = "%s:%d" % self._address
+        channel = await connect(self._address, SILENT_BEATS * protocol.BEAT, http.MOST_HEAD + MOST_LIST)
+        channel.write(http.request(b"GET", target, (), host.encode()))
+        return channel
+
+    # Taking in.
+
+    def _line(self, text: bytes | bytearray | memoryview) -> None:
+        if not bytes(text).strip():
+            return  # a beat
+        try:
+            raw = orjson.loads(text)
+        except orjson.JSONDecodeError:
+            raise BadConfig("list: no JSON") from None
+        self._take_in(raw, "list")
+
+    def _take_in(self, raw: Any, what: str, news: News | None = None) -> None:
+        """One list or set of changes: read whole before any of it counts."""
+        top = Section(raw, what)
+        version = top.whole(protocol.VERSION)
+        if news is None:
+            news = News.FULL if top.flag(protocol.WHOLE) else News.CHANGES
+        if news is News.CHANGES and self._version is not None and version < self._version:
+            raise BadConfig(f"{top.at(protocol.VERSION)}: {version} comes after {self._version}")
+        read = [self._entry(e) for e in top.sections(protocol.ENTRIES, NEEDED)]
+        now = self._now()
+        for uid, address, listing in read:
+            entry = self._entries.get(uid)
+            if entry is None:
+                entry = self._entries[uid] = Entry(self._next, address)
+                self._next += 1
+            elif entry.address != address:
+                self._moved(entry.address)
+            if listing.state is not State.READY:
+                self._moved(address)
+            self._by_index[entry.index] = entry.address = address
+            entry.gone_at = now if listing.state is State.GONE else None
+        if news is not News.CHANGES:
+            named = {uid for uid, _, _ in read}
+            for uid, entry in self._entries.items():
+                if uid not in named and entry.gone_at is None:
+                    entry.gone_at = now
+                    self._moved(entry.address)
+        self._version = version
+        self._counters.directory[f"news: {news.name.lower()}"] += 1
+        self._tell(news, [replace(listing, backend=self._entries[uid].index) for uid, _, listing in read])
+        for uid, entry in list(self._entries.items()):
+            if entry.gone_at is not None and now > entry.gone_at + self._keep:
+                del self._entries[uid], self._by_index[entry.index]
+
+    def _entry(self, raw: Section) -> tuple[str, Address, Listing]:
+        uid, address = raw.text(protocol.UID), raw.address(protocol.ENDPOINT)
+        zone = raw.text(protocol.ZONE, "")
+        state = raw.choice(protocol.STATE, protocol.STATES)
+        size, boot_time = raw.number(protocol.SIZE, 1.0), raw.number(protocol.BOOT_TIME, 0.0)
+        cell = raw.whole(protocol.CELL, 0)
+        # A zone that the settings don't name is one of its own. The name is alike at all agents.
+        number = self._zones.get(zone, len(self._zones) + crc32(zone.encode()))
+        return uid, address, Listing(-1, state, boot_time, size, number, cell, crc32(uid.encode()))
--- /dev/null
+++ b/lupinreach/net/ends.py
@@ -0,0 +1,67 @@
+"""Every way in which a connection can end, and what that means for the shot on it."""
+
+from __future__ import annotations
+
+from enum import Enum
+
+from lupinreach.model import Ending
+
+
+class End(Enum):
+    """How a connection, or one exchange on it, ended."""
+
+    # A whole answer came.
+    SERVED = "served"
+    TURNED_AWAY = "turned away"
+    FAULT = "fault"  # any other status
+    # The last byte of the message was never written.
+    NO_ROOM = "no room"  # no descriptor left for it
+    REFUSED = "refused"
+    NEVER_UP = "never up"
+    BROKE_SENDING = "broke while sending"
+    LATE_SENDING = "out of time while sending"
+    CALLED_OFF_SENDING = "called off while sending"
+    # It was written.
+    BROKE = "broke"
+    CUT_SHORT = "cut short"  # the other side ended it before the answer was whole
+    MALFORMED = "malformed"
+    TOO_LARGE = "too large"
+    SILENT = "silent"
+    CALLED_OFF = "called off"
+    # Between two messages.
+    LEFT = "left"  # the other side closed it
+    IDLE = "idle"  # stood idle for too long
+    MADE_ROOM = "made room"  # closed for another
+    STOPPED = "stopped"
+
+
+# Only what was never written whole is known not to have run: a break after that is a reset.
+ENDINGS = {
+    End.SERVED: Ending.FULFILLED,
+    End.TURNED_AWAY: Ending.TURNED_AWAY,
+    End.FAULT: Ending.ERRORED,
+    End.NO_ROOM: Ending.UNREACHABLE,
+    End.REFUSED: Ending.UNREACHABLE,
+    End.NEVER_UP: Ending.UNREACHABLE,
+    End.BROKE_SENDING: Ending.UNREACHABLE,
+    End.LATE_SENDING: Ending.UNREACHABLE,
+    End.CALLED_OFF_SENDING: Ending.UNSENT,
+    End.BROKE: Ending.RESET,
+    End.CUT_SHORT: Ending.RESET,
+    End.MALFORMED: Ending.RESET,
+    End.TOO_LARGE: Ending.RESET,
+    End.SILENT: Ending.TIMED_OUT,
+    End.CALLED_OFF: Ending.CANCELLED,
+    End.LEFT: Ending.RESET,
+    End.IDLE: Ending.RESET,
+    End.MADE_ROOM: Ending.RESET,
+    End.STOPPED: Ending.RESET,
+}
+
+
+class Ended(Exception):
+    """Raised to whoever uses a connection when it has ended."""
+
+    def __init__(self, end: End) -> None:
+        super().__init__(end.value)
+        self.end = end
--- /dev/null
+++ b/lupinreach/net/http.py
@@ -0,0 +1,229 @@
+"""HTTP/1.1 messages: heads, bodies and chunked framing, read in place. Knows nothing of what they mean."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from lupinreach.net.channel import Channel
+from lupinreach.net.ends import End, Ended
+
+MOST_HEAD = 16 << 10
+MOST_CHUNK_LINE = 128
+REQUEST = re.compile(rb"([A-Z]{1,16}) ([\x21-\x7e]+) HTTP/1\.([01])\r\n")
+ANSWER = re.compile(rb"HTTP/1\.([01]) ([1-9][0-9]{2})(?: [^\x00-\x08\x0a-\x1f\x7f]*)?\r\n")
+HEADER = re.compile(rb"([!#$%&'*+\-.^_`|~0-9A-Za-z]+):([^\x00-\x08\x0a-\x1f\x7f]*)\r\n")
+LENGTH = re.compile(rb"[0-9]{1,15}")
+CHUNK = re.compile(rb"([0-9A-Fa-f]{1,8})[ \t]*(?:;[^\x00-\x08\x0a-\x1f\x7f]*)?\r\n")
+# Headers that belong to one connection and are never passed on.
+OF_CONNECTION = frozenset((
+    b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding", b"upgrade",
+    b"content-length", b"expect", b"host",
+))
+REASONS = {200: b"OK", 400: b"Bad Request", 413: b"Content Too Large", 429: b"Too Many Requests",
+           500: b"Internal Server Error", 502: b"Bad Gateway", 503: b"Service Unavailable"}
+
+Slice = memoryview
+
+
+@dataclass(frozen=True, slots=True)
+class Message:
+    """One message. `target` is empty in an answer, `status` 0 in a request."""
+
+    method: bytes
+    target: bytes
+    status: int
+    headers: dict[bytes, Slice]  # the last of each name, in lower case
+    lines: list[tuple[bytes, Slice]]  # each whole header line with its name, as it came
+    body: Slice | bytes
+    keeps: bool  # the connection may carry another message
+
+    def header(self, name: bytes) -> bytes | None:
+        value = self.headers.get(name)
+        return None if value is None else bytes(value)
+
+
+@dataclass(slots=True)
+class Head:
+    first: tuple[bytes, bytes, int]  # method, target, status
+    headers: dict[bytes, Slice]
+    lines: list[tuple[bytes, Slice]]
+    keeps: bool
+    length: int | None  # None: not given
+    chunked: bool
+    size: int  # of the head itself
+
+
+def parse_head(buffer: bytearray, start: int, end: int, answer: bool) -> Head | None:
+    """The head that begins at `start`, or None while it is not whole."""
+    stop = buffer.find(b"\r\n\r\n", start, end)
+    if stop < 0 or stop - start > MOST_HEAD:
+        if end - start > MOST_HEAD:
+            raise Ended(End.TOO_LARGE)
+        return None
+    area = memoryview(buffer)
+    first = (ANSWER if answer else REQUEST).match(buffer, start, stop + 2)
+    if not first:
+        raise Ended(End.MALFORMED)
+    headers: dict[bytes, Slice] = {}
+    lines: list[tuple[bytes, Slice]] = []
+    lengths, codings, said = set(), [], b""
+    at = first.end()
+    while at < stop + 2:
+        line = HEADER.match(buffer, at, stop + 2)
+        if not line:
+            raise Ended(End.MALFORMED)
+        name, raw = line[1].lower(), line[2]
+        value = raw.strip(b" \t")
+        begin = line.start(2) + len(raw) - len(raw.lstrip(b" \t"))
+        headers[name] = area[begin:begin + len(value)]
+        lines.append((name, area[at:line.end()]))
+        if name == b"content-length":
+            lengths.add(value)
+        elif name == b"transfer-encoding":
+            codings.append(value.lower())
+        elif name == b"connection":
+            said += b"," + value.lower()
+        at = line.end()
+    # Guards against a message whose end two readers would find at different places.
+    if len(lengths) > 1 or (codings and (lengths or codings != [b"chunked"])):
+        raise Ended(End.MALFORMED)
+    if any(not LENGTH.fullmatch(n) for n in lengths):
+        raise Ended(End.MALFORMED)
+    options = {o.strip() for o in said.split(b",")}
+    minor = first[1] if answer else first[3]
+    return Head(
+        first=(b"", b"", int(first[2])) if answer else (first[1], first[2], 0),
+        headers=headers,
+        lines=lines,
+        keeps=b"close" not in options and (minor == b"1" or b"keep-alive" in options),
+        length=int(lengths.pop()) if lengths else None,
+        chunked=bool(codings),
+        size=stop + 4 - start,
+    )
+
+
+class Chunks:
+    """Takes chunked framing off, as bytes come."""
+
+    def __init__(self) -> None:
+        self.done = False
+        self._left = 0  # bytes of the present chunk still to come
+        self._ends = False  # the line break after a chunk is still to come
+        self._trailer = False
+
+    def feed(self, area: Slice) -> tuple[list[Slice], int]:
+        """The pieces of the body in this area, and how much of it has been used up."""
+        pieces: list[Slice] = []
+        at = 0
+        while at < len(area) and not self.done:
+            if self._left:
+                piece = area[at:at + self._left]
+                pieces.append(piece)
+                at += len(piece)
+                self._left -= len(piece)
+                self._ends = not self._left
+                continue
+            line = bytes(area[at:at + MOST_CHUNK_LINE])
+            size = line.find(b"\n") + 1
+            if not size:
+                if len(line) == MOST_CHUNK_LINE:
+                    raise Ended(End.MALFORMED)
+                break
+            at += size
+            self._line(line[:size])
+        return pieces, at
+
+    def _line(self, line: bytes) -> None:
+        if self._ends:
+            if line != b"\r\n":
+                raise Ended(End.MALFORMED)
+            self._ends = False
+        elif self._trailer:
+            self.done = line == b"\r\n"
+            if not self.done and not HEADER.fullmatch(line):
+                raise Ended(End.MALFORMED)
+        else:
+            chunk = CHUNK.fullmatch(line)
+            if not chunk:
+                raise Ended(End.MALFORMED)
+            self._left = int(chunk[1], 16)
+            self._trailer = not self._left
+
+
+async def read_head(channel: Channel, answer: bool) -> Head:
+    while True:
+        if not answer:
+            while channel.buffer.startswith(b"\r\n", channel.start, channel.end):
+                channel.start += 2  # an empty line before a request says nothing
+        head = parse_head(channel.buffer, channel.start, channel.end, answer)
+        if head is not None:
+            channel.start += head.size
+            return head
+        await channel.fill()
+
+
+async def read_body(channel: Channel, head: Head, most: int) -> Slice | bytes:
+    if head.chunked:
+        chunks, pieces, size = Chunks(), [], 0
+        while True:
+            more, used = chunks.feed(memoryview(channel.buffer)[channel.start:channel.end])
+            channel.start += used
+            pieces += more
+            size += sum(map(len, more))
+            if size > most:
+                raise Ended(End.TOO_LARGE)
+            if chunks.done:
+                return pieces[0] if len(pieces) == 1 else b"".join(pieces)
+            await channel.fill()
+    length = head.length or 0
+    if length > most:
+        raise Ended(End.TOO_LARGE)
+    channel.need(length)
+    while channel.end - channel.start < length:
+        await channel.fill()
+    begin = channel.start
+    channel.start += length
+    return memoryview(channel.buffer)[begin:begin + length]
+
+
+async def read_answer(channel: Channel, most: int) -> Message:
+    """One whole answer; interim ones are skipped."""
+    while True:
+        head = await read_head(channel, answer=True)
+        status = head.first[2]
+        if status >= 200:
+            break
+    if status in (204, 304):
+        body: Slice | bytes = b""
+    elif head.length is None and not head.chunked:
+        # Its end would be the connection's, and nobody could tell whether it came whole.
+        raise Ended(End.CUT_SHORT)
+    else:
+        body = await read_body(channel, head, most)
+    return message(head, body)
+
+
+def message(head: Head, body: Slice | bytes) -> Message:
+    return Message(*head.first, head.headers, head.lines, body, head.keeps)
+
+
+def passed_on(lines: Iterable[tuple[bytes, Slice]], but: frozenset[bytes]) -> list[Slice]:
+    """The header lines that go on to the next side."""
+    return [line for name, line in lines if name not in OF_CONNECTION and name not in but]
+
+
+def request(method: bytes, target: bytes, headers: Iterable[bytes | Slice], host: bytes | Slice,
+            body: Slice | bytes = b"") -> bytes:
+    """A request as one piece; the only copy made of what goes on, since a write may outlive the buffer."""
+    framing = b"Content-Length: %d\r\n" % len(body) if body or method == b"POST" else b""
+    return b"".join((method, b" ", target, b" HTTP/1.1\r\nHost: ", host, b"\r\n", *headers, framing,
+                     b"\r\n", body))
+
+
+def answer(status: int, headers: Iterable[bytes | Slice] = (), body: Slice | bytes = b"",
+           keeps: bool = True) -> bytes:
+    """An answer as one piece, copied once as a request is."""
+    return b"".join((b"HTTP/1.1 %d " % status, REASONS.get(status, b"Error"), b"\r\n", *headers,
+                     b"" if keeps else b"Connection: close\r\n", b"Content-Length: %d\r\n\r\n" % len(body), body))
--- /dev/null
+++ b/lupinreach/net/log.py
@@ -0,0 +1,37 @@
+"""The log: one JSON line an event on standard output, never one per API call."""
+
+from __future__ import annotations
+
+import os
+import select
+
+import orjson
+
+from lupinreach.net.clock import Clock
+
+MOST_LINE = 4000  # under what a pipe takes in one piece
+MOST_TEXT = 500
+
+
+class Log:
+    def __init__(self, name: str, clock: Clock, descriptor: int = 1) -> None:
+        self._name = name
+        self._clock = clock
+        self._descriptor = descriptor
+        self._ready = select.poll()
+        self._ready.register(descriptor, select.POLLOUT)
+        self.dropped = 0
+
+    def event(self, event: str, **fields: object) -> None:
+        """Write one event, or drop it: a log that nobody reads must not hold up API calls."""
+        fields = {k: v[:MOST_TEXT] if isinstance(v, str) else v for k, v in fields.items()}
+        head = {"at": round(self._clock.now(), 1), "agent": self._name, "event": event}
+        line = orjson.dumps(head | fields, default=str, option=orjson.OPT_APPEND_NEWLINE | orjson.OPT_NON_STR_KEYS)
+        try:
+            writable = self._ready.poll(0)
+            if len(line) > MOST_LINE or not writable or not writable[0][1] & select.POLLOUT:
+                self.dropped += 1
+            else:
+                os.write(self._descriptor, line)
+        except OSError:
+            self.dropped += 1
--- /dev/null
+++ b/lupinreach/net/peers.py
@@ -0,0 +1,52 @@
+"""Datagrams between agents, where the settings allow them. They may be late or lost."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+from lupinreach.config import Address
+from lupinreach.net.counters import Counters
+from lupinreach.net.protocol import MOST_DATAGRAM
+
+
+class Peers(asyncio.DatagramProtocol):
+    """The agents of this tier, by number."""
+
+    def __init__(self, peers: tuple[Address, ...], everybody: Address | None, counters: Counters,
+                 heard: Callable[[int, bytes], None]) -> None:
+        self._numbers = {address: number for number, address in enumerate(peers)}
+        self._everybody = everybody
+        self._counters = counters
+        self._heard = heard
+        self._transport: asyncio.DatagramTransport | None = None
+
+    async def open(self, address: Address) -> None:
+        await asyncio.get_running_loop().create_datagram_endpoint(lambda: self, local_addr=address)
+
+    def connection_made(self, transport: Any) -> None:
+        self._transport = transport
+
+    def datagram_received(self, data: bytes, addr: Any) -> None:
+        number = self._numbers.get(addr[:2])
+        if number is None or len(data) > MOST_DATAGRAM:
+            self._counters.others["datagrams ignored"] += 1
+            return
+        self._counters.others["datagrams heard"] += 1
+        self._heard(number, data)
+
+    def error_received(self, exc: Exception) -> None:
+        self._counters.others["datagrams failed"] += 1
+
+    def tell(self, message: bytes) -> None:
+        """Send to all; a longer message than allowed is none."""
+        if self._transport is None or self._everybody is None or len(message) > MOST_DATAGRAM:
+            self._counters.others["datagrams not sent"] += 1
+            return
+        self._counters.others["datagrams sent"] += 1
+        self._transport.sendto(message, self._everybody)
+
+    def close(self) -> None:
+        if self._transport is not None:
+            self._transport.close()
--- /dev/null
+++ b/lupinreach/net/pool.py
@@ -0,0 +1,114 @@
+"""Connections to backends: opened when needed, kept between shots, at most so many in all."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import socket
+
+from tornado.iostream import StreamClosedError
+
+from lupinreach.config import Address
+from lupinreach.net import http
+from lupinreach.net.channel import Channel
+from lupinreach.net.counters import Counters
+from lupinreach.net.ends import End, Ended
+from lupinreach.net.protocol import MOST_BODY
+
+IDLE_SHARE = 0.5  # of the time after which a backend closes an idle connection: well before it does
+MOST_IDLE = 60_000.0  # ms, where that time is unknown
+CONNECT_WITHIN = 1000.0  # ms, where the settings name no time
+OUT_OF_DESCRIPTORS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+
+
+async def connect(address: Address, within: float, most: int = http.MOST_HEAD + MOST_BODY) -> Channel:
+    """A new connection, in `within` ms."""
+    try:
+        channel = Channel(socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET), most)
+    except OSError:
+        raise Ended(End.NO_ROOM) from None
+    try:
+        async with asyncio.timeout(within / 1000):
+            await channel.stream.connect(address)
+    except TimeoutError:
+        channel.close()
+        raise Ended(End.NEVER_UP) from None
+    except StreamClosedError as failed:
+        number = getattr(failed.real_error, "errno", None)
+        raise Ended(End.NO_ROOM if number in OUT_OF_DESCRIPTORS else End.REFUSED) from None
+    except BaseException:
+        channel.close()
+        raise
+    return channel
+
+
+class Pool:
+    """All connections to backends. One in use belongs to its shot; the others stand idle here."""
+
+    def __init__(self, most: int, connect_timeout: float, idle: float, counters: Counters) -> None:
+        self._most = most
+        self._connect_timeout = connect_timeout or CONNECT_WITHIN
+        self._idle_for = (idle or MOST_IDLE) * IDLE_SHARE / 1000
+        self._counters = counters
+        self.open = 0
+        # Idle connections, oldest first; one leaves when it is used, ends, gets old or has to make room.
+        self._idle: dict[Channel, tuple[Address, asyncio.TimerHandle]] = {}
+        self._by_address: dict[Address, list[Channel]] = {}  # the same; an address leaves with its last
+
+    async def take(self, address: Address) -> Channel:
+        """A connection to this address for one exchange: the one that was used last, else a new one."""
+        while address in self._by_address:
+            channel = self._by_address[address][-1]
+            self._remove(channel)
+            if not channel.heard:
+                return channel
+            # Guards against a shot that is written to a connection that the backend has closed: a reset.
+            self._close(channel, End.LEFT)
+        if self.open >= self._most:
+            if not self._idle:
+                raise Ended(End.NO_ROOM)
+            oldest = next(iter(self._idle))
+            self._remove(oldest)
+            self._close(oldest, End.MADE_ROOM)
+        self.open += 1
+        try:
+            channel = await connect(address, self._connect_timeout)
+        except BaseException:
+            self.open -= 1
+            raise
+        self._counters.connections["backend opened"] += 1
+        return channel
+
+    def give_back(self, channel: Channel, address: Address) -> None:
+        """Keep a connection on which nothing is out; it is dropped as soon as anything comes on it."""
+        timer = asyncio.get_running_loop().call_later(self._idle_for, self._drop, channel, End.IDLE)
+        self._idle[channel] = address, timer
+        self._by_address.setdefault(address, []).append(channel)
+        channel.listen().add_done_callback(lambda _: self._drop(channel, End.LEFT))
+
+    def discard(self, channel: Channel, end: End) -> None:
+        """Close a connection that was in use."""
+        self._close(channel, end)
+
+    def forget(self, address: Address) -> None:
+        """Close what stands idle to an address that gets nothing more."""
+        for channel in list(self._by_address.get(address, ())):
+            self._drop(channel, End.IDLE)
+
+    def _drop(self, channel: Channel, end: End) -> None:
+        if channel in self._idle:
+            self._remove(channel)
+            self._close(channel, end)
+
+    def _remove(self, channel: Channel) -> None:
+        address, timer = self._idle.pop(channel)
+        timer.cancel()
+        beside = self._by_address[address]
+        beside.remove(channel)
+        if not beside:
+            del self._by_address[address]
+
+    def _close(self, channel: Channel, end: End) -> None:
+        self.open -= 1
+        self._counters.connections[f"backend {end.value}"] += 1
+        channel.close()
--- /dev/null
+++ b/lupinreach/net/protocol.py
@@ -0,0 +1,36 @@
+"""The words of the protocol: header names, paths, fields and figures. The rest of the agent speaks ours."""
+
+from lupinreach.model import State
+
+# Headers, in lower case as the parser hands them out.
+ID, KIND, DEADLINE = b"req-id", b"req-kind", b"req-deadline"
+RETRY, COST, EXTRA = b"req-retry", b"req-cost", b"req-extra"
+LOAD, NEVER_RAN = b"srv-load", b"srv-declined"
+
+READY_PATH = b"/health/ready"
+LIVE_PATH, STATS_PATH = b"/health/live", b"/stats"
+LIST_PATH, WATCH_PATH, WATCH_AFTER = b"/registry/instances", b"/registry/instances?watch=1", b"&after=%d"
+
+# A backend's answers.
+SERVED = 200
+TURNED_AWAY = (503, 504)  # with NEVER_RAN: 1
+
+# A load report's fields.
+LOADS = {
+    "inflight": "in_flight", "queue": "waiting", "util": "busy", "latency_ms": "latency",
+    "qps": "calls_per_s", "eps": "errors_per_s",
+}
+
+# The directory's lists.
+VERSION, WHOLE, ENTRIES = "rev", "all", "targets"
+UID, ENDPOINT, ZONE, CELL = "uid", "endpoint", "az", "pod_group"
+STATE, SIZE, BOOT_TIME = "state", "capacity_hint", "boot_ms"
+STATES = {"Ready": State.READY, "Terminating": State.DRAINING, "Gone": State.GONE}
+BEAT = 2000.0  # ms between two lines of a watch at most
+
+MOST_BODY = 64 << 10
+MOST_DATAGRAM = 256
+
+# Headers that are not passed on: what they say is between the agent and one side.
+BETWEEN_CLIENT_AND_AGENT = frozenset((DEADLINE,))
+BETWEEN_BACKEND_AND_AGENT = frozenset((LOAD, NEVER_RAN))
