--- a/lupinreach/net/agent.py
+++ b/lupinreach/net/agent.py
@@ -1,4 +1,4 @@
-"""One agent: the decision module, its port, and the parts of the network around it."""
+"""One agent: the decision module and the parts of the network around it, from start to stop."""
 
 from __future__ import annotations
 
@@ -11,7 +11,6 @@
 from lupinreach.balance import Balancer
 from lupinreach.config import AgentConfig
 from lupinreach.model import Listing, News
-from lupinreach.net.call import ApiCall, CallOff, GiveUp, RateLimit, Send
 from lupinreach.net.clock import Clock
 from lupinreach.net.counters import Counters
 from lupinreach.net.directory import Directory
@@ -19,7 +18,7 @@
 from lupinreach.net.log import Log
 from lupinreach.net.peers import Peers
 from lupinreach.net.pool import Pool
-from lupinreach.net.probes import probe
+from lupinreach.net.port import AgentPort
 
 OWN_DESCRIPTORS = 20  # standard streams, event loop, listener, watch, datagrams, files that Python opens
 GOES_ON = 0.5  # s for which a stopping agent goes on accepting
@@ -27,7 +26,7 @@
 
 
 class Agent:
-    """Owns everything that lives as long as the process; also the module's port."""
+    """Owns everything that lives as long as the process."""
 
     def __init__(self, config: AgentConfig, log: Log | None = None) -> None:
         settings = config.settings
@@ -45,18 +44,18 @@
         room = min(config.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0]) - OWN_DESCRIPTORS
         self.listener = Listener(self, room // 2)
         self.pool = Pool(room // 2, settings.limits.connect_timeout, settings.limits.connection_idle, self.counters)
-        self._peers = Peers(config.peers, config.peers_all, self.counters, self._heard)
-        self.balancer = Balancer(settings, config.seed, self)
-        self.list = Directory(config.directory, settings.zones, 2 * self.longest_wait, self.counters,
+        self.peers = Peers(config.peers, config.peers_all, self.counters, self._heard)
+        self.balancer = Balancer(settings, config.seed, AgentPort(self))
+        self.directory = Directory(config.directory, settings.zones, 2 * self.longest_wait, self.counters,
                                    self.clock.now, self.spawn, self._tell, self.pool.forget, not settings.must_ask)
 
     # From start to stop.
 
     async def start(self) -> None:
         if self.config.peer_listen is not None and self.config.settings.limits.peers:
-            await self._peers.open(self.config.peer_listen)
+            await self.peers.open(self.config.peer_listen)
         self.balancer.start(self.clock.now())
-        self.list.start(self.config.known)
+        self.directory.start(self.config.known)
         self.listener.open()
         self.log.event("started", listen="%s:%d" % self.listener.address, sockets=self.config.sockets)
 
@@ -86,7 +85,7 @@
         for task in list(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
-        self._peers.close()
+        self.peers.close()
         self.report("stopped")
 
     def report(self, event: str = "counters") -> None:
@@ -128,37 +127,9 @@
         except Exception as fault:
             self.fault("heard", fault)
 
-    def _woke(self, at: float, mark: str) -> None:
+    def woke(self, at: float, mark: str) -> None:
         try:
             # Guards against a clock that rounds to just before the time asked for: the module would wait on.
             self.balancer.woke(max(at, self.clock.now()), mark)
         except Exception as fault:
             self.fault("woke", fault)
-
-    # The port: what the module asks for.
-
-    def send(self, token: ApiCall, backend: int, until: float) -> None:
-        token.orders.put_nowait(Send(backend, until))
-
-    def cancel(self, token: ApiCall, shot: int) -> None:
-        token.orders.put_nowait(CallOff(shot))
-
-    def rate_limit(self, token: ApiCall, retry_after: float) -> None:
-        token.orders.put_nowait(RateLimit(retry_after))
-
-    def error(self, token: ApiCall) -> None:
-        token.orders.put_nowait(GiveUp())
-
-    def wake(self, at: float, mark: str) -> None:
-        asyncio.get_running_loop().call_at(self.clock.on_loop(at), self._woke, at, mark)
-
-    def directory(self, follow: bool) -> None:
-        self.list.ask(follow)
-
-    def probe(self, backend: int) -> None:
-        if self.config.settings.limits.probes:
-            self.spawn("probe", probe(self, backend))
-
-    def peers(self, message: bytes) -> None:
-        if self.config.settings.limits.peers:
-            self._peers.tell(message)
--- a/lupinreach/net/call.py
+++ b/lupinreach/net/call.py
@@ -145,7 +145,7 @@
         message = http.request(
             request.method, request.target, [*http.passed_on(request.lines, protocol.BETWEEN_CLIENT_AND_AGENT), left],
             request.headers.get(b"host", b""), request.body)
-        shot = Shot(agent.pool, agent.list.address(backend), message, agent.clock.on_loop(until))
+        shot = Shot(agent.pool, agent.directory.address(backend), message, agent.clock.on_loop(until))
         task = agent.spawn("shot", shot.run())
         task.add_done_callback(lambda _: self.orders.put_nowait(Landed(number)))
         return Out(shot, task, sent)
--- a/lupinreach/net/probes.py
+++ b/lupinreach/net/probes.py
@@ -15,7 +15,7 @@
 async def probe(agent: Agent, backend: int) -> None:
     """One probe, from the module's order to its outcome."""
     settings, clock = agent.config.settings, agent.clock
-    address = agent.list.address(backend)
+    address = agent.directory.address(backend)
     path = protocol.STATS_PATH if settings.load_fields else protocol.LIVE_PATH
     message = http.request(b"GET", path, (), b"%s:%d" % (address[0].encode(), address[1]))
     sent = clock.now()
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -103,7 +103,7 @@
     ({"categories": None}, "categories: missing"),
     ({"categories": []}, "categories: empty"),
     ({"categories": [{"aim": 1.0, "semantics": "once"}]}, "categories[0].give_up: missing"),
-    ({"categories": [{"aim": 1.0, "give_up": 5.0, "semantics": "twice"}]}, "categories[0].semantics: unknown 'twice'"),
+    ({"categories": [{"give_up": 5.0, "semantics": "twice"}]}, "categories[0].semantics: unknown 'twice'"),
     ({"ceilings": 3}, "ceilings: must be an object"),
 ])
 def test_malformed_settings_are_reported_for_their_instance(change, text):
