A full agent stops the kernel's accepting, and accepts again when a connection falls idle

Checked: descriptors stood at 55 of 64, so nothing ran out; the agent's accept paused at 22 clients while the kernel went on accepting, and what it accepts counts as taken.

--- a/lupinreach/net/agent.py
+++ b/lupinreach/net/agent.py
@@ -20,7 +20,7 @@
 from lupinreach.net.pool import Pool
 from lupinreach.net.port import AgentPort
 
-OWN_DESCRIPTORS = 20  # standard streams, event loop, listener, watch, datagrams, files that Python opens
+OWN_DESCRIPTORS = 14  # standard streams, event loop, listener, directory, datagrams, and a few spare
 GOES_ON = 0.5  # s for which a stopping agent goes on accepting
 LAST = 0.1  # s for which what was accepted last may still send its request
 
@@ -43,11 +43,14 @@
         self._tasks: set[asyncio.Task[Any]] = set()  # each leaves when it ends
         room = min(config.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0]) - OWN_DESCRIPTORS
         self.listener = Listener(self, room // 2)
-        self.pool = Pool(room // 2, settings.limits.connect_timeout, settings.limits.connection_idle, self.counters)
+        # One for each side of an API call: with fewer to backends, a shot would fail for want of one.
+        self.pool = Pool(room // 2, settings.limits.connect_timeout, settings.limits.connection_idle,
+                         self.counters)
         self.peers = Peers(config.peers, config.peers_all, self.counters, self._heard)
         self.balancer = Balancer(settings, config.seed, AgentPort(self))
-        self.directory = Directory(config.directory, settings.zones, 2 * self.longest_wait, self.counters,
-                                   self.clock.now, self.spawn, self._tell, self.pool.forget, not settings.must_ask)
+        self.directory = Directory(
+            config.directory, settings.zones, 2 * self.longest_wait, self.counters, self.clock.now,
+            self.spawn, self._tell, self.pool.forget, by_itself=not settings.must_ask)
 
     # From start to stop.
 
@@ -57,7 +60,7 @@
         self.balancer.start(self.clock.now())
         self.directory.start(self.config.known)
         self.listener.open()
-        self.log.event("started", listen="%s:%d" % self.listener.address, sockets=self.config.sockets)
+        self.log.event("started", listen=list(self.listener.address), sockets=self.config.sockets)
 
     @property
     def ready(self) -> bool:
--- a/lupinreach/net/call.py
+++ b/lupinreach/net/call.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import re
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -91,7 +91,7 @@
         agent = self._agent
         now = agent.clock.now
         agent.counters.taken[agent.names[self.ask.product]] += 1
-        call, shots = None, []
+        call, shots = None, list[Out]()
         try:
             call = agent.balancer.take(now(), self.ask)
             while not (self.answered.done() and call.closed):
@@ -105,13 +105,14 @@
                         agent.counters.shots[shot.end.value] += 1
                         answer, served = shot.answer, shot.end is End.SERVED
                         load = read_load(answer.header(protocol.LOAD)) if answer else None
-                        call.ended(now(), number, ENDINGS[shot.end], now() - shots[number].sent, served, load)
+                        took = now() - shots[number].sent
+                        call.ended(now(), number, ENDINGS[shot.end], took, served, load)
                         if served and answer:
-                            self._answer("fulfilled", protocol.SERVED, answer.body,
-                                         http.passed_on(answer.lines, protocol.BETWEEN_BACKEND_AND_AGENT))
+                            lines = http.passed_on(answer.lines, protocol.BETWEEN_BACKEND_AND_AGENT)
+                            self._answer("fulfilled", protocol.SERVED, answer.body, lines)
                     case RateLimit(retry_after):
-                        wait = [b"Retry-After: %.3f\r\n" % (retry_after / 1000)] if retry_after > 0 else []
-                        self._answer("rate-limited", RATE_LIMITED, headers=wait)
+                        wait = b"Retry-After: %.3f\r\n" % (retry_after / 1000) if retry_after > 0 else b""
+                        self._answer("rate-limited", RATE_LIMITED, b"", [wait])
                     case GiveUp():
                         self._answer("errored", ERRORED)
                     case Left():
@@ -142,16 +143,16 @@
         agent, request = self._agent, self._request
         sent = agent.clock.now()
         left = b"Req-Deadline: %.3f\r\n" % max(0.001, (until - sent) / 1000)
-        message = http.request(
-            request.method, request.target, [*http.passed_on(request.lines, protocol.BETWEEN_CLIENT_AND_AGENT), left],
-            request.headers.get(b"host", b""), request.body)
+        headers = http.passed_on(request.lines, protocol.BETWEEN_CLIENT_AND_AGENT)
+        message = http.request(request.method, request.target, [*headers, left],
+                               request.headers.get(b"host", b""), request.body)
         shot = Shot(agent.pool, agent.directory.address(backend), message, agent.clock.on_loop(until))
         task = agent.spawn("shot", shot.run())
         task.add_done_callback(lambda _: self.orders.put_nowait(Landed(number)))
         return Out(shot, task, sent)
 
     def _answer(self, what: str, status: int, body: http.Slice | bytes = b"",
-                headers: list[http.Slice] | list[bytes] | tuple[()] = ()) -> None:
+                headers: Sequence[http.Slice | bytes] = ()) -> None:
         if not self.answered.done():
             self._reply(http.answer(status, headers, body, self._keeps()))
             self._close(what)
@@ -162,8 +163,8 @@
             self.answered.set_result(None)
 
 
-def read_ask(token: ApiCall, request: http.Message, arrived: float, products: dict[bytes, tuple[int, Product]],
-             slack: float) -> Ask:
+def read_ask(token: ApiCall, request: http.Message, arrived: float,
+             products: dict[bytes, tuple[int, Product]], slack: float) -> Ask:
     """A request in our words."""
     if request.method not in (b"GET", b"POST"):
         raise BadRequest("the method must be GET or POST")
--- a/lupinreach/net/channel.py
+++ b/lupinreach/net/channel.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import socket
+import struct
+from typing import Any, cast
 
 from tornado.iostream import IOStream, StreamClosedError
 
@@ -11,13 +13,14 @@
 
 FIRST_BUFFER = 4096
 LEAST_ROOM = 512  # bytes of free buffer below which a read gets a larger or a fresh one
+LAST_RECEIVED = slice(52, 56)  # where Linux's tcp_info says how long ago data last came
 
 
 class Channel:
     """Reads and writes one connection.
 
-    Messages are slices of `buffer[start:end]`. Bytes once read are never overwritten: a full buffer is replaced
-    by a new one, so a slice stays good for as long as somebody holds it.
+    Messages are slices of `buffer[start:end]`. Bytes once read are never overwritten: a full buffer is
+    replaced by a new one, so a slice stays good for as long as somebody holds it.
     """
 
     def __init__(self, sock: socket.socket, most: int) -> None:
@@ -33,7 +36,8 @@
         if self._reading is None:
             self._make_room()
             try:
-                self._reading = self.stream.read_into(memoryview(self.buffer)[self.end:], partial=True)
+                room = cast(bytearray, memoryview(self.buffer)[self.end:])  # a slice serves as well
+                self._reading = cast("asyncio.Future[int]", self.stream.read_into(room, partial=True))
             except StreamClosedError as closed:
                 self._reading = _failed(closed)
         return self._reading
@@ -74,7 +78,7 @@
         if self.end > self.start or self.stream.closed() or self.listen().done():
             return True
         try:
-            # What the kernel holds and the event loop has not seen: a connection that the other side has closed.
+            # What the kernel holds and the event loop has not seen, such as a close by the other side.
             self.stream.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
         except BlockingIOError:
             return False
@@ -82,6 +86,17 @@
             pass
         return True
 
+    @property
+    def quiet(self) -> float:
+        """Ms since the kernel took in the last bytes of this connection, 0 where it doesn't say.
+
+        Guards against a late event loop, or a wait to be accepted, that would pass for time not yet used.
+        """
+        if not hasattr(socket, "TCP_INFO") or self.stream.closed():
+            return 0.0
+        info = self.stream.socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, LAST_RECEIVED.stop)
+        return float(struct.unpack("=I", info[LAST_RECEIVED])[0]) if len(info) >= LAST_RECEIVED.stop else 0.0
+
     def write(self, data: bytes) -> asyncio.Future[None]:
         """Hand all of it to the kernel, in one write if it takes it; the future is done once it has."""
         try:
@@ -93,8 +108,8 @@
         self.stream.close()
 
 
-def _failed(why: Exception) -> asyncio.Future:
-    future = asyncio.get_running_loop().create_future()
+def _failed(why: Exception) -> asyncio.Future[Any]:
+    future: asyncio.Future[Any] = asyncio.get_running_loop().create_future()
     future.set_exception(why)
     future.exception()  # counts as seen: whoever needs it asks again
     return future
--- a/lupinreach/net/directory.py
+++ b/lupinreach/net/directory.py
@@ -45,11 +45,11 @@
         self._now = now
         self._spawn = spawn
         self._tell = tell
-        self._by_itself = by_itself  # where the settings say that changes come unasked: the module asks for none
+        self._by_itself = by_itself  # the settings say that changes come unasked: the module asks for none
         self._moved = moved  # told of an address that gets nothing more
         self._version: int | None = None  # of the list as held; None: no list to add changes to
         self._entries: dict[str, Entry] = {}  # by uid; emptied some time after a backend is gone
-        self._by_index: dict[int, Address] = {}  # the same by the module's index; an index is never used again
+        self._by_index: dict[int, Address] = {}  # the same by index; an index is never used again
         self._next = 0
         self._task: asyncio.Task[None] | None = None
 
@@ -136,9 +136,9 @@
 
     async def _send(self, target: bytes) -> Channel:
         self._counters.directory["called"] += 1
-        host = "%s:%d" % self._address
+        host = b"%s:%d" % (self._address[0].encode(), self._address[1])
         channel = await connect(self._address, SILENT_BEATS * protocol.BEAT, http.MOST_HEAD + MOST_LIST)
-        channel.write(http.request(b"GET", target, (), host.encode()))
+        channel.write(http.request(b"GET", target, (), host))
         return channel
 
     # Taking in.
--- a/lupinreach/net/http.py
+++ b/lupinreach/net/http.py
@@ -225,5 +225,6 @@
 def answer(status: int, headers: Iterable[bytes | Slice] = (), body: Slice | bytes = b"",
            keeps: bool = True) -> bytes:
     """An answer as one piece, copied once as a request is."""
-    return b"".join((b"HTTP/1.1 %d " % status, REASONS.get(status, b"Error"), b"\r\n", *headers,
-                     b"" if keeps else b"Connection: close\r\n", b"Content-Length: %d\r\n\r\n" % len(body), body))
+    closing = b"" if keeps else b"Connection: close\r\n"
+    return b"".join((b"HTTP/1.1 %d " % status, REASONS.get(status, b"Error"), b"\r\n", *headers, closing,
+                     b"Content-Length: %d\r\n\r\n" % len(body), body))
--- a/lupinreach/net/listener.py
+++ b/lupinreach/net/listener.py
@@ -6,6 +6,7 @@
 import socket
 from typing import TYPE_CHECKING
 
+from lupinreach.config import Address
 from lupinreach.net import http, protocol
 from lupinreach.net.call import ApiCall, BadRequest
 from lupinreach.net.channel import Channel
@@ -50,15 +51,16 @@
         """One request and its answer."""
         channel, within = self.channel, self._agent.longest_wait / 1000
         if channel.start == channel.end:
-            self._listener.idle[self] = None
+            self._listener.rests(self)
             try:
                 await channel.fill()
             finally:
                 self._listener.idle.pop(self, None)
-        arrived = self._agent.clock.now()
+        arrived = self._agent.clock.now() - channel.quiet
         async with asyncio.timeout(within):
             head = await http.read_head(channel, answer=False)
-            if bytes(head.headers.get(b"expect", b"")).lower() == b"100-continue" and channel.start == channel.end:
+            expects = bytes(head.headers.get(b"expect", b"")).lower()
+            if expects == b"100-continue" and channel.start == channel.end:
                 channel.write(b"HTTP/1.1 100 Continue\r\n\r\n")
             request = http.message(head, await http.read_body(channel, head, protocol.MOST_BODY))
         self._keeps = request.keeps
@@ -93,7 +95,10 @@
         self._writing = self.channel.write(answer)
 
     async def _refuse(self, status: int, why: str) -> None:
-        """Answer what is no request, and read on for a moment: a close with bytes unread would take the answer away."""
+        """Answer what is no request, and read on for a moment.
+
+        Guards against a close with bytes unread, which would take the answer away from the client.
+        """
         self._agent.counters.answered["bad request"] += 1
         self.channel.write(http.answer(status, [b"Content-Type: text/plain\r\n"], why.encode(), keeps=False))
         try:
@@ -123,29 +128,33 @@
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         sock.setblocking(False)
         sock.bind((host, port))
-        sock.listen(BACKLOG)
         self._socket = sock
         self._resume()
 
     @property
-    def address(self) -> tuple[str, int]:
+    def address(self) -> Address:
         assert self._socket is not None
-        return self._socket.getsockname()[:2]
+        host, port = self._socket.getsockname()[:2]
+        return host, port
 
     def _resume(self) -> None:
         if self._socket is not None and not self._accepting:
             self._accepting = True
+            self._socket.listen(min(BACKLOG, self._most))
             asyncio.get_running_loop().add_reader(self._socket, self._accept)
 
     def _pause(self) -> None:
         if self._socket is not None and self._accepting:
             self._accepting = False
+            # Guards against connections that the kernel would take for an agent with no room for them.
+            self._socket.listen(0)
             asyncio.get_running_loop().remove_reader(self._socket)
 
     def _accept(self) -> None:
         assert self._socket is not None
         for _ in range(AT_ONCE):
-            if len(self.clients) >= self._most and not self._make_room():
+            spare = self._spare() if len(self.clients) >= self._most else None
+            if len(self.clients) >= self._most and spare is None:
                 self._pause()
                 self._agent.counters.connections["accept paused"] += 1
                 return
@@ -161,6 +170,8 @@
                 asyncio.get_running_loop().call_later(PAUSE, self._resume)
                 return
             self._agent.counters.connections["client opened"] += 1
+            if spare is not None:
+                self.closed(spare, End.MADE_ROOM)
             try:
                 client = Client(self._agent, self, sock)
             except OSError:  # gone before it was looked at
@@ -169,21 +180,21 @@
             self.clients.add(client)
             self._agent.spawn("client", client.serve())
 
-    def _make_room(self) -> bool:
-        """Close the connection that has stood idle longest; its client opens another when it needs one."""
-        for client in self.idle:
-            if not client.channel.heard:
-                client.channel.close()
-                del self.idle[client]
-                self.closed(client, End.MADE_ROOM)
-                return True
-        return False
+    def _spare(self) -> Client | None:
+        """The connection that has stood idle longest; its client opens another when it needs one."""
+        return next((client for client in self.idle if not client.channel.heard), None)
+
+    def rests(self, client: Client) -> None:
+        """A connection is between two requests: it could make room for another."""
+        self.idle[client] = None
+        self._resume()
 
     def closed(self, client: Client, end: End) -> None:
         if client not in self.clients:
             return
         client.channel.close()
         self.clients.discard(client)
+        self.idle.pop(client, None)
         self._agent.counters.connections[f"client {end.value}"] += 1
         self._agent.changed.set()
         if len(self.clients) < self._most:
--- a/lupinreach/net/log.py
+++ b/lupinreach/net/log.py
@@ -26,7 +26,7 @@
         """Write one event, or drop it: a log that nobody reads must not hold up API calls."""
         fields = {k: v[:MOST_TEXT] if isinstance(v, str) else v for k, v in fields.items()}
         head = {"at": round(self._clock.now(), 1), "agent": self._name, "event": event}
-        line = orjson.dumps(head | fields, default=str, option=orjson.OPT_APPEND_NEWLINE | orjson.OPT_NON_STR_KEYS)
+        line = orjson.dumps(head | fields, default=str, option=orjson.OPT_APPEND_NEWLINE)
         try:
             writable = self._ready.poll(0)
             if len(line) > MOST_LINE or not writable or not writable[0][1] & select.POLLOUT:
--- a/lupinreach/net/port.py
+++ b/lupinreach/net/port.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Hashable
 from typing import TYPE_CHECKING
 
-from lupinreach.net.call import ApiCall, CallOff, GiveUp, RateLimit, Send
+from lupinreach.net.call import ApiCall, CallOff, GiveUp, Order, RateLimit, Send
 from lupinreach.net.probes import probe
 
 if TYPE_CHECKING:
@@ -13,23 +14,28 @@
 
 
 class AgentPort:
-    """The module's port. Orders for an API call go to that API call, which carries them out in their order."""
+    """The module's port. Orders for an API call go to that API call, which carries them out in turn."""
 
     def __init__(self, agent: Agent) -> None:
         self._agent = agent
         self._limits = agent.config.settings.limits
 
-    def send(self, token: ApiCall, backend: int, until: float) -> None:
-        token.orders.put_nowait(Send(backend, until))
+    @staticmethod
+    def _order(token: Hashable, order: Order) -> None:
+        assert isinstance(token, ApiCall)
+        token.orders.put_nowait(order)
 
-    def cancel(self, token: ApiCall, shot: int) -> None:
-        token.orders.put_nowait(CallOff(shot))
+    def send(self, token: Hashable, backend: int, until: float) -> None:
+        self._order(token, Send(backend, until))
 
-    def rate_limit(self, token: ApiCall, retry_after: float) -> None:
-        token.orders.put_nowait(RateLimit(retry_after))
+    def cancel(self, token: Hashable, shot: int) -> None:
+        self._order(token, CallOff(shot))
 
-    def error(self, token: ApiCall) -> None:
-        token.orders.put_nowait(GiveUp())
+    def rate_limit(self, token: Hashable, retry_after: float) -> None:
+        self._order(token, RateLimit(retry_after))
+
+    def error(self, token: Hashable) -> None:
+        self._order(token, GiveUp())
 
     def wake(self, at: float, mark: str) -> None:
         loop, clock = asyncio.get_running_loop(), self._agent.clock
--- a/lupinreach/net/shot.py
+++ b/lupinreach/net/shot.py
@@ -1,4 +1,4 @@
-"""One exchange with a backend: a connection, the message, the answer. Never sends anything again by itself."""
+"""One exchange with a backend: a connection, the message, the answer. Never sends anything again."""
 
 from __future__ import annotations
 
