--- a/lupinreach/net/agent.py
+++ b/lupinreach/net/agent.py
@@ -41,7 +41,7 @@
         self.changed = asyncio.Event()  # a client has gone, or a task has ended
         self._listed = False
         self._tasks: set[asyncio.Task[Any]] = set()  # each leaves when it ends
-        room = min(config.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0]) - OWN_DESCRIPTORS
+        room = _descriptors(config.sockets) - OWN_DESCRIPTORS
         self.listener = Listener(self, room // 2)
         # One for each side of an API call: with fewer to backends, a shot would fail for want of one.
         self.pool = Pool(room // 2, settings.limits.connect_timeout, settings.limits.connection_idle,
@@ -136,3 +136,14 @@
             self.balancer.woke(max(at, self.clock.now()), mark)
         except Exception as fault:
             self.fault("woke", fault)
+
+
+def _descriptors(most: int) -> int:
+    """How many the process may hold: as many as it is told, as far as the system lets it."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if soft == resource.RLIM_INFINITY or soft >= most:
+        return most
+    if hard == resource.RLIM_INFINITY or hard > soft:
+        soft = most if hard == resource.RLIM_INFINITY else min(most, hard)
+        resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+    return soft
--- a/lupinreach/net/call.py
+++ b/lupinreach/net/call.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from lupinreach.balance import Call
 from lupinreach.model import Ask, Product
 from lupinreach.net import http, protocol
 from lupinreach.net.ends import ENDINGS, End
@@ -111,7 +112,7 @@
                             lines = http.passed_on(answer.lines, protocol.BETWEEN_BACKEND_AND_AGENT)
                             self._answer("fulfilled", protocol.SERVED, answer.body, lines)
                     case RateLimit(retry_after):
-                        wait = b"Retry-After: %.3f\r\n" % (retry_after / 1000) if retry_after > 0 else b""
+                        wait = protocol.RETRY_AFTER_LINE % (retry_after / 1000) if retry_after > 0 else b""
                         self._answer("rate-limited", RATE_LIMITED, b"", [wait])
                     case GiveUp():
                         self._answer("errored", ERRORED)
@@ -119,13 +120,25 @@
                         call.left(now())
                         self._close("left")
         except Exception as fault:
-            # Guards against a fault of our own that would leave a client with no answer: 500 promises nothing.
+            # Guards against a fault of our own that would leave a client with no answer. A 500 promises nothing.
             agent.fault("api call", fault)
             self._answer("fault", FAULT)
             if call is not None:
                 call.left(now())
-            for out in shots:
-                out.task.cancel()
+                await self._settle(call, shots)
+
+    async def _settle(self, call: Call, shots: list[Out]) -> None:
+        """After a fault: end what is out, so that the module's books stay right."""
+        ordered = len(shots)
+        while not self.orders.empty():
+            ordered += isinstance(self.orders.get_nowait(), Send)
+        for number in range(ordered):
+            end = End.CALLED_OFF_SENDING  # ordered and never begun
+            if number < len(shots):
+                shots[number].task.cancel()
+                await asyncio.wait([shots[number].task])
+                end = shots[number].shot.end
+            call.ended(self._agent.clock.now(), number, ENDINGS[end], 0.0, False)
 
     def client_spoke(self, reading: asyncio.Future[int]) -> None:
         """Something has come from the client, or it has closed its connection."""
@@ -142,7 +155,7 @@
         """Begin a shot; its end comes back as an order."""
         agent, request = self._agent, self._request
         sent = agent.clock.now()
-        left = b"Req-Deadline: %.3f\r\n" % max(0.001, (until - sent) / 1000)
+        left = protocol.DEADLINE_LINE % max(0.001, (until - sent) / 1000)
         headers = http.passed_on(request.lines, protocol.BETWEEN_CLIENT_AND_AGENT)
         message = http.request(request.method, request.target, [*headers, left],
                                request.headers.get(b"host", b""), request.body)
--- a/lupinreach/net/listener.py
+++ b/lupinreach/net/listener.py
@@ -60,7 +60,7 @@
         async with asyncio.timeout(within):
             head = await http.read_head(channel, answer=False)
             expects = bytes(head.headers.get(b"expect", b"")).lower()
-            if expects == b"100-continue" and channel.start == channel.end:
+            if expects == b"100-continue" and channel.start == channel.end:  # its body waits for a word
                 channel.write(b"HTTP/1.1 100 Continue\r\n\r\n")
             request = http.message(head, await http.read_body(channel, head, protocol.MOST_BODY))
         self._keeps = request.keeps
@@ -84,9 +84,11 @@
             self._reply(http.answer(400, [b"Content-Type: text/plain\r\n"], str(bad).encode(), self._stays()))
             return
         # To go on reading is how a client is seen to leave while its shot is out.
-        self.channel.listen().add_done_callback(call.client_spoke)
+        reading = self.channel.listen()
+        reading.add_done_callback(call.client_spoke)
         self._agent.spawn("api call", call.run())
         await call.answered
+        reading.remove_done_callback(call.client_spoke)
 
     def _stays(self) -> bool:
         return self._keeps and not self._agent.stopping
@@ -150,9 +152,9 @@
             self._socket.listen(0)
             asyncio.get_running_loop().remove_reader(self._socket)
 
-    def _accept(self) -> None:
+    def _accept(self, most: int = AT_ONCE) -> None:
         assert self._socket is not None
-        for _ in range(AT_ONCE):
+        for _ in range(most):
             spare = self._spare() if len(self.clients) >= self._most else None
             if len(self.clients) >= self._most and spare is None:
                 self._pause()
@@ -208,7 +210,7 @@
     def close(self) -> None:
         """Take in what has come and accept no more."""
         if self._socket is not None:
-            self._accept()
+            self._accept(BACKLOG)
             self._pause()
             self._socket.close()
             self._socket = None
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -1,14 +1,23 @@
-"""Shared by the tests: settings, a port that records, and a slow, plain model of the rules."""
+"""Shared by the tests: settings, a recording port, a plain model of the rules, scripted peers on loopback."""
 
 from __future__ import annotations
 
+import asyncio
+import json
+import os
+import re
+import tempfile
 from dataclasses import dataclass, field
 from typing import Any
 
 from lupinreach.balance import Balancer
+from lupinreach.config import read_agent
 from lupinreach.model import (
     NEVER_RAN, Ask, Ending, Group, Kind, Limits, Listing, News, Product, Rules, Settings, State,
 )
+from lupinreach.net.agent import Agent
+from lupinreach.net.clock import Clock
+from lupinreach.net.log import Log
 
 READY, DRAINING, GONE = State.READY, State.DRAINING, State.GONE
 
@@ -164,3 +173,125 @@
             if self.product.kind is Kind.NON_IDEMPOTENT or self.product.group is not Group.ALL:
                 return "a rate-limit reply for what may have run"
         return None
+
+
+# The agent on sockets, on loopback addresses, beside backends, a directory and clients that follow a script.
+
+AGENT_SETTINGS = {
+    "categories": [
+        {"name": "look", "semantics": "repeatable", "aim": 400.0, "give_up": 2000.0, "credit": 1.0},
+        {"name": "pay", "semantics": "once", "aim": 400.0, "give_up": 2000.0, "credit": 5.0},
+    ],
+    "ceilings": {"max_attempts": 3, "may_cancel": True, "retry_after": True, "max_retry_after": 1000.0,
+                 "connect_timeout": 200.0, "conn_idle": 60_000.0, "probes": True, "peer_messages": True},
+    "invariants": {"ask_within": 4000.0, "answer_slack": 20.0, "start_capacity": 0.2, "cold": 10_000.0},
+    "report": {"fields": ["outstanding", "backlog"], "how": "inline"},
+    "discovery": "on_request", "zones": ["a", "b"],
+}
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfine"
+
+
+class Peer:
+    """A scripted server: `script(message, writer)` is awaited for each request that comes whole."""
+
+    def __init__(self, script) -> None:
+        self.script = script
+        self.requests: list[bytes] = []
+        self.connections = 0
+        self.gone = asyncio.Event()  # a connection has ended
+
+    async def __aenter__(self):
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.address = f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}"
+        return self
+
+    async def __aexit__(self, *_):
+        self.server.close()
+
+    async def _serve(self, reader, writer):
+        self.connections += 1
+        try:
+            while True:
+                request = await read_http(reader)
+                self.requests.append(request)
+                await self.script(request, writer)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            self.gone.set()
+        finally:
+            writer.close()
+
+
+def says(answer: bytes):
+    """A script that always gives this answer."""
+    async def script(request, writer):
+        writer.write(answer)
+    return script
+
+
+async def read_http(reader) -> bytes:
+    """One message with a Content-Length, or with no body."""
+    head = await reader.readuntil(b"\r\n\r\n")
+    length = re.search(rb"(?i)content-length: *(\d+)", head)
+    return head + await reader.readexactly(int(length[1]) if length else 0)
+
+
+def target(uid: str, address: str, state="Ready", **more) -> dict[str, Any]:
+    return {"uid": uid, "endpoint": address, "az": "a", "model": "m", "pod_group": 0, "state": state,
+            "capacity_hint": 1.0, "boot_ms": 0} | more
+
+
+def full_list(*targets, rev=1, whole=True) -> dict[str, Any]:
+    return {"rev": rev, "all": whole, "targets": list(targets)}
+
+
+class Site:
+    """One agent with its clients; the directory is silent unless a peer is given for it."""
+
+    def __init__(self, *targets, directory="127.0.0.1:9", settings=None, **config) -> None:
+        self.raw = {"name": "n", "listen": "127.0.0.1:0", "seed": "07", "discovery": directory,
+                    "known": full_list(*targets), "settings": settings or AGENT_SETTINGS} | config
+
+    async def __aenter__(self):
+        with tempfile.NamedTemporaryFile("w", suffix=".json") as file:
+            json.dump(self.raw, file)
+            file.flush()
+            config = read_agent({"PROXY_CONFIG": file.name})
+        self.sink, self.log = os.pipe()
+        self.agent = Agent(config, Log("n", Clock(), self.log))
+        await self.agent.start()
+        self.address = self.agent.listener.address
+        return self
+
+    async def __aexit__(self, *_):
+        if not self.agent.stopping:
+            self.agent.listener.close()
+            tasks = list(self.agent._tasks)
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+        os.close(self.sink)
+        os.close(self.log)
+
+    async def client(self):
+        return await asyncio.open_connection(*self.address)
+
+    async def ask(self, raw: bytes, connection=None) -> bytes:
+        reader, writer = connection or await self.client()
+        writer.write(raw)
+        return await asyncio.wait_for(read_http(reader), 5)
+
+    async def settled(self) -> None:
+        """Until no API call and no shot is under way."""
+        while any(t.get_coro().__qualname__ in ("ApiCall.run", "Shot.run") for t in self.agent._tasks):
+            await asyncio.sleep(0)
+
+
+def look(kind=b"look", deadline=b"1.5", more=b"", method=b"GET", path=b"/api", body=b"") -> bytes:
+    length = b"Content-Length: %d\r\n" % len(body) if body else b""
+    return (method + b" " + path + b" HTTP/1.1\r\nHost: app.svc\r\nReq-Id: 9b1f\r\nReq-Kind: " + kind +
+            b"\r\nReq-Deadline: " + deadline + b"\r\n" + more + length + b"\r\n" + body)
+
+
+def run(work) -> Any:
+    """Run a coroutine; no test takes longer than this."""
+    return asyncio.run(asyncio.wait_for(work, 20))
--- /dev/null
+++ b/tests/test_agent.py
@@ -0,0 +1,593 @@
+"""The agent on loopback sockets beside scripted backends, directories and clients."""
+
+import asyncio
+import copy
+import json
+import os
+import signal
+import sys
+
+import pytest
+
+from helpers import AGENT_SETTINGS, OK, Peer, Site, full_list, look, read_http, run, says, target
+from lupinreach.model import NEVER_RAN, Ending
+from lupinreach.net import listener, protocol
+from lupinreach.net.ends import ENDINGS, End
+from lupinreach.net.pool import Pool
+from lupinreach.net.shot import Shot, read_load
+
+READY = b"GET /health/ready HTTP/1.1\r\n\r\n"
+PAY = {"kind": b"pay", "method": b"POST", "body": b"sum=3"}
+
+
+def failed(code: int, more: bytes = b"") -> bytes:
+    return b"HTTP/1.1 %d No\r\n%sContent-Length: 0\r\n\r\n" % (code, more)
+
+
+DECLINED = failed(503, b"Srv-Declined: 1\r\n")
+
+
+async def silent(request, writer):
+    await asyncio.Event().wait()
+
+
+async def breaks(request, writer):
+    writer.transport.abort()
+
+
+async def cut_short(request, writer):
+    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf")
+    writer.close()
+
+
+def status(answer: bytes) -> int:
+    return int(answer.split()[1])
+
+
+async def one_call(script, raw, *more, **site):
+    """The answer to one API call, and the backend, with more targets beside it."""
+    async with Peer(script) as backend, Site(target("s-1", backend.address), *more, **site) as agent:
+        answer = await agent.ask(raw)
+        await agent.settled()
+        return answer, backend, agent.agent
+
+
+def test_an_api_call_goes_on_unchanged_and_its_answer_comes_back():
+    head = (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nSrv-Load: inflight=7,queue=2\r\n"
+            b"Content-Type: text/x\r\nSet-Cookie: a=b\r\n\r\n")
+    answer, backend, _ = run(one_call(
+        says(head + b"2\r\nfi\r\n2\r\nne\r\n0\r\n\r\n"),
+        look(**PAY, path=b"/api/x?y=%20z", more=b"Accept: any\r\nTE: trailers\r\n")))
+    head, _, body = backend.requests[0].partition(b"\r\n\r\n")
+    assert head.startswith(b"POST /api/x?y=%20z HTTP/1.1\r\nHost: app.svc\r\n") and body == b"sum=3"
+    assert b"Req-Id: 9b1f" in head and b"Accept: any" in head and b"TE:" not in head
+    assert head.lower().count(b"req-deadline") == 1 and b"Req-Deadline: 1.4" in head
+    assert status(answer) == 200 and answer.endswith(b"\r\n\r\nfine") and b"Srv-Load" not in answer
+    assert b"Content-Type: text/x\r\n" in answer and b"Set-Cookie: a=b\r\n" in answer
+
+
+def test_connections_are_kept_on_both_sides():
+    async def work():
+        async with Peer(says(OK)) as backend, Site(target("s-1", backend.address)) as site:
+            client = await site.client()
+            for _ in range(5):
+                assert status(await site.ask(look(), client)) == 200
+            assert backend.connections == 1 and site.agent.counters.connections["client opened"] == 1
+    run(work())
+
+
+@pytest.mark.parametrize("script, most", [
+    (says(failed(500)), 3), (says(failed(404)), 3),
+    (says(failed(503)), 3),  # it doesn't say that it never ran
+    (breaks, 1), (cut_short, 1), (says(b"nonsense\r\n\r\n"), 1),  # for all the module knows, overload
+])
+def test_what_may_have_run_is_sent_again_only_if_idempotent(script, most):
+    async def work():
+        async with Peer(script) as one, Peer(script) as two:
+            for raw, code, shots in ((look(**PAY), 502, 1), (look(), 429, most)):  # 429: again is harmless
+                async with Site(target("s-1", one.address), target("s-2", two.address)) as site:
+                    assert status(await site.ask(raw)) == code
+                    assert sum(site.agent.counters.shots.values()) == shots
+            assert len(one.requests) + len(two.requests) == 1 + most
+    run(work())
+
+
+def test_what_never_ran_goes_elsewhere_or_is_rate_limited():
+    async def work():
+        async with Peer(says(OK)) as good, Peer(says(DECLINED)) as busy:
+            async with Site(target("s-1", busy.address), target("s-2", good.address)) as site:
+                for _ in range(4):
+                    assert status(await site.ask(look(**PAY))) == 200
+                assert busy.requests and len(good.requests) == 4
+    run(work())
+    answer, _, agent = run(one_call(says(DECLINED), look(**PAY)))
+    assert status(answer) == 429 and b"Retry-After: 0.100" in answer and agent.counters.shots["turned away"]
+    refused = target("s-2", "127.0.0.1:9")
+    answer, backend, agent = run(one_call(says(OK), look(**PAY) , refused))
+    assert status(answer) == 200 and len(backend.requests) == 1
+
+
+def test_no_answer_in_time_ends_before_the_client_gives_up_and_closes_the_connection():
+    async def work():
+        async with Peer(silent) as backend, Site(target("s-1", backend.address)) as site:
+            now = asyncio.get_running_loop().time
+            began = now()
+            answer = await site.ask(look(**PAY, deadline=b"0.300"))
+            assert status(answer) == 502 and 0.25 < now() - began < 0.3
+            await site.settled()
+            assert site.agent.counters.shots == {"silent": 1} and site.agent.pool.open == 0
+    run(work())
+
+
+def test_a_client_that_leaves_takes_its_shot_with_it():
+    async def work():
+        arrived = asyncio.Event()
+
+        async def script(request, writer):
+            arrived.set()
+            await writer.wait_closed()  # until the agent closes
+        async with Peer(script) as backend, Site(target("s-1", backend.address)) as site:
+            reader, writer = await site.client()
+            writer.write(look())
+            await arrived.wait()
+            writer.close()
+            while site.agent.pool.open:
+                await asyncio.sleep(0.001)
+            await site.settled()
+            assert site.agent.counters.shots == {"called off": 1}
+            assert site.agent.counters.answered == {"left": 1}
+    run(work())
+
+
+@pytest.mark.parametrize("raw, code, why", [
+    (look().replace(b"Req-Id: 9b1f\r\n", b""), 400, b"Req-Id"), (look(b"steal"), 400, b"Req-Kind"),
+    (look(method=b"PUT"), 400, b"method"), (look(deadline=b"soon"), 400, b"Req-Deadline"),
+    (look(deadline=b"0"), 400, b"Req-Deadline"), (look(deadline=b"nan"), 400, b"Req-Deadline"),
+    (look(more=b"Req-Cost: much\r\n"), 400, b"Req-Cost"), (look(more=b"Req-Extra: a\r\n"), 400, b"Req-Extra"),
+    (look(more=b"Broken\r\n"), 400, b"malformed"), (b"\x00\x01\r\n\r\n", 400, b"malformed"),
+    (look(method=b"POST", more=b"Content-Length: 65537\r\n"), 413, b"too large"),
+    (look(more=b"A: " + b"x" * 20000 + b"\r\n"), 413, b"too large"),
+])
+def test_what_is_no_request_is_refused_and_goes_nowhere(raw, code, why):
+    answer, backend, agent = run(one_call(says(OK), raw))
+    assert status(answer) == code and why in answer and not backend.requests
+    assert agent.counters.answered["bad request"] == 1 and not agent.counters.taken
+
+
+def test_a_request_in_pieces_and_one_with_optional_headers_are_taken():
+    async def work():
+        async with Peer(says(OK)) as backend, Site(target("s-1", backend.address)) as site:
+            reader, writer = await site.client()
+            raw = look(more=b"Req-Cost: 1200\r\nReq-Extra: a=1,b=2\r\nReq-Retry: 1\r\n", method=b"POST",
+                       body=b"x" * 60000)
+            for at in range(0, len(raw), 7001):
+                writer.write(raw[at:at + 7001])
+                await writer.drain()
+                await asyncio.sleep(0)
+            assert status(await read_http(reader)) == 200
+            assert backend.requests[0].endswith(b"x" * 60000)
+            writer.write(look(method=b"POST", more=b"Expect: 100-continue\r\nContent-Length: 2\r\n"))
+            assert status(await read_http(reader)) == 100
+            writer.write(b"ab")
+            assert status(await read_http(reader)) == 200
+    run(work())
+
+
+def test_a_connection_that_the_backend_closed_or_spoke_on_is_not_used_again():
+    async def work(last_words):
+        async def script(request, writer):
+            writer.write(OK + last_words)
+            if not last_words:
+                writer.close()
+        async with Peer(script) as backend, Site(target("s-1", backend.address)) as site:
+            for _ in range(6):
+                assert status(await site.ask(look(**PAY))) == 200
+            assert backend.connections == 6 and site.agent.counters.shots == {"served": 6}
+    run(work(b""))
+    run(work(failed(500)))
+
+
+def test_a_fault_of_our_own_answers_500_and_leaves_the_books_right(monkeypatch):
+    async def work():
+        async with Peer(says(OK)) as backend, Site(target("s-1", backend.address)) as site:
+            agent = site.agent
+            with monkeypatch.context() as patch:
+                patch.setattr("lupinreach.net.call.read_load", lambda _: 1 / 0)
+                assert status(await site.ask(look())) == 500
+                await site.settled()
+            assert agent.counters.others["fault: api call"] == 1 and agent.balancer._flight == 0
+            assert "ZeroDivisionError" in os.read(site.sink, 65536).decode()
+            assert status(await site.ask(look())) == 200
+    run(work())
+
+
+def test_a_timer_that_rounds_to_early_is_told_the_time_it_was_set_for(monkeypatch):
+    async def work():
+        async with Site() as site:
+            told = []
+            monkeypatch.setattr(site.agent.balancer, "woke", lambda now, mark: told.append((now, mark)))
+            at = site.agent.clock.now() + 1e6
+            site.agent.woke(at, "look")
+            assert told == [(at, "look")]
+    run(work())
+
+
+def test_the_deadline_counts_from_the_kernels_receipt_and_not_from_a_late_read():
+    async def work():
+        async with Peer(silent) as backend, Site(target("s-1", backend.address)) as site:
+            asyncio.get_running_loop().remove_reader(site.agent.listener._socket)
+            reader, writer = await site.client()
+            began = asyncio.get_running_loop().time()
+            writer.write(look(deadline=b"0.400"))
+            await asyncio.sleep(0.2)
+            site.agent.listener._accept()
+            await read_http(reader)
+            assert asyncio.get_running_loop().time() - began < 0.4
+    run(work())
+
+
+# Descriptors.
+
+
+def test_a_full_agent_closes_the_oldest_idle_connection_and_else_stops_accepting():
+    async def work():
+        async with Peer(silent) as backend, Site(target("s-1", backend.address)) as site:
+            site.agent.listener._most = 2
+            first, second = await site.client(), await site.client()
+            for client in (first, second):
+                assert status(await site.ask(READY, client)) == 200
+            third = await site.client()
+            assert await first[0].read() == b"" and not second[0].at_eof()
+            for client in (second, third):
+                client[1].write(look(**PAY, deadline=b"0.5"))
+            fourth = await site.client()  # as far as the kernel's queue
+            fourth[1].write(READY)
+            assert status(await read_http(second[0])) == 502
+            assert site.agent.counters.connections["accept paused"] == 1
+            assert status(await read_http(fourth[0])) == 200  # a connection that fell idle made room
+    run(work())
+
+
+def test_a_full_pool_closes_what_is_idle_and_else_has_no_room():
+    async def work():
+        async with Peer(says(OK)) as one, Peer(silent) as two, Site() as site:
+            agent = site.agent
+            agent.pool = pool = Pool(1, 200.0, 60_000.0, agent.counters)
+            addresses = [("127.0.0.1", int(p.address.split(":")[1])) for p in (one, two)]
+            soon = asyncio.get_running_loop().time() + 5
+            shots = [Shot(pool, addresses[n], look(), soon) for n in (0, 1, 0)]
+            await shots[0].run()
+            assert shots[0].end is End.SERVED and pool.open == 1
+            held = agent.spawn("shot", shots[1].run())
+            while not two.requests:
+                await asyncio.sleep(0.001)
+            await shots[2].run()
+            assert shots[2].end is End.NO_ROOM and agent.counters.connections["backend made room"] == 1
+            held.cancel()
+            await asyncio.wait([held])
+            assert shots[1].end is End.CALLED_OFF and pool.open == 0
+    run(work())
+
+
+def test_idle_connections_to_backends_are_closed_in_time():
+    async def work():
+        async with Peer(says(OK)) as backend, Site() as site:
+            pool = Pool(9, 200.0, 40.0, site.agent.counters)
+            address = ("127.0.0.1", int(backend.address.split(":")[1]))
+            await Shot(pool, address, look(), asyncio.get_running_loop().time() + 5).run()
+            await asyncio.wait_for(backend.gone.wait(), 1)
+            assert pool.open == 0 and site.agent.counters.connections["backend idle"] == 1
+    run(work())
+
+
+def test_a_shot_is_unreachable_only_if_its_last_byte_was_never_written():
+    async def work():
+        async with Peer(silent) as backend, Site() as site:
+            loop, pool = asyncio.get_running_loop(), site.agent.pool
+            address = ("127.0.0.1", int(backend.address.split(":")[1]))
+            refused = Shot(pool, ("127.0.0.1", 9), look(), loop.time() + 5)
+            await refused.run()
+            late = Shot(pool, address, look(), loop.time() - 1)
+            await late.run()
+            unwritten = Shot(pool, address, b"x" * 50_000_000, loop.time() + 0.1)
+            await unwritten.run()
+            written = Shot(pool, address, look(), loop.time() + 0.1)
+            await written.run()
+            unbegun = Shot(pool, address, look(), loop.time() + 5)
+            task = loop.create_task(unbegun.run())
+            task.cancel()
+            await asyncio.wait([task])
+            ends = [s.end for s in (refused, late, unwritten, written, unbegun)]
+            assert [ENDINGS[e] for e in ends] == [Ending.UNREACHABLE, Ending.UNREACHABLE, Ending.UNREACHABLE,
+                                                  Ending.TIMED_OUT, Ending.UNSENT]
+    run(work())
+
+
+def test_every_end_has_its_meaning():
+    assert set(ENDINGS) == set(End)
+    assert {e for e, ending in ENDINGS.items() if ending in NEVER_RAN} == {
+        End.TURNED_AWAY, End.NO_ROOM, End.REFUSED, End.NEVER_UP, End.BROKE_SENDING, End.LATE_SENDING,
+        End.CALLED_OFF_SENDING}
+
+
+# The directory.
+
+
+class Registry:
+    """A scripted directory: `lines` go out on a watch as they are put."""
+
+    def __init__(self) -> None:
+        self.lines: asyncio.Queue[bytes | None] = asyncio.Queue()
+        self.list = b""
+
+    async def script(self, request, writer):
+        if b"watch=1" not in request:
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(self.list) + self.list)
+            return
+        writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        while (line := await self.lines.get()) is not None:
+            middle = len(line) // 2
+            for part in (line[:middle], line[middle:] + b"\n"):
+                writer.write(b"%x\r\n" % len(part) + part + b"\r\n" if part else b"")
+        writer.close()
+
+    def tell(self, raw):
+        self.lines.put_nowait(json.dumps(raw).encode() if raw is not None else None)
+
+
+async def counted(site, key, times=1):
+    while site.agent.counters.directory[key] < times:
+        await asyncio.sleep(0.001)
+
+
+def test_the_list_is_held_at_start_then_followed_and_after_a_gap_taken_whole():
+    async def work():
+        registry = Registry()
+        async with Peer(registry.script) as directory, Peer(says(OK)) as old, Peer(says(OK)) as new:
+            async with Site(target("s-1", old.address), directory=directory.address) as site:
+                assert status(await site.ask(look())) == 200
+                registry.tell(full_list(target("s-1", old.address, "Terminating"),
+                                        target("s-2", new.address, az="elsewhere"), rev=3, whole=False))
+                registry.lines.put_nowait(b"")
+                await counted(site, "news: changes")
+                for _ in range(3):
+                    assert status(await site.ask(look())) == 200
+                assert len(old.requests) == 1 and len(new.requests) == 3
+                assert b"watch=1&after=1 " in directory.requests[0]
+                registry.tell(full_list(rev=2, whole=False))  # older than what is held: a gap
+                registry.list = json.dumps(full_list(target("s-1", old.address), rev=9)).encode()
+                await counted(site, "news: full")
+                for _ in range(3):
+                    assert status(await site.ask(look())) == 200
+                assert len(old.requests) == 4 and len(new.requests) == 3  # s-2 is missing, so it is gone
+                await counted(site, "called", 3)
+    run(work())
+
+
+def test_a_failed_directory_is_asked_again_and_the_list_kept(monkeypatch):
+    monkeypatch.setattr(protocol, "BEAT", 30.0)
+    for script in (says(failed(503)), breaks, silent):
+        async def work(script=script):
+            async with Peer(script) as directory, Peer(says(OK)) as backend:
+                async with Site(target("s-1", backend.address), directory=directory.address) as site:
+                    await counted(site, "called", 2)
+                    assert status(await site.ask(look())) == 200
+        run(work())
+
+
+@pytest.mark.parametrize("line, why", [
+    (b"{", "list: no JSON"), (b"[]", "list: must be an object"), (b"{}", "list.rev: missing"),
+    (full_list(target("s", "nowhere")), "list.targets[0].endpoint: 'nowhere'"),
+    (full_list(target("s", "127.0.0.1:1"), target("t", "127.0.0.1:1", "Odd")), "[1].state: unknown"),
+])
+def test_a_malformed_list_changes_nothing_and_is_named(line, why):
+    async def work():
+        registry = Registry()
+        async with Peer(registry.script) as directory, Peer(says(OK)) as backend:
+            async with Site(target("s-1", backend.address), directory=directory.address) as site:
+                registry.lines.put_nowait(line if isinstance(line, bytes) else json.dumps(line).encode())
+                await counted(site, "failed: malformed")
+                assert any(why in key for key in site.agent.counters.directory)
+                assert status(await site.ask(look())) == 200
+    run(work())
+
+
+def test_one_index_for_a_uid_and_a_new_address_for_it_is_used_at_once():
+    async def work():
+        registry = Registry()
+        async with Peer(registry.script) as directory, Peer(says(OK)) as old, Peer(says(OK)) as new:
+            async with Site(target("s-1", old.address), directory=directory.address) as site:
+                await site.ask(look())
+                registry.tell(full_list(target("s-1", new.address), rev=4))
+                await counted(site, "news: full")
+                await site.ask(look())
+                assert len(new.requests) == 1 and list(site.agent.balancer._backends) == [0]
+                assert site.agent.directory._by_index == {0: ("127.0.0.1", int(new.address.split(":")[1]))}
+                assert site.agent.pool.open == 1  # the idle one to the old address is closed
+    run(work())
+
+
+def test_backends_that_are_gone_are_forgotten_in_time():
+    async def work():
+        async with Site(target("s-1", "127.0.0.1:9")) as site:
+            directory = site.agent.directory
+            directory._keep = -1.0
+            directory._take_in(full_list(target("s-1", "127.0.0.1:9", "Gone"), rev=2, whole=False), "list")
+            assert not directory._entries and not directory._by_index and not site.agent.balancer._backends
+    run(work())
+
+
+# Ready, start and stop.
+
+
+def test_ready_only_with_a_list():
+    async def work():
+        registry = Registry()
+        async with Peer(registry.script) as directory, Site(directory=directory.address) as site:
+            assert status(await site.ask(READY)) == 503
+            registry.tell(full_list(target("s-1", "127.0.0.1:9"), rev=2))
+            await counted(site, "news: full")
+            assert status(await site.ask(READY)) == 200
+    run(work())
+
+
+def test_a_stopping_agent_takes_what_comes_answers_all_and_ends():
+    async def work():
+        release = asyncio.Event()
+
+        async def script(request, writer):
+            await release.wait()
+            writer.write(OK)
+        async with Peer(script) as backend, Site(target("s-1", backend.address)) as site:
+            busy, idle = await site.client(), await site.client()
+            assert status(await site.ask(READY, idle)) == 200
+            busy[1].write(look())
+            while not backend.requests:
+                await asyncio.sleep(0.001)
+            stopping = asyncio.create_task(site.agent.stop())
+            assert await idle[0].read() == b""
+            fresh = await site.client()
+            answer = await site.ask(READY, fresh)
+            assert status(answer) == 503 and b"Connection: close" in answer
+            late = await site.client()
+            late[1].write(look())
+            while len(backend.requests) < 2:
+                await asyncio.sleep(0.001)
+            release.set()
+            for client in (busy, late):
+                answer = await read_http(client[0])
+                assert status(answer) == 200 and b"Connection: close" in answer and await client[0].read() == b""
+            await stopping
+            with pytest.raises(ConnectionRefusedError):
+                await site.client()
+    run(work())
+
+
+async def process(tmp_path, config):
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(config))
+    return await asyncio.create_subprocess_exec(
+        sys.executable, "-m", "lupinreach", env=os.environ | {"PROXY_CONFIG": str(path)},
+        stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.PIPE)
+
+
+def test_the_process_starts_tells_its_counters_and_exits_0_on_a_signal(tmp_path):
+    async def work():
+        async with Peer(says(OK)) as backend, Site(target("s-1", backend.address)) as site:
+            agent = await process(tmp_path, site.raw)
+            started = json.loads(await agent.stdout.readline())
+            assert started["event"] == "started" and started["agent"] == "n"
+            reader, writer = await asyncio.open_connection(*started["listen"])
+            writer.write(look())
+            assert status(await read_http(reader)) == 200
+            agent.send_signal(signal.SIGUSR1)
+            counters = json.loads(await agent.stdout.readline())
+            assert counters["event"] == "counters" and counters["taken"] == {"look": 1}
+            assert counters["shots"] == {"served": 1} and counters["answered"] == {"fulfilled": 1}
+            assert counters["descriptors"] > 5 and counters["peak_memory_mb"] < 100
+            agent.terminate()
+            out, err = await agent.communicate()
+            assert [json.loads(line)["event"] for line in out.splitlines()] == ["stopping", "stopped"]
+            assert agent.returncode == 0 and err == b""
+    run(work())
+
+
+def test_the_process_names_a_faulty_key_and_exits(tmp_path):
+    async def work():
+        agent = await process(tmp_path, {"name": "n", "listen": "here", "seed": "1"})
+        _, err = await agent.communicate()
+        assert (agent.returncode, err) == (2, b"lupinreach: listen: 'here' is no address (host:port)\n")
+    run(work())
+
+
+# Probes, datagrams, reports, log.
+
+
+def test_a_probe_asks_for_the_report_and_tells_the_module(monkeypatch):
+    async def work(body, ending, load):
+        async with Peer(says(body)) as backend, Site(target("s-1", backend.address)) as site:
+            told = asyncio.get_running_loop().create_future()
+            monkeypatch.setattr(site.agent.balancer, "probed", lambda *news: told.set_result(news))
+            site.agent.balancer._port.probe(0)
+            _, index, got, _, report = await told
+            assert (index, got) == (0, ending) and (report.in_flight if report else None) == load
+            assert backend.requests[0].startswith(b"GET /stats HTTP/1.1\r\n")
+    run(work(b"HTTP/1.1 200 OK\r\nContent-Length: 18\r\n\r\ninflight=7,queue=2", Ending.FULFILLED, 7.0))
+    run(work(failed(503), Ending.ERRORED, None))
+
+
+def test_datagrams_go_to_all_and_come_from_peers_only(monkeypatch):
+    async def work():
+        loop = asyncio.get_running_loop()
+        heard: asyncio.Queue[tuple] = asyncio.Queue()
+
+        class Other(asyncio.DatagramProtocol):
+            def datagram_received(self, data, addr):
+                heard.put_nowait(data)
+        peer, _ = await loop.create_datagram_endpoint(Other, local_addr=("127.0.0.1", 0))
+        stranger, _ = await loop.create_datagram_endpoint(Other, local_addr=("127.0.0.1", 0))
+        address = f"127.0.0.1:{peer.get_extra_info('sockname')[1]}"
+        async with Site(peer_listen="127.0.0.1:0", peers=["127.0.0.1:1", address], peers_all=address) as site:
+            agent = site.agent
+            monkeypatch.setattr(agent.balancer, "heard", lambda now, *news: heard.put_nowait(news))
+            agent.balancer._port.peers(b"x" * 257)
+            agent.balancer._port.peers(b"hello")
+            assert await heard.get() == b"hello"
+            here = agent.peers._transport.get_extra_info("sockname")
+            stranger.sendto(b"lies", here)
+            peer.sendto(b"news", here)
+            assert await heard.get() == (1, b"news")
+            assert agent.counters.others == {
+                "datagrams not sent": 1, "datagrams sent": 1, "datagrams ignored": 1, "datagrams heard": 1}
+        peer.close()
+        stranger.close()
+    run(work())
+
+
+def test_load_reports():
+    load = read_load(b"inflight=7, queue=2,util=0.61,novel=3")
+    assert (load.in_flight, load.waiting, load.busy, load.latency) == (7.0, 2.0, 0.61, None)
+    assert [read_load(text) for text in (None, b"", b"inflight=many", b"novel=1")] == [None] * 4
+
+
+def test_a_log_that_nobody_reads_holds_up_nothing():
+    async def work():
+        async with Site() as site:
+            log = site.agent.log
+            for _ in range(500):
+                log.event("module", text="x" * 1000)
+            assert log.dropped > 0
+            lines = os.read(site.sink, 4000).splitlines()[1:-1]
+            assert lines and all(len(json.loads(line)["text"]) <= 500 for line in lines)
+    run(work())
+
+
+def test_where_changes_come_unasked_the_agent_follows_by_itself(monkeypatch):
+    monkeypatch.setattr(protocol, "BEAT", 30.0)
+    pushed = copy.deepcopy(AGENT_SETTINGS) | {"discovery": "pushed"}
+
+    async def work():
+        async with Peer(breaks) as directory, Site(directory=directory.address, settings=pushed) as site:
+            await counted(site, "called", 3)
+    run(work())
+
+
+def test_a_listener_out_of_descriptors_waits(monkeypatch):
+    async def work():
+        async with Site() as site:
+            monkeypatch.setattr(listener, "PAUSE", 0.02)
+            real = site.agent.listener._socket
+
+            class Full:
+                def __getattr__(self, name):
+                    return getattr(real, name)
+
+                def accept(self):
+                    raise OSError(24, "Too many open files")
+            site.agent.listener._socket = Full()
+            client = await site.client()
+            while not site.agent.counters.connections["accept failed"]:
+                await asyncio.sleep(0)
+            site.agent.listener._socket = real
+            assert status(await site.ask(READY, client)) == 503
+    run(work())
--- /dev/null
+++ b/tests/test_http.py
@@ -0,0 +1,136 @@
+"""The HTTP parser, fed whole, split and malformed messages; generated messages against a plain reader."""
+
+import random
+
+import pytest
+
+from helpers import run
+from lupinreach.net import http
+from lupinreach.net.ends import End, Ended
+
+
+class Feed:
+    """Stands in for a channel: hands out its bytes in the given pieces, then ends."""
+
+    def __init__(self, *pieces: bytes) -> None:
+        self.pieces = list(pieces)
+        self.buffer = bytearray()
+        self.start = 0
+
+    @property
+    def end(self):
+        return len(self.buffer)
+
+    def need(self, size):
+        pass
+
+    async def fill(self):
+        if not self.pieces:
+            raise Ended(End.CUT_SHORT)
+        self.buffer = self.buffer + self.pieces.pop(0)  # a new one: the slices of the old stay good
+
+
+async def request(feed):
+    head = await http.read_head(feed, answer=False)
+    return http.message(head, await http.read_body(feed, head, 100))
+
+
+def answer(*pieces, most=100):
+    return run(http.read_answer(Feed(*pieces), most))
+
+
+def ends(work) -> End:
+    with pytest.raises(Ended) as ended:
+        run(work)
+    return ended.value.end
+
+
+def split(rng, raw):
+    cuts = sorted(rng.sample(range(len(raw) + 1), rng.randrange(6)))
+    return [raw[a:b] for a, b in zip([0, *cuts], [*cuts, len(raw)], strict=True)]
+
+
+def test_generated_requests_come_out_the_same_however_they_are_split():
+    rng = random.Random(5)
+    for _ in range(300):
+        body = rng.randbytes(rng.randrange(60))
+        headers = {b"x%d" % i: b"v%d" % rng.randrange(99) for i in range(rng.randrange(5))}
+        lines = b"".join(k.upper() + rng.choice((b":", b": ", b":\t ")) + v + rng.choice((b"\r\n", b"  \r\n"))
+                         for k, v in headers.items())
+        if rng.random() < 0.5:
+            framing, sent = b"Content-Length: %d\r\n" % len(body), body
+        else:
+            framing, sent, rest = b"Transfer-Encoding: Chunked\r\n", b"", body
+            while rest:
+                size = rng.randrange(1, len(rest) + 1)
+                sent += b"%X%s\r\n" % (size, rng.choice((b"", b";a=b"))) + rest[:size] + b"\r\n"
+                rest = rest[size:]
+            sent += b"0\r\n" + rng.choice((b"", b"T: 1\r\n")) + b"\r\n"
+        raw = b"\r\n" * rng.randrange(2) + b"POST /a?b HTTP/1.1\r\n" + lines + framing + b"\r\n" + sent
+        feed = Feed(*split(rng, raw + b"GET"))
+        got = run(request(feed))
+        assert (got.method, got.target, bytes(got.body)) == (b"POST", b"/a?b", body)
+        assert {k: bytes(got.headers[k]) for k in headers} == headers and got.keeps
+        left = bytes(feed.buffer[feed.start:]) + b"".join(feed.pieces)
+        assert left == b"GET"  # what follows is not touched
+
+
+def test_a_body_is_a_slice_of_the_buffer_it_was_read_into():
+    feed = Feed(b"POST / HTTP/1.1\r\nContent-Length: 3\r\n\r\nabc")
+    body = run(request(feed)).body
+    assert isinstance(body, memoryview) and body.obj is feed.buffer
+
+
+@pytest.mark.parametrize("first, line", [
+    (b"GET / HTTP/2.0", b""), (b"get / HTTP/1.1", b""), (b"GET  / HTTP/1.1", b""), (b"GET /\x80 HTTP/1.1", b""),
+    (b"\x16\x03\x01", b""), *((b"POST / HTTP/1.1", line) for line in (
+        b"No colon", b"Space : 1", b"A: 1\r\n folded", b"A: \x00", b"A: 1\nB: 2", b": 1",
+        b"Content-Length: 1\r\nContent-Length: 2", b"Content-Length: -1", b"Content-Length:",
+        b"Content-Length: 1\r\nTransfer-Encoding: chunked", b"Transfer-Encoding: gzip")),
+])
+def test_malformed_requests_are_refused(first, line):
+    assert ends(request(Feed(first + b"\r\n" + line + b"\r\n\r\n"))) is End.MALFORMED
+
+
+@pytest.mark.parametrize("chunks", [
+    b"x\r\n", b"3\r\nabcd\r\n", b"1\nab", b"-1\r\n", b"1" * 200, b"0\r\nbad trailer\r\n",
+])
+def test_malformed_chunks_are_refused(chunks):
+    raw = b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks
+    assert ends(request(Feed(raw))) is End.MALFORMED
+
+
+def test_sizes_are_bounded():
+    post = b"POST / HTTP/1.1\r\n"
+    assert ends(request(Feed(post + b"A: " + b"x" * http.MOST_HEAD))) is End.TOO_LARGE
+    assert ends(request(Feed(post + b"Content-Length: 101\r\n\r\n"))) is End.TOO_LARGE
+    many = b"".join(b"1\r\nx\r\n" for _ in range(101))
+    assert ends(request(Feed(post + b"Transfer-Encoding: chunked\r\n\r\n" + many))) is End.TOO_LARGE
+
+
+def test_random_bytes_end_in_a_message_or_in_a_named_end():
+    rng = random.Random(9)
+    whole = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nA: b\r\n\r\n4\r\nfine\r\n0\r\n\r\n"
+    for _ in range(2000):
+        raw = bytearray(whole)
+        for _ in range(rng.randrange(1, 4)):
+            raw[rng.randrange(len(raw))] = rng.randrange(256)
+        try:
+            assert len(answer(bytes(raw)).body) <= 100
+        except Ended as ended:
+            assert ended.end in (End.MALFORMED, End.TOO_LARGE, End.CUT_SHORT)
+
+
+def test_answers():
+    interim = b"HTTP/1.1 100 Continue\r\n\r\n"
+    assert answer(interim + b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok").body == b"ok"
+    assert answer(b"HTTP/1.1 204\r\n\r\n").body == b""
+    assert not answer(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: Close\r\n\r\n").keeps
+    assert not answer(b"HTTP/1.0 200 OK\r\nContent-Length: 0\r\n\r\n").keeps
+    for cut in (b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort", b"HTTP/1.1 200 OK\r\n\r\nno end told"):
+        assert ends(http.read_answer(Feed(cut), 100)) is End.CUT_SHORT
+
+
+def test_what_belongs_to_one_connection_is_not_passed_on():
+    got = answer(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nKeep-Alive: 5\r\nA: 1\r\nB: 2\r\n\r\n")
+    assert [bytes(line) for line in http.passed_on(got.lines, frozenset((b"b",)))] == [b"A: 1\r\n"]
