--- a/lupinreach/net/agent.py
+++ b/lupinreach/net/agent.py
@@ -23,6 +23,7 @@
 OWN_DESCRIPTORS = 14  # standard streams, event loop, listener, directory, datagrams, and a few spare
 GOES_ON = 0.5  # s for which a stopping agent goes on accepting
 LAST = 0.1  # s for which what was accepted last may still send its request
+FAULT_EVERY = 1000.0  # ms between two lines about one kind of fault
 
 
 class Agent:
@@ -40,6 +41,7 @@
         self.stopping = False
         self.changed = asyncio.Event()  # a client has gone, or a task has ended
         self._listed = False
+        self._told: dict[str, float] = {}  # when each kind of fault was last logged; the kinds are few
         self._tasks: set[asyncio.Task[Any]] = set()  # each leaves when it ends
         room = _descriptors(config.sockets) - OWN_DESCRIPTORS
         self.listener = Listener(self, room // 2)
@@ -49,7 +51,7 @@
         self.peers = Peers(config.peers, config.peers_all, self.counters, self._heard)
         self.balancer = Balancer(settings, config.seed, AgentPort(self))
         self.directory = Directory(
-            config.directory, settings.zones, 2 * self.longest_wait, self.counters, self.clock.now,
+            config.directory, settings.zones, 2 * self.longest_wait, self.counters, self.log, self.clock.now,
             self.spawn, self._tell, self.pool.forget, by_itself=not settings.must_ask)
 
     # From start to stop.
@@ -112,8 +114,12 @@
     def fault(self, what: str, fault: BaseException) -> None:
         """An exception that nobody expected: told, counted, and outlived."""
         self.counters.others[f"fault: {what}"] += 1
-        where = traceback.format_exception(fault)[-3:]
-        self.log.event("fault", what=what, why=repr(fault), where="".join(where))
+        now = self.clock.now()
+        if now >= self._told.get(what, 0.0) + FAULT_EVERY:
+            # Guards against a fault that comes with each API call and would fill the log.
+            self._told[what] = now
+            where = traceback.format_exception(fault)[-3:]
+            self.log.event("fault", what=what, why=repr(fault), where="".join(where))
 
     # News for the module that belongs to no API call.
 
--- a/lupinreach/net/call.py
+++ b/lupinreach/net/call.py
@@ -84,8 +84,9 @@
         self._keeps = keeps
         self.orders: asyncio.Queue[Order] = asyncio.Queue()  # a few for each shot; dies with the API call
         self.answered = asyncio.get_running_loop().create_future()
-        self.ask = read_ask(self, request, arrived, agent.products, agent.config.settings.rules.answer_slack)
-        self._until = arrived + _number(request, protocol.DEADLINE) * 1000
+        self.ask, until = read_ask(self, request, arrived, agent.products,
+                                   agent.config.settings.rules.answer_slack)
+        self._overdue = (self.ask.until + until) / 2  # the module's time is over, the client's not
 
     async def run(self) -> None:
         """From top to bottom: taken, shots out as the module orders them, one final answer."""
@@ -148,7 +149,7 @@
     async def _next(self) -> Order:
         if self.answered.done():
             return await self.orders.get()
-        async with asyncio.timeout_at(self._agent.clock.on_loop(self._until)):
+        async with asyncio.timeout_at(self._agent.clock.on_loop(self._overdue)):
             return await self.orders.get()
 
     def _shoot(self, number: int, backend: int, until: float) -> Out:
@@ -177,8 +178,8 @@
 
 
 def read_ask(token: ApiCall, request: http.Message, arrived: float,
-             products: dict[bytes, tuple[int, Product]], slack: float) -> Ask:
-    """A request in our words."""
+             products: dict[bytes, tuple[int, Product]], slack: float) -> tuple[Ask, float]:
+    """A request in our words, and when its client stops waiting."""
     if request.method not in (b"GET", b"POST"):
         raise BadRequest("the method must be GET or POST")
     if not request.headers.get(protocol.ID):
@@ -195,8 +196,8 @@
         raise BadRequest("Req-Extra is malformed")
     cost = _number(request, protocol.COST) / 1000 if protocol.COST in request.headers else None
     # The deadline counts from the client's sending, timers run late, and the answer has a way to go.
-    return Ask(token, index, arrived + waits - min(slack, MARGIN * waits), cost=cost,
-               again=request.header(protocol.RETRY) == b"1")
+    until = arrived + waits - min(slack, MARGIN * waits)
+    return Ask(token, index, until, cost=cost, again=request.header(protocol.RETRY) == b"1"), arrived + waits
 
 
 def _number(request: http.Message, name: bytes) -> float:
--- a/lupinreach/net/directory.py
+++ b/lupinreach/net/directory.py
@@ -16,6 +16,7 @@
 from lupinreach.net.channel import Channel
 from lupinreach.net.counters import Counters
 from lupinreach.net.ends import End, Ended
+from lupinreach.net.log import Log
 from lupinreach.net.pool import connect
 
 SILENT_BEATS = 3  # so many beats without a line, and the watch has failed
@@ -35,13 +36,14 @@
     """Follows the directory and tells the module; holds the address of each backend."""
 
     def __init__(self, address: Address, zones: tuple[str, ...], keep: float, counters: Counters,
-                 now: Callable[[], float], spawn: Callable[..., asyncio.Task[None]],
+                 log: Log, now: Callable[[], float], spawn: Callable[..., asyncio.Task[None]],
                  tell: Callable[[News, list[Listing]], None], moved: Callable[[Address], None],
                  by_itself: bool) -> None:
         self._address = address
         self._zones = {name: number for number, name in enumerate(zones)}
         self._keep = keep  # ms for which a backend that is gone is remembered
         self._counters = counters
+        self._log = log
         self._now = now
         self._spawn = spawn
         self._tell = tell
@@ -74,6 +76,7 @@
             self._task = task
 
     async def _call(self, follow: bool) -> None:
+        where = ""
         try:
             if not follow or self._version is None:
                 # After a gap there is nothing that changes could be added to.
@@ -85,9 +88,9 @@
             why = failed.end if isinstance(failed, Ended) else End.SILENT
         except BadConfig as bad:
             self._version = None
-            why = End.MALFORMED
-            self._counters.directory[str(bad)[:80]] += 1
+            why, where = End.MALFORMED, str(bad)
         self._counters.directory[f"failed: {why.value}"] += 1
+        self._log.event("directory failed", why=why.value, where=where)
         if self._by_itself:
             await asyncio.sleep(protocol.BEAT / 1000)
             self.ask(True)
--- a/lupinreach/net/listener.py
+++ b/lupinreach/net/listener.py
@@ -54,6 +54,8 @@
             self._listener.rests(self)
             try:
                 await channel.fill()
+            except Ended:
+                raise Ended(End.LEFT) from None
             finally:
                 self._listener.idle.pop(self, None)
         arrived = self._agent.clock.now() - channel.quiet
--- a/lupinreach/net/shot.py
+++ b/lupinreach/net/shot.py
@@ -27,6 +27,8 @@
     async def run(self) -> None:
         channel: Channel | None = None
         try:
+            if asyncio.get_running_loop().time() >= self._until:
+                raise TimeoutError  # an idle connection would take the message before any timer runs
             async with asyncio.timeout_at(self._until):
                 channel = await self._pool.take(self._address)
                 self._writing = channel.write(self._message)
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -293,6 +293,11 @@
             await unwritten.run()
             written = Shot(pool, address, look(), loop.time() + 0.1)
             await written.run()
+            idle = await pool.take(address)
+            pool.give_back(idle, address)
+            overdue = Shot(pool, address, look(), loop.time())
+            await overdue.run()
+            assert overdue.end is End.LATE_SENDING and len(backend.requests) == 1
             unbegun = Shot(pool, address, look(), loop.time() + 5)
             task = loop.create_task(unbegun.run())
             task.cancel()
@@ -387,7 +392,8 @@
             async with Site(target("s-1", backend.address), directory=directory.address) as site:
                 registry.lines.put_nowait(line if isinstance(line, bytes) else json.dumps(line).encode())
                 await counted(site, "failed: malformed")
-                assert any(why in key for key in site.agent.counters.directory)
+                told = [json.loads(text) for text in os.read(site.sink, 65536).splitlines()]
+                assert any(e["event"] == "directory failed" and why in e["where"] for e in told)
                 assert status(await site.ask(look())) == 200
     run(work())
 
@@ -472,24 +478,30 @@
         stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.PIPE)
 
 
+async def event(agent, name):
+    while (line := json.loads(await agent.stdout.readline()))["event"] != name:
+        pass
+    return line
+
+
 def test_the_process_starts_tells_its_counters_and_exits_0_on_a_signal(tmp_path):
     async def work():
         async with Peer(says(OK)) as backend, Site(target("s-1", backend.address)) as site:
             agent = await process(tmp_path, site.raw)
-            started = json.loads(await agent.stdout.readline())
-            assert started["event"] == "started" and started["agent"] == "n"
+            started = await event(agent, "started")
+            assert started["agent"] == "n"
             reader, writer = await asyncio.open_connection(*started["listen"])
             writer.write(look())
             assert status(await read_http(reader)) == 200
             agent.send_signal(signal.SIGUSR1)
-            counters = json.loads(await agent.stdout.readline())
-            assert counters["event"] == "counters" and counters["taken"] == {"look": 1}
+            counters = await event(agent, "counters")
+            assert counters["taken"] == {"look": 1}
             assert counters["shots"] == {"served": 1} and counters["answered"] == {"fulfilled": 1}
             assert counters["descriptors"] > 5 and counters["peak_memory_mb"] < 100
             agent.terminate()
-            out, err = await agent.communicate()
-            assert [json.loads(line)["event"] for line in out.splitlines()] == ["stopping", "stopped"]
-            assert agent.returncode == 0 and err == b""
+            await event(agent, "stopping")
+            assert (await event(agent, "stopped"))["answered"] == {"fulfilled": 1}
+            assert await agent.communicate() == (b"", b"") and agent.returncode == 0
     run(work())
 
 
