--- a/lupinreach/__main__.py
+++ b/lupinreach/__main__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import os
 import signal
 import sys
@@ -20,6 +21,7 @@
     loop.add_signal_handler(signal.SIGUSR1, agent.report)
     loop.set_exception_handler(lambda _, context: agent.fault(
         str(context.get("message")), context.get("exception") or RuntimeError("no exception given")))
+    logging.getLogger().addHandler(agent.log)
     await agent.start()
     await stop.wait()
     await agent.stop()
--- a/lupinreach/net/agent.py
+++ b/lupinreach/net/agent.py
@@ -20,7 +20,7 @@
 from lupinreach.net.pool import Pool
 from lupinreach.net.port import AgentPort
 
-OWN_DESCRIPTORS = 14  # standard streams, event loop, listener, directory, datagrams, and a few spare
+OWN_DESCRIPTORS = 12  # standard streams, event loop, listener, directory, datagrams, and a few spare
 GOES_ON = 0.5  # s for which a stopping agent goes on accepting
 LAST = 0.1  # s for which what was accepted last may still send its request
 FAULT_EVERY = 1000.0  # ms between two lines about one kind of fault
--- a/lupinreach/net/log.py
+++ b/lupinreach/net/log.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import os
 import select
 
@@ -13,9 +14,12 @@
 MOST_TEXT = 500
 
 
-class Log:
+class Log(logging.Handler):
+    """Writes the agent's own events; as a handler also the errors that libraries log."""
+
     def __init__(self, name: str, clock: Clock, descriptor: int = 1) -> None:
-        self._name = name
+        super().__init__(logging.ERROR)
+        self._agent = name
         self._clock = clock
         self._descriptor = descriptor
         self._ready = select.poll()
@@ -25,7 +29,7 @@
     def event(self, event: str, **fields: object) -> None:
         """Write one event, or drop it: a log that nobody reads must not hold up API calls."""
         fields = {k: v[:MOST_TEXT] if isinstance(v, str) else v for k, v in fields.items()}
-        head = {"at": round(self._clock.now(), 1), "agent": self._name, "event": event}
+        head = {"at": round(self._clock.now(), 1), "agent": self._agent, "event": event}
         line = orjson.dumps(head | fields, default=str, option=orjson.OPT_APPEND_NEWLINE)
         try:
             writable = self._ready.poll(0)
@@ -35,3 +39,6 @@
                 os.write(self._descriptor, line)
         except OSError:
             self.dropped += 1
+
+    def emit(self, record: logging.LogRecord) -> None:
+        self.event("library", name=record.name, text=record.getMessage())
