--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -471,6 +471,37 @@
     run(work())
 
 
+def test_a_stop_under_traffic_loses_nothing():
+    """Clients as the protocol has them: they keep connections, and send once more on a new one if one closes."""
+    async def work():
+        loop, codes = asyncio.get_running_loop(), []
+
+        async def script(request, writer):
+            await asyncio.sleep(0.02)
+            writer.write(OK)
+
+        async def client(site, until):
+            connection, fresh = None, True
+            while loop.time() < until:
+                connection, fresh = connection or await site.client(), connection is None
+                try:
+                    answer = await site.ask(look(), connection)
+                except (asyncio.IncompleteReadError, ConnectionError) as broken:
+                    assert not fresh and not getattr(broken, "partial", b"")
+                    connection = None
+                    continue
+                codes.append(status(answer))
+                if b"Connection: close" in answer:
+                    connection = None
+
+        async with Peer(script) as backend, Site(target("s-1", backend.address)) as site:
+            clients = [asyncio.create_task(client(site, loop.time() + 0.7)) for _ in range(20)]
+            await asyncio.sleep(0.3)
+            await asyncio.gather(site.agent.stop(), *clients)
+            assert set(codes) <= {200, 429} and codes.count(200) > 20 and not site.agent.listener.clients
+    run(work())
+
+
 async def process(tmp_path, config):
     path = tmp_path / "config.json"
     path.write_text(json.dumps(config))
