--- a/lupinreach/net/agent.py
+++ b/lupinreach/net/agent.py
@@ -50,9 +50,7 @@
                          self.counters)
         self.peers = Peers(config.peers, config.peers_all, self.counters, self._heard)
         self.balancer = Balancer(settings, config.seed, AgentPort(self))
-        self.directory = Directory(
-            config.directory, settings.zones, 2 * self.longest_wait, self.counters, self.log, self.clock.now,
-            self.spawn, self._tell, self.pool.forget, by_itself=not settings.must_ask)
+        self.directory = Directory(self)
 
     # From start to stop.
 
@@ -123,7 +121,7 @@
 
     # News for the module that belongs to no API call.
 
-    def _tell(self, news: News, entries: list[Listing]) -> None:
+    def listed(self, news: News, entries: list[Listing]) -> None:
         try:
             self.balancer.listed(self.clock.now(), news, entries)
         except Exception as fault:
--- a/lupinreach/net/call.py
+++ b/lupinreach/net/call.py
@@ -19,7 +19,7 @@
 
 RATE_LIMITED, ERRORED, FAULT = 429, 502, 500
 MARGIN = 0.25  # of what the client waits: most that is kept back for timers and writes that run late
-NUMBER = re.compile(rb"[0-9]{1,12}(?:\.[0-9]{1,12})?")
+NUMBER = re.compile(rb"[0-9]{1,12}(?:\.[0-9]{0,12})?|\.[0-9]{1,12}")
 EXTRA = re.compile(rb"[^=,]+=[^=,]*(?:,[^=,]+=[^=,]*)*")
 
 
@@ -110,7 +110,7 @@
                         took = now() - shots[number].sent
                         call.ended(now(), number, ENDINGS[shot.end], took, served, load)
                         if served and answer:
-                            lines = http.passed_on(answer.lines, protocol.BETWEEN_BACKEND_AND_AGENT)
+                            lines = http.passed_on(answer, protocol.BETWEEN_BACKEND_AND_AGENT)
                             self._answer("fulfilled", protocol.SERVED, answer.body, lines)
                     case RateLimit(retry_after):
                         wait = protocol.RETRY_AFTER_LINE % (retry_after / 1000) if retry_after > 0 else b""
@@ -157,7 +157,7 @@
         agent, request = self._agent, self._request
         sent = agent.clock.now()
         left = protocol.DEADLINE_LINE % max(0.001, (until - sent) / 1000)
-        headers = http.passed_on(request.lines, protocol.BETWEEN_CLIENT_AND_AGENT)
+        headers = http.passed_on(request, protocol.BETWEEN_CLIENT_AND_AGENT)
         message = http.request(request.method, request.target, [*headers, left],
                                request.headers.get(b"host", b""), request.body)
         shot = Shot(agent.pool, agent.directory.address(backend), message, agent.clock.on_loop(until))
@@ -184,6 +184,10 @@
         raise BadRequest("the method must be GET or POST")
     if not request.headers.get(protocol.ID):
         raise BadRequest("Req-Id is missing")
+    names = [name for name, _ in request.lines if name in protocol.REQUEST_HEADERS]
+    if len(names) > len(set(names)) or request.options & protocol.REQUEST_HEADERS:
+        # Guards against a backend that reads another one of the two than we do, or gets none.
+        raise BadRequest("a Req header is given twice or named by Connection")
     kind = request.header(protocol.KIND)
     if kind not in products:
         raise BadRequest("Req-Kind is missing or unknown")
--- a/lupinreach/net/directory.py
+++ b/lupinreach/net/directory.py
@@ -3,9 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
 from dataclasses import dataclass, replace
-from typing import Any
+from typing import TYPE_CHECKING, Any
 from zlib import crc32
 
 import orjson
@@ -14,12 +13,14 @@
 from lupinreach.model import Listing, News, State
 from lupinreach.net import http, protocol
 from lupinreach.net.channel import Channel
-from lupinreach.net.counters import Counters
 from lupinreach.net.ends import End, Ended
-from lupinreach.net.log import Log
 from lupinreach.net.pool import connect
 
+if TYPE_CHECKING:
+    from lupinreach.net.agent import Agent
+
 SILENT_BEATS = 3  # so many beats without a line, and the watch has failed
+KEPT = 2.0  # x longest client timeout: how long a backend that is gone is remembered
 MOST_LIST = 4 << 20  # bytes of one line, or of a whole list
 
 
@@ -35,20 +36,13 @@
 class Directory:
     """Follows the directory and tells the module; holds the address of each backend."""
 
-    def __init__(self, address: Address, zones: tuple[str, ...], keep: float, counters: Counters,
-                 log: Log, now: Callable[[], float], spawn: Callable[..., asyncio.Task[None]],
-                 tell: Callable[[News, list[Listing]], None], moved: Callable[[Address], None],
-                 by_itself: bool) -> None:
-        self._address = address
-        self._zones = {name: number for number, name in enumerate(zones)}
-        self._keep = keep  # ms for which a backend that is gone is remembered
-        self._counters = counters
-        self._log = log
-        self._now = now
-        self._spawn = spawn
-        self._tell = tell
-        self._by_itself = by_itself  # the settings say that changes come unasked: the module asks for none
-        self._moved = moved  # told of an address that gets nothing more
+    def __init__(self, agent: Agent) -> None:
+        self._agent = agent
+        settings = agent.config.settings
+        self._zones = {name: number for number, name in enumerate(settings.zones)}
+        self._keep = KEPT * agent.longest_wait
+        # Where the settings say that changes come unasked, the module asks for none.
+        self._by_itself = not settings.must_ask
         self._version: int | None = None  # of the list as held; None: no list to add changes to
         self._entries: dict[str, Entry] = {}  # by uid; emptied some time after a backend is gone
         self._by_index: dict[int, Address] = {}  # the same by index; an index is never used again
@@ -71,7 +65,7 @@
         """A call of the module's: the changes from now on, or the full list once."""
         if follow and self._task is not None:
             self._task.cancel()
-        task = self._spawn("directory", self._call(follow))
+        task = self._agent.spawn("directory", self._call(follow))
         if follow:
             self._task = task
 
@@ -89,13 +83,13 @@
         except BadConfig as bad:
             self._version = None
             why, where = End.MALFORMED, str(bad)
-        self._counters.directory[f"failed: {why.value}"] += 1
-        self._log.event("directory failed", why=why.value, where=where)
+        self._agent.counters.directory[f"failed: {why.value}"] += 1
+        self._agent.log.event("directory failed", why=why.value, where=where)
         if self._by_itself:
             await asyncio.sleep(protocol.BEAT / 1000)
             self.ask(True)
         else:
-            self._tell(News.FAILED, [])
+            self._agent.listed(News.FAILED, [])
 
     async def _list(self) -> None:
         channel = await self._send(protocol.LIST_PATH)
@@ -138,9 +132,10 @@
             channel.close()
 
     async def _send(self, target: bytes) -> Channel:
-        self._counters.directory["called"] += 1
-        host = b"%s:%d" % (self._address[0].encode(), self._address[1])
-        channel = await connect(self._address, SILENT_BEATS * protocol.BEAT, http.MOST_HEAD + MOST_LIST)
+        self._agent.counters.directory["called"] += 1
+        address = self._agent.config.directory
+        host = b"%s:%d" % (address[0].encode(), address[1])
+        channel = await connect(address, SILENT_BEATS * protocol.BEAT, http.MOST_HEAD + MOST_LIST)
         channel.write(http.request(b"GET", target, (), host))
         return channel
 
@@ -164,16 +159,16 @@
         if news is News.CHANGES and self._version is not None and version < self._version:
             raise BadConfig(f"{top.at(protocol.VERSION)}: {version} comes after {self._version}")
         read = [self._entry(e) for e in top.sections(protocol.ENTRIES, NEEDED)]
-        now = self._now()
+        now = self._agent.clock.now()
         for uid, address, listing in read:
             entry = self._entries.get(uid)
             if entry is None:
                 entry = self._entries[uid] = Entry(self._next, address)
                 self._next += 1
             elif entry.address != address:
-                self._moved(entry.address)
+                self._agent.pool.forget(entry.address)
             if listing.state is not State.READY:
-                self._moved(address)
+                self._agent.pool.forget(address)
             self._by_index[entry.index] = entry.address = address
             entry.gone_at = now if listing.state is State.GONE else None
         if news is not News.CHANGES:
@@ -181,10 +176,11 @@
             for uid, entry in self._entries.items():
                 if uid not in named and entry.gone_at is None:
                     entry.gone_at = now
-                    self._moved(entry.address)
+                    self._agent.pool.forget(entry.address)
         self._version = version
-        self._counters.directory[f"news: {news.name.lower()}"] += 1
-        self._tell(news, [replace(listing, backend=self._entries[uid].index) for uid, _, listing in read])
+        self._agent.counters.directory[f"news: {news.name.lower()}"] += 1
+        listings = [replace(listing, backend=self._entries[uid].index) for uid, _, listing in read]
+        self._agent.listed(news, listings)
         for uid, entry in list(self._entries.items()):
             if entry.gone_at is not None and now > entry.gone_at + self._keep:
                 del self._entries[uid], self._by_index[entry.index]
--- a/lupinreach/net/http.py
+++ b/lupinreach/net/http.py
@@ -37,6 +37,7 @@
     headers: dict[bytes, Slice]  # the last of each name, in lower case
     lines: list[tuple[bytes, Slice]]  # each whole header line with its name, as it came
     body: Slice | bytes
+    options: frozenset[bytes]  # what its Connection header names
     keeps: bool  # the connection may carry another message
 
     def header(self, name: bytes) -> bytes | None:
@@ -49,6 +50,7 @@
     first: tuple[bytes, bytes, int]  # method, target, status
     headers: dict[bytes, Slice]
     lines: list[tuple[bytes, Slice]]
+    options: frozenset[bytes]
     keeps: bool
     length: int | None  # None: not given
     chunked: bool
@@ -91,12 +93,13 @@
         raise Ended(End.MALFORMED)
     if any(not LENGTH.fullmatch(n) for n in lengths):
         raise Ended(End.MALFORMED)
-    options = {o.strip() for o in said.split(b",")}
+    options = frozenset(o.strip() for o in said.split(b","))
     minor = first[1] if answer else first[3]
     return Head(
         first=(b"", b"", int(first[2])) if answer else (first[1], first[2], 0),
         headers=headers,
         lines=lines,
+        options=options,
         keeps=b"close" not in options and (minor == b"1" or b"keep-alive" in options),
         length=int(lengths.pop()) if lengths else None,
         chunked=bool(codings),
@@ -206,12 +209,13 @@
 
 
 def message(head: Head, body: Slice | bytes) -> Message:
-    return Message(*head.first, head.headers, head.lines, body, head.keeps)
+    return Message(*head.first, head.headers, head.lines, body, head.options, head.keeps)
 
 
-def passed_on(lines: Iterable[tuple[bytes, Slice]], but: frozenset[bytes]) -> list[Slice]:
+def passed_on(message: Message, but: frozenset[bytes]) -> list[Slice]:
     """The header lines that go on to the next side."""
-    return [line for name, line in lines if name not in OF_CONNECTION and name not in but]
+    stays = OF_CONNECTION | message.options | but
+    return [line for name, line in message.lines if name not in stays]
 
 
 def request(method: bytes, target: bytes, headers: Iterable[bytes | Slice], host: bytes | Slice,
--- a/lupinreach/net/protocol.py
+++ b/lupinreach/net/protocol.py
@@ -5,6 +5,7 @@
 # Headers, in lower case as the parser hands them out.
 ID, KIND, DEADLINE = b"req-id", b"req-kind", b"req-deadline"
 RETRY, COST, EXTRA = b"req-retry", b"req-cost", b"req-extra"
+REQUEST_HEADERS = frozenset((ID, KIND, DEADLINE, RETRY, COST, EXTRA))
 DEADLINE_LINE, RETRY_AFTER_LINE = b"Req-Deadline: %.3f\r\n", b"Retry-After: %.3f\r\n"
 LOAD, NEVER_RAN = b"srv-load", b"srv-declined"
 
