Load reports are read under the names that the settings give their fields

At fault: LOADS in net/protocol.py, so Call.ended never got a report and no overloaded backend was rested. Both kinds of name are read now, and the counters tell how many reports came.

--- a/lupinreach/net/call.py
+++ b/lupinreach/net/call.py
@@ -107,6 +107,7 @@
                         agent.counters.shots[shot.end.value] += 1
                         answer, served = shot.answer, shot.end is End.SERVED
                         load = read_load(answer.header(protocol.LOAD)) if answer else None
+                        agent.counters.others["load reports"] += load is not None
                         took = now() - shots[number].sent
                         call.ended(now(), number, ENDINGS[shot.end], took, served, load)
                         if served and answer:
--- a/lupinreach/net/protocol.py
+++ b/lupinreach/net/protocol.py
@@ -1,5 +1,6 @@
 """The words of the protocol: header names, paths, fields and figures. The rest of the agent speaks ours."""
 
+from lupinreach import config
 from lupinreach.model import State
 
 # Headers, in lower case as the parser hands them out.
@@ -17,8 +18,9 @@
 SERVED = 200
 TURNED_AWAY = (503, 504)  # with NEVER_RAN: 1
 
-# A load report's fields.
-LOADS = {
+# A load report's fields, by the names that the settings give them or by the protocol's own.
+# Guards against reports that come under the one kind of name and are looked for under the other.
+LOADS = config.LOADS | {
     "inflight": "in_flight", "queue": "waiting", "util": "busy", "latency_ms": "latency",
     "qps": "calls_per_s", "eps": "errors_per_s",
 }
--- a/lupinreach/net/shot.py
+++ b/lupinreach/net/shot.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from math import isfinite
 
 from lupinreach.config import Address
 from lupinreach.model import Load
@@ -82,11 +83,11 @@
     """A load report, such as `inflight=7,queue=2`; None if there is none that can be read."""
     figures: dict[str, float] = {}
     for part in (text or b"").decode("latin-1").split(","):
-        name, equals, value = part.strip().partition("=")
+        name, _, value = part.strip().partition("=")
         ours = protocol.LOADS.get(name)
-        try:
-            if ours and equals:
+        if ours:
+            try:
                 figures[ours] = float(value)
-        except ValueError:
-            return None
-    return Load(**figures) if figures else None
+            except ValueError:
+                return None
+    return Load(**figures) if figures and all(map(isfinite, figures.values())) else None
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -11,7 +11,8 @@
 import pytest
 
 from helpers import AGENT_SETTINGS, OK, Peer, Site, full_list, look, read_http, run, says, target
-from lupinreach.model import NEVER_RAN, Ending
+from lupinreach.config import LOADS
+from lupinreach.model import NEVER_RAN, Ending, Load
 from lupinreach.net import listener, protocol
 from lupinreach.net.ends import ENDINGS, End
 from lupinreach.net.pool import Pool
@@ -593,7 +594,10 @@
 def test_load_reports():
     load = read_load(b"inflight=7, queue=2,util=0.61,novel=3")
     assert (load.in_flight, load.waiting, load.busy, load.latency) == (7.0, 2.0, 0.61, None)
-    assert [read_load(text) for text in (None, b"", b"inflight=many", b"novel=1")] == [None] * 4
+    for name, ours in LOADS.items():  # as the settings name them
+        assert read_load(f"{name}=1.944".encode()) == Load(**{ours: 1.944})
+    for text in (None, b"", b"inflight=many", b"inflight=nan", b"novel=1"):
+        assert read_load(text) is None
 
 
 def test_a_log_that_nobody_reads_holds_up_nothing():
