Customers and keys of requests reach the module

Now: Req-Owner by the settings' names (absent or unknown is the first), the key as a hash of the path's last part.

--- a/lupinreach/net/agent.py
+++ b/lupinreach/net/agent.py
@@ -37,6 +37,7 @@
         self.counters = Counters()
         self.names = [p.name for p in settings.products]
         self.products = {p.name.encode(): (i, p) for i, p in enumerate(settings.products)}
+        self.customers = {c.name.encode(): i for i, c in enumerate(settings.customers)}
         self.longest_wait = max(p.timeout for p in settings.products)
         self.stopping = False
         self.changed = asyncio.Event()  # a client has gone, or a task has ended
--- a/lupinreach/net/call.py
+++ b/lupinreach/net/call.py
@@ -7,9 +7,10 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
+from zlib import crc32
 
 from lupinreach.balance import Call
-from lupinreach.model import Ask, Product
+from lupinreach.model import Ask
 from lupinreach.net import http, protocol
 from lupinreach.net.ends import ENDINGS, End
 from lupinreach.net.shot import Shot, read_load
@@ -84,8 +85,7 @@
         self._keeps = keeps
         self.orders: asyncio.Queue[Order] = asyncio.Queue()  # a few for each shot; dies with the API call
         self.answered = asyncio.get_running_loop().create_future()
-        self.ask, until = read_ask(self, request, arrived, agent.products,
-                                   agent.config.settings.rules.answer_slack)
+        self.ask, until = read_ask(self, request, arrived, agent)
         self._overdue = (self.ask.until + until) / 2  # the module's time is over, the client's not
 
     async def run(self) -> None:
@@ -178,8 +178,7 @@
             self.answered.set_result(None)
 
 
-def read_ask(token: ApiCall, request: http.Message, arrived: float,
-             products: dict[bytes, tuple[int, Product]], slack: float) -> tuple[Ask, float]:
+def read_ask(token: ApiCall, request: http.Message, arrived: float, agent: Agent) -> tuple[Ask, float]:
     """A request in our words, and when its client stops waiting."""
     if request.method not in (b"GET", b"POST"):
         raise BadRequest("the method must be GET or POST")
@@ -190,9 +189,9 @@
         # Guards against a backend that reads another one of the two than we do, or gets none.
         raise BadRequest("a Req header is given twice or named by Connection")
     kind = request.header(protocol.KIND)
-    if kind not in products:
+    if kind not in agent.products:
         raise BadRequest("Req-Kind is missing or unknown")
-    index, product = products[kind]
+    index, product = agent.products[kind]
     waits = min(product.timeout, _number(request, protocol.DEADLINE) * 1000)
     if waits <= 0:
         raise BadRequest("Req-Deadline must be above 0")
@@ -201,8 +200,13 @@
         raise BadRequest("Req-Extra is malformed")
     cost = _number(request, protocol.COST) / 1000 if protocol.COST in request.headers else None
     # The deadline counts from the client's sending, timers run late, and the answer has a way to go.
-    until = arrived + waits - min(slack, MARGIN * waits)
-    return Ask(token, index, until, cost=cost, again=request.header(protocol.RETRY) == b"1"), arrived + waits
+    until = arrived + waits - min(agent.config.settings.rules.answer_slack, MARGIN * waits)
+    key = protocol.KEY.fullmatch(request.target.partition(b"?")[0])
+    return Ask(
+        token, index, until, cost=cost, again=request.header(protocol.RETRY) == b"1",
+        customer=agent.customers.get(request.header(protocol.CUSTOMER) or b"", 0),
+        key=crc32(key[1]) if key else None,  # the same at all agents
+    ), arrived + waits
 
 
 def _number(request: http.Message, name: bytes) -> float:
--- a/lupinreach/net/protocol.py
+++ b/lupinreach/net/protocol.py
@@ -1,12 +1,16 @@
 """The words of the protocol: header names, paths, fields and figures. The rest of the agent speaks ours."""
 
+import re
+
 from lupinreach import config
 from lupinreach.model import State
 
 # Headers, in lower case as the parser hands them out.
 ID, KIND, DEADLINE = b"req-id", b"req-kind", b"req-deadline"
 RETRY, COST, EXTRA = b"req-retry", b"req-cost", b"req-extra"
-REQUEST_HEADERS = frozenset((ID, KIND, DEADLINE, RETRY, COST, EXTRA))
+CUSTOMER = b"req-owner"  # a customer's name, where the settings have customers
+REQUEST_HEADERS = frozenset((ID, KIND, DEADLINE, RETRY, COST, EXTRA, CUSTOMER))
+KEY = re.compile(rb"/api/([^/?]+)")  # where requests have a key, it is the path's last part
 DEADLINE_LINE, RETRY_AFTER_LINE = b"Req-Deadline: %.3f\r\n", b"Retry-After: %.3f\r\n"
 LOAD, NEVER_RAN = b"srv-load", b"srv-declined"
 
