--- a/lupinreach/net/call.py
+++ b/lupinreach/net/call.py
@@ -131,11 +131,8 @@
 
     async def _settle(self, call: Call, shots: list[Out]) -> None:
         """After a fault: end what is out, so that the module's books stay right."""
-        ordered = len(shots)
-        while not self.orders.empty():
-            ordered += isinstance(self.orders.get_nowait(), Send)
-        for number in range(ordered):
-            end = End.CALLED_OFF_SENDING  # ordered and never begun
+        for number in range(len(call.shots)):
+            end = End.CALLED_OFF_SENDING  # if it was ordered and never begun
             if number < len(shots):
                 shots[number].task.cancel()
                 await asyncio.wait([shots[number].task])
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -221,6 +221,11 @@
                 assert status(await site.ask(look())) == 500
                 await site.settled()
             assert agent.counters.others["fault: api call"] == 1 and agent.balancer._flight == 0
+            with monkeypatch.context() as patch:  # before the shot has begun
+                patch.setattr(agent.directory, "address", lambda _: 1 / 0)
+                assert status(await site.ask(look())) == 500
+                await site.settled()
+            assert agent.counters.others["fault: api call"] == 2 and agent.balancer._flight == 0
             assert "ZeroDivisionError" in os.read(site.sink, 65536).decode()
             assert status(await site.ask(look())) == 200
     run(work())
