--- a/lupinreach/net/listener.py
+++ b/lupinreach/net/listener.py
@@ -19,6 +19,8 @@
 AT_ONCE = 64  # connections accepted in one turn of the event loop
 PAUSE = 0.1  # s without accepting when the process has run out of descriptors
 LINGER = 1.0  # s in which the rest of a refused request is read, so that its client gets to see the answer
+RESERVE = 1 / 8  # of the connections, 2 at least: kept to turn away those that come on top of the others
+NO_ROOM = 503
 STATUSES = {End.MALFORMED: 400, End.TOO_LARGE: 413}
 
 
@@ -85,6 +87,13 @@
             self._agent.counters.answered["bad request"] += 1
             self._reply(http.answer(400, [b"Content-Type: text/plain\r\n"], str(bad).encode(), self._stays()))
             return
+        if self._listener.full:
+            # Turned away before it reaches the module, and harmless to repeat: nothing was sent for it.
+            # Guards against requests that the kernel has taken in and that nobody has a descriptor to read.
+            self._agent.counters.answered["no room"] += 1
+            self._keeps = False
+            self._reply(http.answer(NO_ROOM, keeps=False))
+            return
         # To go on reading is how a client is seen to leave while its shot is out.
         reading = self.channel.listen()
         reading.add_done_callback(call.client_spoke)
@@ -120,7 +129,8 @@
 
     def __init__(self, agent: Agent, most: int) -> None:
         self._agent = agent
-        self._most = most
+        self.most = most
+        self.served = most - max(2, int(RESERVE * most))  # at most; the rest are turned away
         self._socket: socket.socket | None = None
         self._accepting = False
         self.clients: set[Client] = set()  # each leaves when its connection closes
@@ -144,7 +154,7 @@
     def _resume(self) -> None:
         if self._socket is not None and not self._accepting:
             self._accepting = True
-            self._socket.listen(min(BACKLOG, self._most))
+            self._socket.listen(min(BACKLOG, self.most))
             asyncio.get_running_loop().add_reader(self._socket, self._accept)
 
     def _pause(self) -> None:
@@ -157,8 +167,8 @@
     def _accept(self, most: int = AT_ONCE) -> None:
         assert self._socket is not None
         for _ in range(most):
-            spare = self._spare() if len(self.clients) >= self._most else None
-            if len(self.clients) >= self._most and spare is None:
+            spare = self._spare() if len(self.clients) >= self.served else None
+            if len(self.clients) >= self.most and spare is None:
                 self._pause()
                 self._agent.counters.connections["accept paused"] += 1
                 return
@@ -184,6 +194,10 @@
             self.clients.add(client)
             self._agent.spawn("client", client.serve())
 
+    @property
+    def full(self) -> bool:
+        return len(self.clients) > self.served
+
     def _spare(self) -> Client | None:
         """The connection that has stood idle longest; its client opens another when it needs one."""
         return next((client for client in self.idle if not client.channel.heard), None)
@@ -201,7 +215,7 @@
         self.idle.pop(client, None)
         self._agent.counters.connections[f"client {end.value}"] += 1
         self._agent.changed.set()
-        if len(self.clients) < self._most:
+        if len(self.clients) < self.most:
             self._resume()
 
     def close_idle(self) -> None:
