SIGHUP reads the configuration again and moves to the directory it names

Checked: no handler was set in __main__.py (the default action ends the process); config.read_agent put PROXY_DISCOVERY before the file's key, so a new address would not have been seen; Directory._take_in refused a version older than the one held, which a list of another directory may have. Now: a bad file is refused with its key; the new directory's whole list is asked for every 0.1 to 0.2 s with 2 s a try, the old one followed until it has come; what can't change while running is logged.

--- a/lupinreach/__main__.py
+++ b/lupinreach/__main__.py
@@ -19,6 +19,7 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     loop.add_signal_handler(signal.SIGUSR1, agent.report)
+    loop.add_signal_handler(signal.SIGHUP, agent.reload, os.environ)
     loop.set_exception_handler(lambda _, context: agent.fault(
         str(context.get("message")), context.get("exception") or RuntimeError("no exception given")))
     logging.getLogger().addHandler(agent.log)
@@ -28,6 +29,7 @@
 
 
 async def main() -> int:
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # guards against an end by one that comes before the start
     try:
         agent = Agent(read_agent(os.environ))
     except BadConfig as bad:
--- a/lupinreach/config.py
+++ b/lupinreach/config.py
@@ -202,8 +202,11 @@
     settings: Settings
 
 
-def read_agent(environment: Mapping[str, str]) -> AgentConfig:
-    """The agent's configuration: the file that PROXY_CONFIG names; the other variables go before its keys."""
+def read_agent(environment: Mapping[str, str], again: bool = False) -> AgentConfig:
+    """The agent's configuration: the file that PROXY_CONFIG names; the other variables go before its keys.
+
+    Read again, the file's keys go first: the variables are those of the start and can't have changed.
+    """
     path = environment.get("PROXY_CONFIG")
     if not path:
         raise BadConfig("PROXY_CONFIG: missing")
@@ -217,7 +220,7 @@
     top = Section(raw)
 
     def told(variable: str, key: str) -> Address:
-        if variable in environment:
+        if variable in environment and not (again and top.text(key, "")):
             return _address(environment[variable], variable)
         return top.address(key)
 
--- a/lupinreach/net/agent.py
+++ b/lupinreach/net/agent.py
@@ -5,11 +5,12 @@
 import asyncio
 import resource
 import traceback
-from collections.abc import Coroutine
+from collections.abc import Coroutine, Mapping
+from dataclasses import fields, replace
 from typing import Any
 
 from lupinreach.balance import Balancer
-from lupinreach.config import AgentConfig
+from lupinreach.config import AgentConfig, BadConfig, read_agent
 from lupinreach.model import Listing, News
 from lupinreach.net.clock import Clock
 from lupinreach.net.counters import Counters
@@ -23,6 +24,7 @@
 OWN_DESCRIPTORS = 12  # standard streams, event loop, listener, directory, datagrams, and a few spare
 GOES_ON = 0.5  # s for which a stopping agent goes on accepting
 LAST = 0.1  # s for which what was accepted last may still send its request
+OF_A_START = ("directory", "known", "seed")  # parts of the configuration that may differ when it is read again
 FAULT_EVERY = 1000.0  # ms between two lines about one kind of fault
 
 
@@ -92,6 +94,22 @@
         self.peers.close()
         self.report("stopped")
 
+    def reload(self, environment: Mapping[str, str]) -> None:
+        """Read the configuration again; of what it says, the directory's address takes effect."""
+        try:
+            fresh = read_agent(environment, again=True)
+        except BadConfig as bad:
+            # Guards against a file that is wrong or half written: the old configuration stays.
+            self.counters.others["reload refused"] += 1
+            self.log.event("reload refused", why=str(bad))
+            return
+        waits = [f.name for f in fields(fresh)
+                 if f.name not in OF_A_START and getattr(fresh, f.name) != getattr(self.config, f.name)]
+        self.counters.others["reloaded"] += 1
+        self.log.event("reloaded", discovery=list(fresh.directory), needs_a_restart=waits)
+        self.config = replace(self.config, directory=fresh.directory)
+        self.directory.move(fresh.directory)
+
     def report(self, event: str = "counters") -> None:
         self.log.event(event, clients=len(self.listener.clients), backends=self.pool.open,
                        log_lines_dropped=self.log.dropped, **self.counters.snapshot())
--- a/lupinreach/net/directory.py
+++ b/lupinreach/net/directory.py
@@ -20,6 +20,7 @@
     from lupinreach.net.agent import Agent
 
 SILENT_BEATS = 3  # so many beats without a line, and the watch has failed
+MOVE_AGAIN = 1 / 20  # x beat: a new directory that fails is asked again after that, or up to twice as long
 KEPT = 2.0  # x longest client timeout: how long a backend that is gone is remembered
 MOST_LIST = 4 << 20  # bytes of one line, or of a whole list
 
@@ -47,7 +48,9 @@
         self._entries: dict[str, Entry] = {}  # by uid; emptied some time after a backend is gone
         self._by_index: dict[int, Address] = {}  # the same by index; an index is never used again
         self._next = 0
+        self._home = agent.config.directory  # the address of the directory that is followed
         self._task: asyncio.Task[None] | None = None
+        self._moving: asyncio.Task[None] | None = None  # to another directory, until its list has come
 
     def address(self, backend: int) -> Address:
         return self._by_index[backend]
@@ -69,12 +72,44 @@
         if follow:
             self._task = task
 
+    def move(self, address: Address) -> None:
+        """Follow another directory. The old one counts until the list of the new one has come."""
+        if self._moving is not None:
+            self._moving.cancel()
+            self._moving = None
+        if address != self._home:
+            self._moving = self._agent.spawn("directory move", self._move(address))
+
+    async def _move(self, address: Address) -> None:
+        tries = 0
+        while True:
+            try:
+                # Guards against versions that two directories count each for itself: a whole list has no past.
+                self._line(await self._list(address, protocol.BEAT / 1000))
+                break
+            except (Ended, TimeoutError) as failed:
+                why, where = failed.end if isinstance(failed, Ended) else End.SILENT, ""
+            except BadConfig as bad:
+                why, where = End.MALFORMED, str(bad)
+            self._failed(why, where)
+            # Guards against agents that all come back to a new directory at once.
+            tries += 1
+            chance = crc32(b"%d:%d" % (self._agent.config.seed, tries)) / 2**32
+            await asyncio.sleep(MOVE_AGAIN * protocol.BEAT / 1000 * (1 + chance))
+        self._home, self._moving = address, None
+        self._agent.log.event("directory moved", discovery=list(address))
+        self.ask(True)
+
+    def _failed(self, why: End, where: str) -> None:
+        self._agent.counters.directory[f"failed: {why.value}"] += 1
+        self._agent.log.event("directory failed", why=why.value, where=where)
+
     async def _call(self, follow: bool) -> None:
         where = ""
         try:
             if not follow or self._version is None:
                 # After a gap there is nothing that changes could be added to.
-                await self._list()
+                self._line(await self._list(self._home, SILENT_BEATS * protocol.BEAT / 1000))
             if follow:
                 await self._watch()
             return
@@ -83,28 +118,29 @@
         except BadConfig as bad:
             self._version = None
             why, where = End.MALFORMED, str(bad)
-        self._agent.counters.directory[f"failed: {why.value}"] += 1
-        self._agent.log.event("directory failed", why=why.value, where=where)
+        self._failed(why, where)
         if self._by_itself:
             await asyncio.sleep(protocol.BEAT / 1000)
             self.ask(True)
         else:
             self._agent.listed(News.FAILED, [])
 
-    async def _list(self) -> None:
-        channel = await self._send(protocol.LIST_PATH)
-        try:
-            async with asyncio.timeout(SILENT_BEATS * protocol.BEAT / 1000):
+    async def _list(self, address: Address, within: float) -> http.Slice | bytes:
+        """The text of the whole list, in so many s."""
+        async with asyncio.timeout(within):
+            channel = await self._send(address, protocol.LIST_PATH)
+            try:
                 answer = await http.read_answer(channel, MOST_LIST)
-            if answer.status != 200:
-                raise Ended(End.FAULT)
-            self._line(answer.body)
-        finally:
-            channel.close()
+            finally:
+                channel.close()
+        if answer.status != 200:
+            raise Ended(End.FAULT)
+        return answer.body
 
     async def _watch(self) -> None:
         """Follow the changes until the watch ends."""
-        channel = await self._send(protocol.WATCH_PATH + protocol.WATCH_AFTER % (self._version or 0))
+        target = protocol.WATCH_PATH + protocol.WATCH_AFTER % (self._version or 0)
+        channel = await self._send(self._home, target)
         silence = SILENT_BEATS * protocol.BEAT / 1000
         try:
             async with asyncio.timeout(silence):
@@ -131,9 +167,8 @@
         finally:
             channel.close()
 
-    async def _send(self, target: bytes) -> Channel:
+    async def _send(self, address: Address, target: bytes) -> Channel:
         self._agent.counters.directory["called"] += 1
-        address = self._agent.config.directory
         host = b"%s:%d" % (address[0].encode(), address[1])
         channel = await connect(address, SILENT_BEATS * protocol.BEAT, http.MOST_HEAD + MOST_LIST)
         channel.write(http.request(b"GET", target, (), host))
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -577,6 +577,49 @@
     run(work())
 
 
+def test_a_new_configuration_moves_the_agent_to_another_directory(tmp_path):
+    """Under traffic: a bad file is refused, versions start anew, a failure is tried again, the old one goes."""
+    async def work():
+        first, second, fails = Registry(), Registry(), [failed(503), b"HTTP/1.1 200 OK\r\n\r\n"]
+
+        async def script(request, writer):
+            if fails:
+                writer.write(fails.pop())
+                writer.close()
+            else:
+                await second.script(request, writer)
+        async with Peer(first.script) as old, Peer(script) as new, Peer(says(OK)) as one, Peer(says(OK)) as two:
+            listed = full_list(target("s-1", one.address), rev=900)
+            raw = {"name": "n", "listen": "127.0.0.1:0", "seed": "07", "discovery": old.address,
+                   "known": listed, "settings": AGENT_SETTINGS}
+            second.list = json.dumps(full_list(target("s-2", two.address), rev=3)).encode()
+            os.environ["PROXY_DISCOVERY"] = old.address  # of the start; the file that is read again goes first
+            try:
+                agent = await process(tmp_path, raw)
+            finally:
+                del os.environ["PROXY_DISCOVERY"]
+            started = await event(agent, "started")
+            (tmp_path / "config.json").write_text(json.dumps(raw | {"discovery": "nowhere"}))
+            agent.send_signal(signal.SIGHUP)
+            assert "discovery: 'nowhere'" in (await event(agent, "reload refused"))["why"]
+            (tmp_path / "config.json").write_text(json.dumps(raw | {"discovery": new.address, "name": "m"}))
+            agent.send_signal(signal.SIGHUP)
+            assert (await event(agent, "reloaded"))["needs_a_restart"] == ["name"]
+            first.tell(None)  # the old directory ends its watch
+            await event(agent, "directory moved")
+            reader, writer = await asyncio.open_connection(*started["listen"])
+            for _ in range(3):
+                writer.write(look())
+                assert status(await read_http(reader)) == 200
+            assert len(two.requests) == 3 and not one.requests and not fails
+            while not any(b"watch=1&after=3 " in request for request in new.requests):
+                await asyncio.sleep(0.001)
+            agent.terminate()
+            await agent.communicate()
+            assert agent.returncode == 0
+    run(work())
+
+
 def test_the_process_names_a_faulty_key_and_exits(tmp_path):
     async def work():
         agent = await process(tmp_path, {"name": "n", "listen": "here", "seed": "1"})
