Bad requests end their connection, copies of ids are refused, spoilt answers are errors

Ruled out: pipelined good requests (5, all bad); answers that only seem whole (of 441 with more behind or spoilt, none was cut by its length alone, so an answer that is whole by its length is passed on and its connection dropped). Faulty lines: Client._api_call kept the connection after a BadRequest; nothing knew open ids; no limit on the first read and the client timeout for a head; ENDINGS mapped MALFORMED and TOO_LARGE to RESET; read_load took negative and absurd figures; the pool kept connections by address alone; trailers, interim answers and standing answers had no bound. After: bad requests past 50 a second wait a second, 2 s to the first byte, 2.5 s for a whole request, 256 KiB drained.

--- a/lupinreach/net/agent.py
+++ b/lupinreach/net/agent.py
@@ -15,6 +15,7 @@
 from lupinreach.net.clock import Clock
 from lupinreach.net.counters import Counters
 from lupinreach.net.directory import Directory
+from lupinreach.net.ids import Ids
 from lupinreach.net.listener import Listener
 from lupinreach.net.log import Log
 from lupinreach.net.peers import Peers
@@ -41,6 +42,7 @@
         self.products = {p.name.encode(): (i, p) for i, p in enumerate(settings.products)}
         self.customers = {c.name.encode(): i for i, c in enumerate(settings.customers)}
         self.longest_wait = max(p.timeout for p in settings.products)
+        self.ids = Ids()
         self.stopping = False
         self.changed = asyncio.Event()  # a client has gone, or a task has ended
         self._listed = False
@@ -63,6 +65,8 @@
         self.balancer.start(self.clock.now())
         self.directory.start(self.config.known)
         self.listener.open()
+        self.spawn("sweep", self.listener.sweep())
+        self.spawn("ids", self._turn_ids())
         self.log.event("started", listen=list(self.listener.address), sockets=self.config.sockets)
 
     @property
@@ -114,6 +118,11 @@
         self.log.event(event, clients=len(self.listener.clients), backends=self.pool.open,
                        log_lines_dropped=self.log.dropped, **self.counters.snapshot())
 
+    async def _turn_ids(self) -> None:
+        while True:
+            await asyncio.sleep(self.longest_wait / 1000)
+            self.ids.turn()
+
     # Tasks and faults.
 
     def spawn(self, what: str, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
--- a/lupinreach/net/call.py
+++ b/lupinreach/net/call.py
@@ -10,7 +10,7 @@
 from zlib import crc32
 
 from lupinreach.balance import Call
-from lupinreach.model import Ask
+from lupinreach.model import Ask, Kind
 from lupinreach.net import http, protocol
 from lupinreach.net.ends import ENDINGS, End
 from lupinreach.net.shot import Shot, read_load
@@ -18,7 +18,8 @@
 if TYPE_CHECKING:
     from lupinreach.net.agent import Agent
 
-RATE_LIMITED, ERRORED, FAULT = 429, 502, 500
+RATE_LIMITED, ERRORED, FAULT, COPY = 429, 502, 500, 409
+MOST_ID = 128
 MARGIN = 0.25  # of what the client waits: most that is kept back for timers and writes that run late
 NUMBER = re.compile(rb"[0-9]{1,12}(?:\.[0-9]{0,12})?|\.[0-9]{1,12}")
 EXTRA = re.compile(rb"[^=,]+=[^=,]*(?:,[^=,]+=[^=,]*)*")
@@ -27,6 +28,10 @@
 class BadRequest(Exception):
     """A request that goes on to no backend; the text says why."""
 
+    def __init__(self, why: str, status: int = 400) -> None:
+        super().__init__(why)
+        self.status = status
+
 
 @dataclass(frozen=True, slots=True)
 class Order:
@@ -64,6 +69,11 @@
     pass
 
 
+@dataclass(frozen=True, slots=True)
+class Overdue(Order):
+    """The module's time is over, the client's not."""
+
+
 @dataclass(slots=True)
 class Out:
     """A shot that was ordered."""
@@ -86,7 +96,10 @@
         self.orders: asyncio.Queue[Order] = asyncio.Queue()  # a few for each shot; dies with the API call
         self.answered = asyncio.get_running_loop().create_future()
         self.ask, until = read_ask(self, request, arrived, agent)
-        self._overdue = (self.ask.until + until) / 2  # the module's time is over, the client's not
+        self._overdue = (self.ask.until + until) / 2
+        self._id = bytes(request.headers[protocol.ID])
+        if not agent.ids.begin(self._id):
+            raise BadRequest("Req-Id is open already, or was a moment ago", COPY)
 
     async def run(self) -> None:
         """From top to bottom: taken, shots out as the module orders them, one final answer."""
@@ -94,10 +107,12 @@
         now = agent.clock.now
         agent.counters.taken[agent.names[self.ask.product]] += 1
         call, shots = None, list[Out]()
+        overdue = asyncio.get_running_loop().call_at(agent.clock.on_loop(self._overdue),
+                                                     self.orders.put_nowait, Overdue())
         try:
             call = agent.balancer.take(now(), self.ask)
             while not (self.answered.done() and call.closed):
-                match await self._next():
+                match await self.orders.get():
                     case Send(backend, until):
                         shots.append(self._shoot(len(shots), backend, until))
                     case CallOff(number):
@@ -121,6 +136,10 @@
                     case Left():
                         call.left(now())
                         self._close("left")
+                    case Overdue() if not self.answered.done():
+                        # Guards against an order that comes too late for the client's deadline.
+                        call.left(now())
+                        self._answer("errored", ERRORED)
         except Exception as fault:
             # Guards against a fault of our own that would leave a client without an answer: a 500.
             agent.fault("api call", fault)
@@ -128,6 +147,9 @@
             if call is not None:
                 call.left(now())
                 await self._settle(call, shots)
+        finally:
+            overdue.cancel()
+            agent.ids.end(self._id)
 
     async def _settle(self, call: Call, shots: list[Out]) -> None:
         """After a fault: end what is out, so that the module's books stay right."""
@@ -144,12 +166,6 @@
         if not reading.cancelled() and reading.exception() is not None:
             self.orders.put_nowait(Left())
 
-    async def _next(self) -> Order:
-        if self.answered.done():
-            return await self.orders.get()
-        async with asyncio.timeout_at(self._agent.clock.on_loop(self._overdue)):
-            return await self.orders.get()
-
     def _shoot(self, number: int, backend: int, until: float) -> Out:
         """Begin a shot; its end comes back as an order."""
         agent, request = self._agent, self._request
@@ -158,7 +174,7 @@
         headers = http.passed_on(request, protocol.BETWEEN_CLIENT_AND_AGENT)
         message = http.request(request.method, request.target, [*headers, left],
                                request.headers.get(b"host", b""), request.body)
-        shot = Shot(agent.pool, agent.directory.address(backend), message, agent.clock.on_loop(until))
+        shot = Shot(agent.pool, agent.directory.place(backend), message, agent.clock.on_loop(until))
         task = agent.spawn("shot", shot.run())
         task.add_done_callback(lambda _: self.orders.put_nowait(Landed(number)))
         return Out(shot, task, sent)
@@ -179,8 +195,8 @@
     """A request in our words, and when its client stops waiting."""
     if request.method not in (b"GET", b"POST"):
         raise BadRequest("the method must be GET or POST")
-    if not request.headers.get(protocol.ID):
-        raise BadRequest("Req-Id is missing")
+    if not 0 < len(request.headers.get(protocol.ID, b"")) <= MOST_ID:
+        raise BadRequest("Req-Id is missing or too long")
     names = [name for name, _ in request.lines if name in protocol.REQUEST_HEADERS]
     if len(names) > len(set(names)) or request.options & protocol.REQUEST_HEADERS:
         # Guards against a backend that reads another one of the two than we do, or gets none.
@@ -189,6 +205,8 @@
     if kind not in agent.products:
         raise BadRequest("Req-Kind is missing or unknown")
     index, product = agent.products[kind]
+    if request.method == b"GET" and (len(request.body) or product.kind is Kind.NON_IDEMPOTENT):
+        raise BadRequest("GET is for what may run again, and has no body")
     waits = min(product.timeout, _number(request, protocol.DEADLINE) * 1000)
     if waits <= 0:
         raise BadRequest("Req-Deadline must be above 0")
--- a/lupinreach/net/channel.py
+++ b/lupinreach/net/channel.py
@@ -5,6 +5,7 @@
 import asyncio
 import socket
 import struct
+from math import inf
 from typing import Any, cast
 
 from tornado.iostream import IOStream, StreamClosedError
@@ -23,10 +24,11 @@
     replaced by a new one, so a slice stays good for as long as somebody holds it.
     """
 
-    def __init__(self, sock: socket.socket, most: int) -> None:
+    def __init__(self, sock: socket.socket, most: int, patience: float = inf) -> None:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.stream = IOStream(sock, max_buffer_size=2 * most)
         self._most = most  # bytes that may stand unread
+        self._patience = patience  # s for which a message that has begun may stand still
         self.buffer = bytearray(FIRST_BUFFER)
         self.start = self.end = 0
         self._reading: asyncio.Future[int] | None = None
@@ -42,9 +44,13 @@
                 self._reading = _failed(closed)
         return self._reading
 
-    async def fill(self) -> None:
-        """Wait until more has been read."""
+    async def fill(self, begun: bool = False) -> None:
+        """Wait until more has been read; not for long where a message has begun."""
         reading = self.listen()
+        while begun and self._patience < inf and not reading.done():
+            await asyncio.wait([reading], timeout=self._patience)
+            if not reading.done() and not self._pending():
+                raise Ended(End.STOOD_STILL)
         try:
             self.end += await reading
         except StreamClosedError:
@@ -75,10 +81,11 @@
     @property
     def heard(self) -> bool:
         """If bytes, or the end of the connection, have come in that nobody has asked for yet."""
-        if self.end > self.start or self.stream.closed() or self.listen().done():
-            return True
+        return self.end > self.start or self.stream.closed() or self.listen().done() or self._pending()
+
+    def _pending(self) -> bool:
+        """What the kernel holds and the event loop has not seen, such as a close by the other side."""
         try:
-            # What the kernel holds and the event loop has not seen, such as a close by the other side.
             self.stream.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
         except BlockingIOError:
             return False
@@ -104,6 +111,21 @@
         except StreamClosedError as closed:
             return _failed(closed)
 
+    async def drain(self, most: int, within: float) -> None:
+        """End our side and drop what still comes, as far as that is little and soon over.
+
+        Guards against a close with bytes unread, which would take the last answer away from the other side.
+        """
+        try:
+            async with asyncio.timeout(within):
+                self.stream.socket.shutdown(socket.SHUT_WR)
+                while most > 0:
+                    self.start = self.end
+                    await self.fill()
+                    most -= self.end - self.start
+        except (Ended, OSError, TimeoutError):
+            pass
+
     def close(self) -> None:
         self.stream.close()
 
--- a/lupinreach/net/directory.py
+++ b/lupinreach/net/directory.py
@@ -14,7 +14,7 @@
 from lupinreach.net import http, protocol
 from lupinreach.net.channel import Channel
 from lupinreach.net.ends import End, Ended
-from lupinreach.net.pool import connect
+from lupinreach.net.pool import Place, connect
 
 if TYPE_CHECKING:
     from lupinreach.net.agent import Agent
@@ -29,8 +29,7 @@
 class Entry:
     """One backend as the list names it."""
 
-    index: int
-    address: Address
+    place: Place
     gone_at: float | None = None
 
 
@@ -46,13 +45,13 @@
         self._by_itself = not settings.must_ask
         self._version: int | None = None  # of the list as held; None: no list to add changes to
         self._entries: dict[str, Entry] = {}  # by uid; emptied some time after a backend is gone
-        self._by_index: dict[int, Address] = {}  # the same by index; an index is never used again
+        self._by_index: dict[int, Place] = {}  # the same by index; an index is never used again
         self._next = 0
         self._home = agent.config.directory  # the address of the directory that is followed
         self._task: asyncio.Task[None] | None = None
         self._moving: asyncio.Task[None] | None = None  # to another directory, until its list has come
 
-    def address(self, backend: int) -> Address:
+    def place(self, backend: int) -> Place:
         return self._by_index[backend]
 
     # Asking.
@@ -147,7 +146,7 @@
                 head = await http.read_head(channel, answer=True)
             if head.first[2] != 200 or not head.chunked:
                 raise Ended(End.FAULT)
-            chunks, line = http.Chunks(), bytearray()
+            chunks, line = http.Chunks(bound=False), bytearray()
             while True:
                 pieces, used = chunks.feed(memoryview(channel.buffer)[channel.start:channel.end])
                 channel.start += used
@@ -194,31 +193,34 @@
         if news is News.CHANGES and self._version is not None and version < self._version:
             raise BadConfig(f"{top.at(protocol.VERSION)}: {version} comes after {self._version}")
         read = [self._entry(e) for e in top.sections(protocol.ENTRIES, NEEDED)]
-        now = self._agent.clock.now()
+        now, pool = self._agent.clock.now(), self._agent.pool
         for uid, address, listing in read:
             entry = self._entries.get(uid)
             if entry is None:
-                entry = self._entries[uid] = Entry(self._next, address)
+                entry = self._entries[uid] = Entry(Place(self._next, address))
                 self._next += 1
-            elif entry.address != address:
-                self._agent.pool.forget(entry.address)
-            if listing.state is not State.READY:
-                self._agent.pool.forget(address)
-            self._by_index[entry.index] = entry.address = address
+            elif entry.place.address != address:
+                pool.forget(entry.place)
+                entry.place = Place(entry.place.backend, address)
+            if listing.state is State.READY:
+                pool.keep(entry.place)
+            else:
+                pool.forget(entry.place)
+            self._by_index[entry.place.backend] = entry.place
             entry.gone_at = now if listing.state is State.GONE else None
         if news is not News.CHANGES:
             named = {uid for uid, _, _ in read}
             for uid, entry in self._entries.items():
                 if uid not in named and entry.gone_at is None:
                     entry.gone_at = now
-                    self._agent.pool.forget(entry.address)
+                    pool.forget(entry.place)
         self._version = version
         self._agent.counters.directory[f"news: {news.name.lower()}"] += 1
-        listings = [replace(listing, backend=self._entries[uid].index) for uid, _, listing in read]
+        listings = [replace(listing, backend=self._entries[uid].place.backend) for uid, _, listing in read]
         self._agent.listed(news, listings)
         for uid, entry in list(self._entries.items()):
             if entry.gone_at is not None and now > entry.gone_at + self._keep:
-                del self._entries[uid], self._by_index[entry.index]
+                del self._entries[uid], self._by_index[entry.place.backend]
 
     def _entry(self, raw: Section) -> tuple[str, Address, Listing]:
         uid, address = raw.text(protocol.UID), raw.address(protocol.ENDPOINT)
--- a/lupinreach/net/ends.py
+++ b/lupinreach/net/ends.py
@@ -26,6 +26,7 @@
     CUT_SHORT = "cut short"  # the other side ended it before the answer was whole
     MALFORMED = "malformed"
     TOO_LARGE = "too large"
+    STOOD_STILL = "stood still"  # an answer that had begun brought nothing more
     SILENT = "silent"
     CALLED_OFF = "called off"
     # Between two messages.
@@ -48,8 +49,10 @@
     End.CALLED_OFF_SENDING: Ending.UNSENT,
     End.BROKE: Ending.RESET,
     End.CUT_SHORT: Ending.RESET,
-    End.MALFORMED: Ending.RESET,
-    End.TOO_LARGE: Ending.RESET,
+    # A spoilt answer says that something is wrong, as a 500 does, and not that too much is out.
+    End.MALFORMED: Ending.ERRORED,
+    End.TOO_LARGE: Ending.ERRORED,
+    End.STOOD_STILL: Ending.ERRORED,
     End.SILENT: Ending.TIMED_OUT,
     End.CALLED_OFF: Ending.CANCELLED,
     End.LEFT: Ending.RESET,
--- a/lupinreach/net/http.py
+++ b/lupinreach/net/http.py
@@ -11,7 +11,8 @@
 
 MOST_HEAD = 16 << 10
 MOST_CHUNK_LINE = 128
-REQUEST = re.compile(rb"([A-Z]{1,16}) ([\x21-\x7e]+) HTTP/1\.([01])\r\n")
+MOST_INTERIM = 8  # 1xx answers ahead of one
+REQUEST = re.compile(rb"([A-Z]{1,16}) (/[\x21-\x7e]*) HTTP/1\.([01])\r\n")
 ANSWER = re.compile(rb"HTTP/1\.([01]) ([1-9][0-9]{2})(?: [^\x00-\x08\x0a-\x1f\x7f]*)?\r\n")
 HEADER = re.compile(rb"([!#$%&'*+\-.^_`|~0-9A-Za-z]+):([^\x00-\x08\x0a-\x1f\x7f]*)\r\n")
 LENGTH = re.compile(rb"[0-9]{1,15}")
@@ -21,8 +22,8 @@
     b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding", b"upgrade",
     b"content-length", b"expect", b"host",
 ))
-REASONS = {200: b"OK", 400: b"Bad Request", 413: b"Content Too Large", 429: b"Too Many Requests",
-           500: b"Internal Server Error", 502: b"Bad Gateway", 503: b"Service Unavailable"}
+REASONS = {200: b"OK", 400: b"Bad Request", 408: b"Request Timeout", 409: b"Conflict", 413: b"Content Too Large",
+           429: b"Too Many Requests", 500: b"Internal Server Error", 502: b"Bad Gateway", 503: b"Service Unavailable"}
 
 Slice = memoryview
 
@@ -70,7 +71,7 @@
         raise Ended(End.MALFORMED)
     headers: dict[bytes, Slice] = {}
     lines: list[tuple[bytes, Slice]] = []
-    lengths, codings, said = set(), [], b""
+    lengths, codings, said = [], [], b""
     at = first.end()
     while at < stop + 2:
         line = HEADER.match(buffer, at, stop + 2)
@@ -82,26 +83,26 @@
         headers[name] = area[begin:begin + len(value)]
         lines.append((name, area[at:line.end()]))
         if name == b"content-length":
-            lengths.add(value)
+            lengths.append(value)
         elif name == b"transfer-encoding":
             codings.append(value.lower())
         elif name == b"connection":
             said += b"," + value.lower()
         at = line.end()
     # Guards against a message whose end two readers would find at different places.
-    if len(lengths) > 1 or (codings and (lengths or codings != [b"chunked"])):
+    minor = first[1] if answer else first[3]
+    if len(lengths) > 1 or (codings and (lengths or codings != [b"chunked"] or minor == b"0")):
         raise Ended(End.MALFORMED)
-    if any(not LENGTH.fullmatch(n) for n in lengths):
+    if lengths and not LENGTH.fullmatch(lengths[0]):
         raise Ended(End.MALFORMED)
     options = frozenset(o.strip() for o in said.split(b","))
-    minor = first[1] if answer else first[3]
     return Head(
         first=(b"", b"", int(first[2])) if answer else (first[1], first[2], 0),
         headers=headers,
         lines=lines,
         options=options,
         keeps=b"close" not in options and (minor == b"1" or b"keep-alive" in options),
-        length=int(lengths.pop()) if lengths else None,
+        length=int(lengths[0]) if lengths else None,
         chunked=bool(codings),
         size=stop + 4 - start,
     )
@@ -110,11 +111,13 @@
 class Chunks:
     """Takes chunked framing off, as bytes come."""
 
-    def __init__(self) -> None:
+    def __init__(self, bound: bool = True) -> None:
+        self._bound = bound  # of a message that must end; a watch need not
         self.done = False
         self._left = 0  # bytes of the present chunk still to come
         self._ends = False  # the line break after a chunk is still to come
         self._trailer = False
+        self._framing = 0  # bytes that are none of the body
 
     def feed(self, area: Slice) -> tuple[list[Slice], int]:
         """The pieces of the body in this area, and how much of it has been used up."""
@@ -135,6 +138,10 @@
                     raise Ended(End.MALFORMED)
                 break
             at += size
+            self._framing += size
+            if self._bound and self._framing > MOST_HEAD:
+                # Guards against trailers without end, and bodies in pieces of a byte or two.
+                raise Ended(End.TOO_LARGE)
             self._line(line[:size])
         return pieces, at
 
@@ -164,7 +171,7 @@
         if head is not None:
             channel.start += head.size
             return head
-        await channel.fill()
+        await channel.fill(begun=channel.end > channel.start)
 
 
 async def read_body(channel: Channel, head: Head, most: int) -> Slice | bytes:
@@ -179,25 +186,27 @@
                 raise Ended(End.TOO_LARGE)
             if chunks.done:
                 return pieces[0] if len(pieces) == 1 else b"".join(pieces)
-            await channel.fill()
+            await channel.fill(begun=True)
     length = head.length or 0
     if length > most:
         raise Ended(End.TOO_LARGE)
     channel.need(length)
     while channel.end - channel.start < length:
-        await channel.fill()
+        await channel.fill(begun=True)
     begin = channel.start
     channel.start += length
     return memoryview(channel.buffer)[begin:begin + length]
 
 
 async def read_answer(channel: Channel, most: int) -> Message:
-    """One whole answer; interim ones are skipped."""
-    while True:
+    """One whole answer; interim ones are skipped, as far as there are few."""
+    for _ in range(MOST_INTERIM + 1):
         head = await read_head(channel, answer=True)
         status = head.first[2]
         if status >= 200:
             break
+    else:
+        raise Ended(End.TOO_LARGE)
     if status in (204, 304):
         body: Slice | bytes = b""
     elif head.length is None and not head.chunked:
--- a/lupinreach/net/listener.py
+++ b/lupinreach/net/listener.py
@@ -4,6 +4,9 @@
 
 import asyncio
 import socket
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from itertools import chain
 from typing import TYPE_CHECKING
 
 from lupinreach.config import Address
@@ -18,9 +21,18 @@
 BACKLOG = 512
 AT_ONCE = 64  # connections accepted in one turn of the event loop
 PAUSE = 0.1  # s without accepting when the process has run out of descriptors
-LINGER = 1.0  # s in which the rest of a refused request is read, so that its client gets to see the answer
+LINGER = 0.5  # s in which the rest of a refused request is read, so that its client gets to see the answer,
+MOST_DROPPED = 256 << 10  # bytes of it, and
+LINGERING = 1 / 8  # of the connections that may do so at once
+SILENT_FIRST = 2.0  # s from connecting for the first byte to come
+WHOLE = 2.5  # s from there, or from the first byte of a later request, for all of it
+MAY_CLOSE = 2.0  # s after which a connection between two requests may be closed,
+CROWDED = 1 / 2  # of those that are served: from there on it is
+SWEEP = 0.25  # s between two looks for such connections
+REFUSALS = 50.0  # bad requests a second that are answered at once; past that each waits
+HELD_UP = 1.0  # s
 RESERVE = 1 / 8  # of the connections, 2 at least: kept to turn away those that come on top of the others
-NO_ROOM = 503
+NO_ROOM, LATE = 503, 408
 STATUSES = {End.MALFORMED: 400, End.TOO_LARGE: 413}
 
 
@@ -31,6 +43,8 @@
         self._agent = agent
         self._listener = listener
         self.channel = Channel(sock, http.MOST_HEAD + protocol.MOST_BODY)
+        self.since = agent.clock.now()  # accepted, or free for the next request
+        self.fresh = True  # nothing has come yet
         self._keeps = True  # as the last request said
         self._writing: asyncio.Future[None] | None = None
 
@@ -44,49 +58,53 @@
             end = ended.end
             if end in STATUSES:
                 await self._refuse(STATUSES[end], end.value)
-        except TimeoutError:
-            end = End.SILENT
+        except BadRequest as bad:
+            end = End.MALFORMED
+            await self._refuse(bad.status, str(bad))
         finally:
             self._listener.closed(self, end)
 
     async def _one(self) -> None:
         """One request and its answer."""
-        channel, within = self.channel, self._agent.longest_wait / 1000
+        channel, listener = self.channel, self._listener
         if channel.start == channel.end:
-            self._listener.rests(self)
+            listener.rests(self)
             try:
                 await channel.fill()
             except Ended:
                 raise Ended(End.LEFT) from None
             finally:
-                self._listener.idle.pop(self, None)
-        arrived = self._agent.clock.now() - channel.quiet
-        async with asyncio.timeout(within):
+                listener.stirs(self)
+        now = self._agent.clock.now()
+        arrived = now - channel.quiet
+        listener.reading[self] = (self.since if self.fresh else now) + WHOLE * 1000
+        self.fresh = False
+        try:
             head = await http.read_head(channel, answer=False)
-            expects = bytes(head.headers.get(b"expect", b"")).lower()
-            if expects == b"100-continue" and channel.start == channel.end:  # its body waits for a word
+            if b"expect" in head.headers and channel.start == channel.end:  # its body may wait for a word
                 channel.write(b"HTTP/1.1 100 Continue\r\n\r\n")
             request = http.message(head, await http.read_body(channel, head, protocol.MOST_BODY))
+        finally:
+            del listener.reading[self]
+        if channel.end > channel.start:
+            # Guards against requests by the hundred on one connection: the protocol has one at a time.
+            raise BadRequest("more has come than one request")
         self._keeps = request.keeps
         if request.target == protocol.READY_PATH:
             self._reply(http.answer(200 if self._agent.ready else 503, keeps=self._stays()))
         else:
             await self._api_call(request, arrived)
         if self._writing is not None:
-            async with asyncio.timeout(within):
-                try:
-                    await self._writing
-                except OSError:
-                    raise Ended(End.LEFT) from None
+            try:
+                if not self._writing.done():
+                    async with asyncio.timeout(self._agent.longest_wait / 1000):
+                        await self._writing
+                await self._writing
+            except (OSError, TimeoutError):
+                raise Ended(End.LEFT) from None
         self._keeps = self._stays()
 
     async def _api_call(self, request: http.Message, arrived: float) -> None:
-        try:
-            call = ApiCall(self._agent, request, arrived, self._reply, self._stays)
-        except BadRequest as bad:
-            self._agent.counters.answered["bad request"] += 1
-            self._reply(http.answer(400, [b"Content-Type: text/plain\r\n"], str(bad).encode(), self._stays()))
-            return
         if self._listener.full:
             # Turned away before it reaches the module, and harmless to repeat: nothing was sent for it.
             # Guards against requests that the kernel has taken in and that nobody has a descriptor to read.
@@ -94,6 +112,7 @@
             self._keeps = False
             self._reply(http.answer(NO_ROOM, keeps=False))
             return
+        call = ApiCall(self._agent, request, arrived, self._reply, self._stays)
         # To go on reading is how a client is seen to leave while its shot is out.
         reading = self.channel.listen()
         reading.add_done_callback(call.client_spoke)
@@ -108,20 +127,15 @@
         self._writing = self.channel.write(answer)
 
     async def _refuse(self, status: int, why: str) -> None:
-        """Answer what is no request, and read on for a moment.
-
-        Guards against a close with bytes unread, which would take the answer away from the client.
-        """
+        """Answer what is no request, and end the connection: nobody knows what else is on it."""
         self._agent.counters.answered["bad request"] += 1
+        async with self._listener.refusing() as first:
+            if first:
+                self.turn_away(status, why)
+                await self.channel.drain(MOST_DROPPED, LINGER)
+
+    def turn_away(self, status: int, why: str) -> None:
         self.channel.write(http.answer(status, [b"Content-Type: text/plain\r\n"], why.encode(), keeps=False))
-        try:
-            async with asyncio.timeout(LINGER):
-                self.channel.stream.socket.shutdown(socket.SHUT_WR)
-                while True:
-                    self.channel.start = self.channel.end
-                    await self.channel.fill()
-        except (Ended, OSError):
-            pass
 
 
 class Listener:
@@ -135,6 +149,10 @@
         self._accepting = False
         self.clients: set[Client] = set()  # each leaves when its connection closes
         self.idle: dict[Client, None] = {}  # those between two requests, longest first
+        self.fresh: dict[Client, None] = {}  # those that have sent nothing yet, longest first
+        self.reading: dict[Client, float] = {}  # those in a request, and when it must be whole
+        self._refused, self._refused_at = 0.0, 0.0  # bad requests of late, drained at REFUSALS
+        self._lingering = 0  # those on which a refused request is held up or dropped
 
     def open(self) -> None:
         host, port = self._agent.config.listen
@@ -199,27 +217,75 @@
         return len(self.clients) > self.served
 
     def _spare(self) -> Client | None:
-        """The connection that has stood idle longest; its client opens another when it needs one."""
-        return next((client for client in self.idle if not client.channel.heard), None)
+        """One that has never sent anything, else the one that has stood idle longest: its client opens another.
+
+        Guards against connections by the hundred that say nothing and would push out those of usual clients.
+        """
+        return next((client for client in chain(self.fresh, self.idle) if not client.channel.heard), None)
 
     def rests(self, client: Client) -> None:
         """A connection is between two requests: it could make room for another."""
-        self.idle[client] = None
+        client.since = self._agent.clock.now()
+        (self.fresh if client.fresh else self.idle)[client] = None
         self._resume()
 
+    def stirs(self, client: Client) -> None:
+        """Something has come on it, or it has ended."""
+        self.fresh.pop(client, None)
+        self.idle.pop(client, None)
+
+    async def sweep(self) -> None:
+        """Close those that say nothing, don't come to an end, or stand idle where room is short."""
+        while True:
+            await asyncio.sleep(SWEEP)
+            now = self._agent.clock.now()
+            for client, due in list(self.reading.items()):
+                if now >= due:
+                    client.turn_away(LATE, "the request did not come whole in time")
+                    self.closed(client, End.SILENT)
+            for client in list(self.fresh):
+                if now < client.since + SILENT_FIRST * 1000:
+                    break
+                if not client.channel.heard:
+                    self.closed(client, End.SILENT)
+            for client in list(self.idle):
+                if now < client.since + MAY_CLOSE * 1000 or len(self.clients) < CROWDED * self.served:
+                    break
+                if not client.channel.heard:
+                    self.closed(client, End.IDLE)
+
+    @asynccontextmanager
+    async def refusing(self) -> AsyncIterator[bool]:
+        """Room for the end of a bad request; without it, and where such are many, the end is a plain close.
+
+        Guards against a flood that comes again as soon as it is turned away: past so many a second each waits
+        its time, which costs nothing, and so many at most hold a descriptor.
+        """
+        now = self._agent.clock.now()
+        self._refused = max(0.0, self._refused - (now - self._refused_at) / 1000 * REFUSALS) + 1
+        self._refused_at = now
+        room = self._lingering < max(1, int(LINGERING * self.most))
+        self._lingering += 1
+        try:
+            if room and self._refused > REFUSALS:
+                await asyncio.sleep(HELD_UP)
+            yield room
+        finally:
+            self._lingering -= 1
+
     def closed(self, client: Client, end: End) -> None:
         if client not in self.clients:
             return
         client.channel.close()
         self.clients.discard(client)
-        self.idle.pop(client, None)
+        self.stirs(client)
         self._agent.counters.connections[f"client {end.value}"] += 1
         self._agent.changed.set()
         if len(self.clients) < self.most:
             self._resume()
 
     def close_idle(self) -> None:
-        for client in list(self.idle):
+        for client in [*self.fresh, *self.idle]:
             if not client.channel.heard:
                 self.closed(client, End.STOPPED)
 
--- a/lupinreach/net/pool.py
+++ b/lupinreach/net/pool.py
@@ -5,6 +5,8 @@
 import asyncio
 import errno
 import socket
+from math import inf
+from typing import NamedTuple
 
 from tornado.iostream import StreamClosedError
 
@@ -17,14 +19,17 @@
 
 IDLE_SHARE = 0.5  # of the time after which a backend closes an idle connection: well before it does
 MOST_IDLE = 60_000.0  # ms, where that time is unknown
+STANDS_STILL = 0.4  # x the time to connect: an answer that has begun and brings nothing for longer won't end
 CONNECT_WITHIN = 1000.0  # ms, where the settings name no time
 OUT_OF_DESCRIPTORS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
 
-async def connect(address: Address, within: float, most: int = http.MOST_HEAD + MOST_BODY) -> Channel:
+async def connect(address: Address, within: float, most: int = http.MOST_HEAD + MOST_BODY,
+                  patience: float = inf) -> Channel:
     """A new connection, in `within` ms."""
     try:
-        channel = Channel(socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET), most)
+        family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+        channel = Channel(socket.socket(family), most, patience)
     except OSError:
         raise Ended(End.NO_ROOM) from None
     try:
@@ -42,6 +47,16 @@
     return channel
 
 
+class Place(NamedTuple):
+    """One backend at one address.
+
+    Guards against an address that changes hands: what was connected to the one is never used for the other.
+    """
+
+    backend: int
+    address: Address
+
+
 class Pool:
     """All connections to backends. One in use belongs to its shot; the others stand idle here."""
 
@@ -52,13 +67,14 @@
         self._counters = counters
         self.open = 0
         # Idle connections, oldest first; one leaves when it is used, ends, gets old or has to make room.
-        self._idle: dict[Channel, tuple[Address, asyncio.TimerHandle]] = {}
-        self._by_address: dict[Address, list[Channel]] = {}  # the same; an address leaves with its last
-
-    async def take(self, address: Address) -> Channel:
-        """A connection to this address for one exchange: the one that was used last, else a new one."""
-        while address in self._by_address:
-            channel = self._by_address[address][-1]
+        self._idle: dict[Channel, tuple[Place, asyncio.TimerHandle]] = {}
+        self._by_place: dict[Place, list[Channel]] = {}  # the same; a place leaves with its last
+        self._kept: set[Place] = set()  # to which idle connections are kept; `forget` takes them out
+
+    async def take(self, place: Place) -> Channel:
+        """A connection to this place for one exchange: the one that was used last, else a new one."""
+        while place in self._by_place:
+            channel = self._by_place[place][-1]
             self._remove(channel)
             if not channel.heard:
                 return channel
@@ -72,27 +88,37 @@
             self._close(oldest, End.MADE_ROOM)
         self.open += 1
         try:
-            channel = await connect(address, self._connect_timeout)
+            channel = await connect(place.address, self._connect_timeout,
+                                    patience=STANDS_STILL * self._connect_timeout / 1000)
         except BaseException:
             self.open -= 1
             raise
         self._counters.connections["backend opened"] += 1
         return channel
 
-    def give_back(self, channel: Channel, address: Address) -> None:
+    def keep(self, place: Place) -> None:
+        """From now on connections to this place are worth keeping."""
+        self._kept.add(place)
+
+    def give_back(self, channel: Channel, place: Place) -> None:
         """Keep a connection on which nothing is out; it is dropped as soon as anything comes on it."""
+        if place not in self._kept:
+            # Guards against a shot that ends after its backend has gone and would leave its connection here.
+            self._close(channel, End.IDLE)
+            return
         timer = asyncio.get_running_loop().call_later(self._idle_for, self._drop, channel, End.IDLE)
-        self._idle[channel] = address, timer
-        self._by_address.setdefault(address, []).append(channel)
+        self._idle[channel] = place, timer
+        self._by_place.setdefault(place, []).append(channel)
         channel.listen().add_done_callback(lambda _: self._drop(channel, End.LEFT))
 
     def discard(self, channel: Channel, end: End) -> None:
         """Close a connection that was in use."""
         self._close(channel, end)
 
-    def forget(self, address: Address) -> None:
-        """Close what stands idle to an address that gets nothing more."""
-        for channel in list(self._by_address.get(address, ())):
+    def forget(self, place: Place) -> None:
+        """Close what stands idle to a place that gets nothing more."""
+        self._kept.discard(place)
+        for channel in list(self._by_place.get(place, ())):
             self._drop(channel, End.IDLE)
 
     def _drop(self, channel: Channel, end: End) -> None:
@@ -101,12 +127,12 @@
             self._close(channel, end)
 
     def _remove(self, channel: Channel) -> None:
-        address, timer = self._idle.pop(channel)
+        place, timer = self._idle.pop(channel)
         timer.cancel()
-        beside = self._by_address[address]
+        beside = self._by_place[place]
         beside.remove(channel)
         if not beside:
-            del self._by_address[address]
+            del self._by_place[place]
 
     def _close(self, channel: Channel, end: End) -> None:
         self.open -= 1
--- a/lupinreach/net/probes.py
+++ b/lupinreach/net/probes.py
@@ -15,12 +15,12 @@
 async def probe(agent: Agent, backend: int) -> None:
     """One probe, from the module's order to its outcome."""
     settings, clock = agent.config.settings, agent.clock
-    address = agent.directory.address(backend)
+    place = agent.directory.place(backend)
     path = protocol.STATS_PATH if settings.load_fields else protocol.LIVE_PATH
-    message = http.request(b"GET", path, (), b"%s:%d" % (address[0].encode(), address[1]))
+    message = http.request(b"GET", path, (), b"%s:%d" % (place.address[0].encode(), place.address[1]))
     sent = clock.now()
     until = sent + min(p.slo or p.timeout for p in settings.products)
-    shot = Shot(agent.pool, address, message, clock.on_loop(until))
+    shot = Shot(agent.pool, place, message, clock.on_loop(until))
     await shot.run()
     agent.counters.others[f"probe {shot.end.value}"] += 1
     load = None
--- a/lupinreach/net/shot.py
+++ b/lupinreach/net/shot.py
@@ -3,22 +3,22 @@
 from __future__ import annotations
 
 import asyncio
-from math import isfinite
 
-from lupinreach.config import Address
 from lupinreach.model import Load
 from lupinreach.net import http, protocol
 from lupinreach.net.channel import Channel
 from lupinreach.net.ends import End, Ended
-from lupinreach.net.pool import Pool
+from lupinreach.net.pool import Place, Pool
+
+MOST_REPORTED = 1e5  # of anything: more than one address has ports for
 
 
 class Shot:
     """An exchange as it goes. `run` is a task of its own; to cancel it closes the connection."""
 
-    def __init__(self, pool: Pool, address: Address, message: bytes, until: float) -> None:
+    def __init__(self, pool: Pool, place: Place, message: bytes, until: float) -> None:
         self._pool = pool
-        self._address = address
+        self._place = place
         self._message = message
         self._until = until  # on the event loop's clock
         self._writing: asyncio.Future[None] | None = None
@@ -31,7 +31,7 @@
             if asyncio.get_running_loop().time() >= self._until:
                 raise TimeoutError  # an idle connection would take the message before any timer runs
             async with asyncio.timeout_at(self._until):
-                channel = await self._pool.take(self._address)
+                channel = await self._pool.take(self._place)
                 self._writing = channel.write(self._message)
                 try:
                     await self._writing
@@ -66,7 +66,7 @@
     def _release(self, channel: Channel) -> None:
         # A connection with a half-read answer, or with more than one, is never used again.
         if self.answer is not None and self.answer.keeps and not channel.heard:
-            self._pool.give_back(channel, self._address)
+            self._pool.give_back(channel, self._place)
         else:
             self._pool.discard(channel, self.end)
 
@@ -80,7 +80,7 @@
 
 
 def read_load(text: bytes | None) -> Load | None:
-    """A load report, such as `inflight=7,queue=2`; None if there is none that can be read."""
+    """A load report, such as `inflight=7,queue=2`; None if there is none that can be read or believed."""
     figures: dict[str, float] = {}
     for part in (text or b"").decode("latin-1").split(","):
         name, _, value = part.strip().partition("=")
@@ -90,4 +90,6 @@
                 figures[ours] = float(value)
             except ValueError:
                 return None
-    return Load(**figures) if figures and all(map(isfinite, figures.values())) else None
+    # Guards against a figure that no backend can have, which would rest it for good and spoil the mean.
+    believed = figures and all(0 <= figure <= MOST_REPORTED for figure in figures.values())
+    return Load(**figures) if believed else None
