Less CPU per API call: uvloop, heads in one pass, a frozen heap

Checked with samples every 2 ms of CPU: the event loop's own work 18%, parse_head 10%, Balancer.take 10%, frozen values 4%, looks at the kernel before a connection is kept 3%. Ruled out: one hot spot (the next ones are each under 4%), the module's line (its waits follow). Now uvloop runs the loop, a head is one pass of one pattern, values of a message are not frozen, the whole ring is taken where no shot was sent yet, and the collector leaves alone what was there at the start. Also: peak memory was getrusage's, which counts the program that started the agent; it is now the process's own.

--- a/lupinreach/__main__.py
+++ b/lupinreach/__main__.py
@@ -3,14 +3,19 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import logging
 import os
 import signal
 import sys
 
+import uvloop
+
 from lupinreach.config import BadConfig, read_agent
 from lupinreach.net.agent import Agent
 
+COLLECT_AFTER = 5000  # objects more than before, some hundred API calls under way
+
 
 async def run(agent: Agent) -> None:
     """From start until a signal has stopped it."""
@@ -24,6 +29,10 @@
         str(context.get("message")), context.get("exception") or RuntimeError("no exception given")))
     logging.getLogger().addHandler(agent.log)
     await agent.start()
+    # What is there now stays: guards against a collector that looks through all of it again and again.
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(COLLECT_AFTER, 10, 10)
     await stop.wait()
     await agent.stop()
 
@@ -44,4 +53,5 @@
 
 
 if __name__ == "__main__":
-    sys.exit(asyncio.run(main()))
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        sys.exit(runner.run(main()))
--- a/lupinreach/balance.py
+++ b/lupinreach/balance.py
@@ -478,7 +478,7 @@
         if self._flight >= max(1.0, bound) or (bound < 1 and now < self._sent_at + self._pace() / bound):
             return None
         tried = {s.backend for s in call.shots}
-        usable = [b for b in self._ring if call.may_use(b)]
+        usable = [b for b in self._ring if call.may_use(b)] if tried else self._ring
         if tried and any(b not in tried for b in usable):
             usable = [b for b in usable if b not in tried]
         pool = [b for b in usable if not b.held[t]]
--- a/lupinreach/net/agent.py
+++ b/lupinreach/net/agent.py
@@ -70,7 +70,8 @@
         self.listener.open()
         self.spawn("sweep", self.listener.sweep())
         self.spawn("ids", self._turn_ids())
-        self.log.event("started", listen=list(self.listener.address), sockets=self.config.sockets)
+        self.log.event("started", listen=list(self.listener.address), sockets=self.config.sockets,
+                       loop=type(asyncio.get_running_loop()).__module__)
 
     @property
     def ready(self) -> bool:
--- a/lupinreach/net/call.py
+++ b/lupinreach/net/call.py
@@ -33,43 +33,43 @@
         self.status = status
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Order:
     """What the module asks for, or what happened, in the order in which it did."""
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Send(Order):
     backend: int
     until: float
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class CallOff(Order):
     number: int
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Landed(Order):
     number: int
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class RateLimit(Order):
     retry_after: float
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class GiveUp(Order):
     pass
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Left(Order):
     pass
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Overdue(Order):
     """The module's time is over, the client's not."""
 
@@ -97,7 +97,7 @@
         self.answered = asyncio.get_running_loop().create_future()
         self.ask, until = read_ask(self, request, arrived, agent)
         self._overdue = (self.ask.until + until) / 2
-        self._id = bytes(request.headers[protocol.ID])
+        self._id = request.headers[protocol.ID]
         if not agent.ids.begin(self._id):
             raise BadRequest("Req-Id is open already, or was a moment ago", COPY)
 
--- a/lupinreach/net/channel.py
+++ b/lupinreach/net/channel.py
@@ -78,10 +78,15 @@
         self.buffer[:unread] = memoryview(old)[self.start:self.end]
         self.start, self.end = 0, unread
 
+    @property
+    def spoke(self) -> bool:
+        """If bytes, or the end of the connection, have come since the last message, as the event loop sees it."""
+        return self.end > self.start or self.stream.closed() or self.listen().done()
+
     @property
     def heard(self) -> bool:
         """If bytes, or the end of the connection, have come in that nobody has asked for yet."""
-        return self.end > self.start or self.stream.closed() or self.listen().done() or self._pending()
+        return self.spoke or self._pending()
 
     def _pending(self) -> bool:
         """What the kernel holds and the event loop has not seen, such as a close by the other side."""
--- a/lupinreach/net/counters.py
+++ b/lupinreach/net/counters.py
@@ -3,11 +3,21 @@
 from __future__ import annotations
 
 import os
-import resource
+import re
 from collections import Counter
 from typing import Any
 
 
+def peak_memory() -> float | None:
+    """MB of this program; what getrusage tells counts the one that started it as well."""
+    try:
+        with open("/proc/self/status", "rb") as file:
+            found = re.search(rb"VmHWM:\s+([0-9]+) kB", file.read())
+    except OSError:
+        return None
+    return round(int(found[1]) / 1024, 1) if found else None
+
+
 class Counters:
     """Grows with the kinds of things counted and never with their number."""
 
@@ -23,5 +33,5 @@
         groups = {name: dict(counts) for name, counts in vars(self).items()}
         return groups | {
             "descriptors": len(os.listdir("/proc/self/fd")) if os.path.isdir("/proc/self/fd") else None,
-            "peak_memory_mb": round(resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024, 1),
+            "peak_memory_mb": peak_memory(),
         }
--- a/lupinreach/net/http.py
+++ b/lupinreach/net/http.py
@@ -14,7 +14,7 @@
 MOST_INTERIM = 8  # 1xx answers ahead of one
 REQUEST = re.compile(rb"([A-Z]{1,16}) (/[\x21-\x7e]*) HTTP/1\.([01])\r\n")
 ANSWER = re.compile(rb"HTTP/1\.([01]) ([1-9][0-9]{2})(?: [^\x00-\x08\x0a-\x1f\x7f]*)?\r\n")
-HEADER = re.compile(rb"([!#$%&'*+\-.^_`|~0-9A-Za-z]+):([^\x00-\x08\x0a-\x1f\x7f]*)\r\n")
+HEADER = re.compile(rb"([!#$%&'*+\-.^_`|~0-9A-Za-z]+):[ \t]*([^\x00-\x08\x0a-\x1f\x7f]*)\r\n")
 LENGTH = re.compile(rb"[0-9]{1,15}")
 CHUNK = re.compile(rb"([0-9A-Fa-f]{1,8})[ \t]*(?:;[^\x00-\x08\x0a-\x1f\x7f]*)?\r\n")
 # Headers that belong to one connection and are never passed on.
@@ -22,34 +22,35 @@
     b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding", b"upgrade",
     b"content-length", b"expect", b"host",
 ))
+FRAMING = frozenset((b"content-length", b"transfer-encoding", b"connection"))
+NO_OPTIONS: frozenset[bytes] = frozenset()
 REASONS = {200: b"OK", 400: b"Bad Request", 408: b"Request Timeout", 409: b"Conflict", 413: b"Content Too Large",
            429: b"Too Many Requests", 500: b"Internal Server Error", 502: b"Bad Gateway", 503: b"Service Unavailable"}
 
 Slice = memoryview
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Message:
     """One message. `target` is empty in an answer, `status` 0 in a request."""
 
     method: bytes
     target: bytes
     status: int
-    headers: dict[bytes, Slice]  # the last of each name, in lower case
+    headers: dict[bytes, bytes]  # the last of each name, in lower case
     lines: list[tuple[bytes, Slice]]  # each whole header line with its name, as it came
     body: Slice | bytes
     options: frozenset[bytes]  # what its Connection header names
     keeps: bool  # the connection may carry another message
 
     def header(self, name: bytes) -> bytes | None:
-        value = self.headers.get(name)
-        return None if value is None else bytes(value)
+        return self.headers.get(name)
 
 
 @dataclass(slots=True)
 class Head:
     first: tuple[bytes, bytes, int]  # method, target, status
-    headers: dict[bytes, Slice]
+    headers: dict[bytes, bytes]
     lines: list[tuple[bytes, Slice]]
     options: frozenset[bytes]
     keeps: bool
@@ -69,33 +70,34 @@
     first = (ANSWER if answer else REQUEST).match(buffer, start, stop + 2)
     if not first:
         raise Ended(End.MALFORMED)
-    headers: dict[bytes, Slice] = {}
+    headers: dict[bytes, bytes] = {}
     lines: list[tuple[bytes, Slice]] = []
     lengths, codings, said = [], [], b""
     at = first.end()
-    while at < stop + 2:
-        line = HEADER.match(buffer, at, stop + 2)
-        if not line:
-            raise Ended(End.MALFORMED)
-        name, raw = line[1].lower(), line[2]
-        value = raw.strip(b" \t")
-        begin = line.start(2) + len(raw) - len(raw.lstrip(b" \t"))
-        headers[name] = area[begin:begin + len(value)]
-        lines.append((name, area[at:line.end()]))
-        if name == b"content-length":
-            lengths.append(value)
-        elif name == b"transfer-encoding":
-            codings.append(value.lower())
-        elif name == b"connection":
-            said += b"," + value.lower()
-        at = line.end()
+    for line in HEADER.finditer(buffer, at, stop + 2):
+        begin, end = line.span()
+        if begin != at:
+            break
+        name, value = line[1].lower(), line[2].rstrip(b" \t")
+        headers[name] = value
+        lines.append((name, area[at:end]))
+        if name in FRAMING:
+            if name == b"content-length":
+                lengths.append(value)
+            elif name == b"transfer-encoding":
+                codings.append(value.lower())
+            else:
+                said += b"," + value.lower()
+        at = end
+    if at != stop + 2:
+        raise Ended(End.MALFORMED)
     # Guards against a message whose end two readers would find at different places.
     minor = first[1] if answer else first[3]
     if len(lengths) > 1 or (codings and (lengths or codings != [b"chunked"] or minor == b"0")):
         raise Ended(End.MALFORMED)
     if lengths and not LENGTH.fullmatch(lengths[0]):
         raise Ended(End.MALFORMED)
-    options = frozenset(o.strip() for o in said.split(b","))
+    options = frozenset(o.strip() for o in said.split(b",")) if said else NO_OPTIONS
     return Head(
         first=(b"", b"", int(first[2])) if answer else (first[1], first[2], 0),
         headers=headers,
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -728,7 +728,7 @@
         async with Peer(says(OK)) as backend, Site(target("s-1", backend.address)) as site:
             agent = await process(tmp_path, site.raw)
             started = await event(agent, "started")
-            assert started["agent"] == "n"
+            assert started["agent"] == "n" and started["loop"] == "uvloop"
             reader, writer = await asyncio.open_connection(*started["listen"])
             writer.write(look())
             assert status(await read_http(reader)) == 200
@@ -736,7 +736,7 @@
             counters = await event(agent, "counters")
             assert counters["taken"] == {"look": 1}
             assert counters["shots"] == {"served": 1} and counters["answered"] == {"fulfilled": 1}
-            assert counters["descriptors"] > 5 and counters["peak_memory_mb"] < 100
+            assert counters["descriptors"] > 5 and counters["peak_memory_mb"] < 50
             agent.terminate()
             await event(agent, "stopping")
             assert (await event(agent, "stopped"))["answered"] == {"fulfilled": 1}
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -102,6 +102,13 @@
     assert ends(request(Feed(raw))) is End.MALFORMED
 
 
+def test_header_values_come_without_the_blanks_around_them_and_lines_as_they_came():
+    read = run(request(Feed(b"GET / HTTP/1.1\r\nA: \t b c \t\r\nB:\r\na:d\r\n\r\n")))
+    assert read.headers == {b"a": b"d", b"b": b""} and all(type(v) is bytes for v in read.headers.values())
+    assert [(n, bytes(line)) for n, line in read.lines] == [
+        (b"a", b"A: \t b c \t\r\n"), (b"b", b"B:\r\n"), (b"a", b"a:d\r\n")]
+
+
 def test_sizes_are_bounded():
     post = b"POST / HTTP/1.1\r\n"
     assert ends(request(Feed(post + b"A: " + b"x" * http.MOST_HEAD))) is End.TOO_LARGE
