Breaks and spoilt answers that come from any backend alike eject none

Ruled out: stale connections alone (52 of some 800 breaks), the bound (16 shots until then), reports. Faulty lines: Balancer._sample and _eject took each break as a miss of two SLOs; four in eight, by chance every ten seconds or so at that rate, eject. Now a break or error ejects only where the backend's share of those is twice the mean of the others.

--- a/lupinreach/balance.py
+++ b/lupinreach/balance.py
@@ -30,6 +30,8 @@
     NEVER_RAN, Ask, Ending, Group, Kind, Listing, Load, News, Port, Product, Settings, State,
 )
 
+SPOILT = frozenset({Ending.ERRORED, Ending.RESET})  # something is wrong, but not that too much is out
+
 # The design's own figures.
 NEWEST = 0.15  # weight of the newest latency sample
 MISS = 2.0  # a failed shot counts as a sample of this many SLOs; no sample counts for more
@@ -45,7 +47,7 @@
 LOADED = 2.0  # x mean reported in flight for a backend's size: above it the backend rests, and so many
 STRAY = 3.0  # standard deviations of a count of that mean
 KEEP = 0.5  # share of the ready backends that ejection leaves in a pool
-TYPICAL = 0.02  # weight of the newest sample in what an SLO's API calls usually take
+TYPICAL = 0.02  # weight of the newest sample in what an SLO's API calls usually take, and how many are spoilt
 FULL_AT = 0.4  # x SLO: a shot that takes longer is a slow one, and so is one that takes
 EASE = 3.0  # x what the SLO's API calls took when they last took least
 HOMES = 2  # backends that a key is at home at, where backends do less work for keys that they met
@@ -104,7 +106,7 @@
 
     __slots__ = ("index", "name", "zone", "cell", "listed", "size", "state", "boot_time", "figure", "held",
                  "trial", "silent_since", "flight", "rest_until", "refusals", "turn", "credit", "back_at",
-                 "sent")
+                 "sent", "ill")
 
     def __init__(self, index: int, targets: int) -> None:
         self.index = index
@@ -123,6 +125,7 @@
         self.credit = 0.0
         self.back_at = 0.0
         self.sent = 0.0
+        self.ill = 0.0  # smoothed share of shots that were spoilt
 
 
 class Shot:
@@ -614,6 +617,7 @@
             if shot.trial and b.held[target.index]:
                 b.held[target.index] = now + (self._hold if shot.overdue else 0.0)
             return
+        b.ill += TYPICAL * ((ending in SPOILT) - b.ill)
         if not failed:
             target.typical += TYPICAL * (latency - target.typical) if target.typical else latency
             target.recent += SOON * (latency - target.recent)
@@ -643,8 +647,7 @@
         Guards against agents with little traffic that would learn of a slow backend once for each product.
         """
         b, own, failed = shot.backend, call.target, ending is not Ending.FULFILLED
-        # A failure to connect, an error or a break says that something is wrong, but not that too much is out.
-        if not b.held[own.index] and ending not in (Ending.UNREACHABLE, Ending.ERRORED, Ending.RESET):
+        if not b.held[own.index] and ending is not Ending.UNREACHABLE and ending not in SPOILT:
             self._learn_bound(now, failed or own.slow(latency))
         latency /= max(1.0, call.work)  # guards against a long API call that ejects a sound backend
         for t in self._targets:
@@ -669,7 +672,7 @@
                 figures = sorted(f for o in self._ring if (f := o.figure[i]) is not None) or [figure]
                 t.slo = DEFAULT_SLO * figures[len(figures) // 2]
             if figure > t.slo:
-                self._eject(now, b, t)
+                self._eject(now, b, t, ending in SPOILT)
 
     def _learn_bound(self, now: float, slow: bool) -> None:
         """The agent's bound on all its shots: widen while answers come well in time, narrow when they don't.
@@ -702,14 +705,16 @@
             old = sum(others) / len(others) if others else 0.0
         return old + NEWEST * (sample - old)
 
-    def _eject(self, now: float, b: Backend, t: Target) -> None:
+    def _eject(self, now: float, b: Backend, t: Target, spoilt: bool) -> None:
         """Take a backend out of a pool, unless too few would be left: then the cause is not the backend."""
         i = t.index
         ready = len(self._ring)
         left = [o.figure[i] for o in self._ring if not o.held[i] and o is not b]
         known = sorted(f for f in left if f is not None)
         usual = known[len(known) // 2] if known else 0.0
-        if len(left) < KEEP * ready or not left or (b.figure[i] or 0.0) < STANDS_OUT * usual:
+        # Guards against breaks and spoilt answers that come from any backend alike, and in runs by chance.
+        alike = spoilt and b.ill < STANDS_OUT * sum(o.ill for o in self._ring if o is not b) / max(1, ready - 1)
+        if alike or len(left) < KEEP * ready or not left or (b.figure[i] or 0.0) < STANDS_OUT * usual:
             # Guards against a shared slowdown that empties the pool and floods the few that are left.
             b.figure[i] = min(b.figure[i] or 0.0, MISS * t.slo)
             return
--- a/tests/test_design.py
+++ b/tests/test_design.py
@@ -1,5 +1,6 @@
 """The design's steps one by one, and a small test for each failure found."""
 
+import random
 from collections import Counter
 
 from helpers import DRAINING, READY, Bench, settings
@@ -358,6 +359,20 @@
     assert bench.agent._fullness == 0.0 and bench.agent._bound >= before
 
 
+def test_breaks_that_come_from_any_backend_alike_eject_none_and_those_of_one_eject_it():
+    # Found on a wide day with resets: one shot in ten broke, and runs of them ejected half of a sound fleet.
+    def ejected(shares):
+        rng, bench = random.Random(5), Bench(settings(kinds=((Kind.NON_IDEMPOTENT, Group.ALL),)), backends=8)
+        for n in range(3000):
+            bench.take(n)
+            backend = bench.sent_to(n)[0]
+            bench.move(20.0)
+            bench.answer(n, 20.0, Ending.RESET if rng.random() < shares[backend] else Ending.FULFILLED)
+        return Counter(int(line.split()[1]) for line in bench.port.logged if "ejected" in line)
+    assert not ejected([0.1] * 8)
+    assert set(ejected([0.02] * 7 + [0.7])) == {7}
+
+
 def test_an_api_call_that_ends_in_line_is_forgotten():
     # Found in reading: turned away once and then out of patience, it stayed among those with shots out.
     bench = Bench(settings())
