No shot that takes under a fifth of its SLO counts as slow

Refused clients came back 1.7 times and kept it so. Ruled out: choked backends (p50 6 ms), ejections (20 lines), CPU alone (it fell back and the refusals stayed). Faulty line: Target.slow took three times the least usual latency, however short against the SLO.

--- a/lupinreach/balance.py
+++ b/lupinreach/balance.py
@@ -49,7 +49,8 @@
 KEEP = 0.5  # share of the ready backends that ejection leaves in a pool
 TYPICAL = 0.02  # weight of the newest sample in what an SLO's API calls usually take, and how many are spoilt
 FULL_AT = 0.4  # x SLO: a shot that takes longer is a slow one, and so is one that takes
-EASE = 3.0  # x what the SLO's API calls took when they last took least
+EASE = 3.0  # x what the SLO's API calls took when they last took least, but never one that takes under
+LEAST_SLOW = 0.2  # x SLO
 HOMES = 2  # backends that a key is at home at, where backends do less work for keys that they met
 SOON = 0.05  # weight of the newest shot in the share of slow ones
 SPAN = 4.0  # x longest SLO: evidence of slow shots older than that counts for nothing, yet
@@ -84,7 +85,8 @@
 
     def slow(self, latency: float) -> bool:
         """If a shot took so long that backends must be holding too many."""
-        return latency > min(FULL_AT * self.slo, EASE * self.ease)
+        # Guards against quick API calls, of which one that met a late event loop would pass for a full backend.
+        return latency > min(FULL_AT * self.slo, max(EASE * self.ease, LEAST_SLOW * self.slo))
 
 
 class Offer:
--- a/tests/test_design.py
+++ b/tests/test_design.py
@@ -373,6 +373,18 @@
     assert set(ejected([0.02] * 7 + [0.7])) == {7}
 
 
+def test_quick_api_calls_that_met_a_late_event_loop_do_not_narrow_the_bound():
+    # Found on the day with four times the traffic: usual 5 ms, now and then 25, for an SLO of 200 ms.
+    bench = Bench(settings(slo=200.0))
+    agent = bench.agent
+    for n in range(200):
+        bench.serve(n, 5.0 if n < 100 else 25.0)
+    assert agent._fullness == 0.0 and agent._targets[0].ease < 10.0
+    for n in range(200, 260):
+        bench.serve(n, 60.0)
+    assert agent._fullness > FULL_SHARE  # a fifth of the SLO is slow where API calls took so little
+
+
 def test_an_api_call_that_ends_in_line_is_forgotten():
     # Found in reading: turned away once and then out of patience, it stayed among those with shots out.
     bench = Bench(settings())
