Agent's parts get what they need, not the agent; clock, sockets and decisions handed in

Six files of net/ named Agent back, so that no part could be run without the whole and no second clock, network or front could stand beside it. Tasks and faults are a part of their own (tasks.py), sockets come from one place (sockets.py), and what serves API calls shares one Serving; the arrows go one way now.

--- a/lupinreach/__main__.py
+++ b/lupinreach/__main__.py
@@ -25,7 +25,7 @@
         loop.add_signal_handler(number, stop.set)
     loop.add_signal_handler(signal.SIGUSR1, agent.report)
     loop.add_signal_handler(signal.SIGHUP, agent.reload, os.environ)
-    loop.set_exception_handler(lambda _, context: agent.fault(
+    loop.set_exception_handler(lambda _, context: agent.tasks.fault(
         str(context.get("message")), context.get("exception") or RuntimeError("no exception given")))
     logging.getLogger().addHandler(agent.log)
     await agent.start()
--- a/lupinreach/model.py
+++ b/lupinreach/model.py
@@ -121,6 +121,11 @@
     warm_keys: bool = False  # a backend does less work for a key that its cell met lately
     step: float = 1.0
 
+    @property
+    def longest_wait(self) -> float:
+        """The longest client timeout, in ms."""
+        return max(p.timeout for p in self.products)
+
 
 @dataclass(frozen=True)
 class Listing:
--- a/lupinreach/net/call.py
+++ b/lupinreach/net/call.py
@@ -6,18 +6,15 @@
 import re
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
 from zlib import crc32
 
 from lupinreach.balance import Call
 from lupinreach.model import Ask, Kind
 from lupinreach.net import http, protocol
 from lupinreach.net.ends import ENDINGS, End
+from lupinreach.net.serving import Serving
 from lupinreach.net.shot import Shot, read_load
 
-if TYPE_CHECKING:
-    from lupinreach.net.agent import Agent
-
 RATE_LIMITED, ERRORED, FAULT, COPY = 429, 502, 500, 409
 MOST_ID = 128
 MARGIN = 0.25  # of what the client waits: most that is kept back for timers and writes that run late
@@ -86,31 +83,31 @@
 class ApiCall:
     """One API call. It is the token that the module names it by; the port puts the module's orders here."""
 
-    def __init__(self, agent: Agent, request: http.Message, arrived: float,
+    def __init__(self, serving: Serving, request: http.Message, arrived: float,
                  reply: Callable[[bytes], None], keeps: Callable[[], bool]) -> None:
         """Raises BadRequest where the request is none of the protocol's."""
-        self._agent = agent
+        self._serving = serving
         self._request = request
         self._reply = reply
         self._keeps = keeps
         self.orders: asyncio.Queue[Order] = asyncio.Queue()  # a few for each shot; dies with the API call
         self.answered = asyncio.get_running_loop().create_future()
-        self.ask, until = read_ask(self, request, arrived, agent)
+        self.ask, until = read_ask(self, request, arrived, serving)
         self._overdue = (self.ask.until + until) / 2
         self._id = request.headers[protocol.ID]
-        if not agent.ids.begin(self._id):
+        if not serving.ids.begin(self._id):
             raise BadRequest("Req-Id is open already, or was a moment ago", COPY)
 
     async def run(self) -> None:
         """From top to bottom: taken, shots out as the module orders them, one final answer."""
-        agent = self._agent
-        now = agent.clock.now
-        agent.counters.taken[agent.names[self.ask.product]] += 1
+        serving = self._serving
+        now, counters = serving.clock.now, serving.counters
+        counters.taken[serving.settings.products[self.ask.product].name] += 1
         call, shots = None, list[Out]()
-        overdue = asyncio.get_running_loop().call_at(agent.clock.on_loop(self._overdue),
+        overdue = asyncio.get_running_loop().call_at(serving.clock.on_loop(self._overdue),
                                                      self.orders.put_nowait, Overdue())
         try:
-            call = agent.balancer.take(now(), self.ask)
+            call = serving.balancer.take(now(), self.ask)
             while not (self.answered.done() and call.closed):
                 match await self.orders.get():
                     case Send(backend, until):
@@ -119,10 +116,10 @@
                         shots[number].task.cancel()
                     case Landed(number):
                         shot = shots[number].shot
-                        agent.counters.shots[shot.end.value] += 1
+                        counters.shots[shot.end.value] += 1
                         answer, served = shot.answer, shot.end is End.SERVED
                         load = read_load(answer.header(protocol.LOAD)) if answer else None
-                        agent.counters.others["load reports"] += load is not None
+                        counters.others["load reports"] += load is not None
                         took = now() - shots[number].sent
                         call.ended(now(), number, ENDINGS[shot.end], took, served, load)
                         if served and answer:
@@ -142,14 +139,14 @@
                         self._answer("errored", ERRORED)
         except Exception as fault:
             # Guards against a fault of our own that would leave a client without an answer: a 500.
-            agent.fault("api call", fault)
+            serving.tasks.fault("api call", fault)
             self._answer("fault", FAULT)
             if call is not None:
                 call.left(now())
                 await self._settle(call, shots)
         finally:
             overdue.cancel()
-            agent.ids.end(self._id)
+            serving.ids.end(self._id)
 
     async def _settle(self, call: Call, shots: list[Out]) -> None:
         """After a fault: end what is out, so that the module's books stay right."""
@@ -159,7 +156,7 @@
                 shots[number].task.cancel()
                 await asyncio.wait([shots[number].task])
                 end = shots[number].shot.end
-            call.ended(self._agent.clock.now(), number, ENDINGS[end], 0.0, False)
+            call.ended(self._serving.clock.now(), number, ENDINGS[end], 0.0, False)
 
     def client_spoke(self, reading: asyncio.Future[int]) -> None:
         """Something has come from the client, or it has closed its connection."""
@@ -168,14 +165,15 @@
 
     def _shoot(self, number: int, backend: int, until: float) -> Out:
         """Begin a shot; its end comes back as an order."""
-        agent, request = self._agent, self._request
-        sent = agent.clock.now()
+        serving, request = self._serving, self._request
+        sent = serving.clock.now()
         left = protocol.DEADLINE_LINE % max(0.001, (until - sent) / 1000)
         headers = http.passed_on(request, protocol.BETWEEN_CLIENT_AND_AGENT)
         message = http.request(request.method, request.target, [*headers, left],
                                request.headers.get(b"host", b""), request.body)
-        shot = Shot(agent.pool, agent.directory.place(backend), message, agent.clock.on_loop(until))
-        task = agent.spawn("shot", shot.run())
+        place = serving.directory.place(backend)
+        shot = Shot(serving.pool, place, message, serving.clock.on_loop(until))
+        task = serving.tasks.spawn("shot", shot.run())
         task.add_done_callback(lambda _: self.orders.put_nowait(Landed(number)))
         return Out(shot, task, sent)
 
@@ -187,11 +185,11 @@
 
     def _close(self, what: str) -> None:
         if not self.answered.done():
-            self._agent.counters.answered[what] += 1
+            self._serving.counters.answered[what] += 1
             self.answered.set_result(None)
 
 
-def read_ask(token: ApiCall, request: http.Message, arrived: float, agent: Agent) -> tuple[Ask, float]:
+def read_ask(token: ApiCall, request: http.Message, arrived: float, serving: Serving) -> tuple[Ask, float]:
     """A request in our words, and when its client stops waiting."""
     if request.method not in (b"GET", b"POST"):
         raise BadRequest("the method must be GET or POST")
@@ -202,9 +200,9 @@
         # Guards against a backend that reads another one of the two than we do, or gets none.
         raise BadRequest("a Req header is given twice or named by Connection")
     kind = request.header(protocol.KIND)
-    if kind not in agent.products:
+    if kind not in serving.products:
         raise BadRequest("Req-Kind is missing or unknown")
-    index, product = agent.products[kind]
+    index, product = serving.products[kind]
     if request.method == b"GET" and (len(request.body) or product.kind is Kind.NON_IDEMPOTENT):
         raise BadRequest("GET is for what may run again, and has no body")
     waits = min(product.timeout, _number(request, protocol.DEADLINE) * 1000)
@@ -215,11 +213,11 @@
         raise BadRequest("Req-Extra is malformed")
     cost = _number(request, protocol.COST) / 1000 if protocol.COST in request.headers else None
     # The deadline counts from the client's sending, timers run late, and the answer has a way to go.
-    until = arrived + waits - min(agent.config.settings.rules.answer_slack, MARGIN * waits)
+    until = arrived + waits - min(serving.settings.rules.answer_slack, MARGIN * waits)
     key = protocol.KEY.fullmatch(request.target.partition(b"?")[0])
     return Ask(
         token, index, until, cost=cost, again=request.header(protocol.RETRY) == b"1",
-        customer=agent.customers.get(request.header(protocol.CUSTOMER) or b"", 0),
+        customer=serving.customers.get(request.header(protocol.CUSTOMER) or b"", 0),
         key=crc32(key[1]) if key else None,  # the same at all agents
     ), arrived + waits
 
--- a/lupinreach/net/directory.py
+++ b/lupinreach/net/directory.py
@@ -3,21 +3,24 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass, replace
-from typing import TYPE_CHECKING, Any
+from typing import Any
 from zlib import crc32
 
 import orjson
 
-from lupinreach.config import NEEDED, Address, BadConfig, Section
+from lupinreach.config import NEEDED, Address, AgentConfig, BadConfig, Section
 from lupinreach.model import Listing, News, State
 from lupinreach.net import http, protocol
 from lupinreach.net.channel import Channel
+from lupinreach.net.clock import Clock
+from lupinreach.net.counters import Counters
 from lupinreach.net.ends import End, Ended
-from lupinreach.net.pool import Place, connect
-
-if TYPE_CHECKING:
-    from lupinreach.net.agent import Agent
+from lupinreach.net.log import Log
+from lupinreach.net.pool import Place, Pool, connect
+from lupinreach.net.sockets import Sockets
+from lupinreach.net.tasks import Tasks
 
 SILENT_BEATS = 3  # so many beats without a line, and the watch has failed
 MOVE_AGAIN = 1 / 20  # x beat: a new directory that fails is asked again after that, or up to twice as long
@@ -36,18 +39,26 @@
 class Directory:
     """Follows the directory and tells the module; holds the address of each backend."""
 
-    def __init__(self, agent: Agent) -> None:
-        self._agent = agent
-        settings = agent.config.settings
+    def __init__(self, config: AgentConfig, clock: Clock, log: Log, counters: Counters, tasks: Tasks,
+                 sockets: Sockets, pool: Pool, listed: Callable[[News, list[Listing]], None]) -> None:
+        self._seed = config.seed
+        self._clock = clock
+        self._log = log
+        self._counters = counters
+        self._tasks = tasks
+        self._sockets = sockets
+        self._pool = pool
+        self._listed = listed
+        settings = config.settings
         self._zones = {name: number for number, name in enumerate(settings.zones)}
-        self._keep = KEPT * agent.longest_wait
+        self._keep = KEPT * settings.longest_wait
         # Where the settings say that changes come unasked, the module asks for none.
         self._by_itself = not settings.must_ask
         self._version: int | None = None  # of the list as held; None: no list to add changes to
         self._entries: dict[str, Entry] = {}  # by uid; emptied some time after a backend is gone
         self._by_index: dict[int, Place] = {}  # the same by index; an index is never used again
         self._next = 0
-        self._home = agent.config.directory  # the address of the directory that is followed
+        self._home = config.directory  # the address of the directory that is followed
         self._task: asyncio.Task[None] | None = None
         self._moving: asyncio.Task[None] | None = None  # to another directory, until its list has come
 
@@ -67,7 +78,7 @@
         """A call of the module's: the changes from now on, or the full list once."""
         if follow and self._task is not None:
             self._task.cancel()
-        task = self._agent.spawn("directory", self._call(follow))
+        task = self._tasks.spawn("directory", self._call(follow))
         if follow:
             self._task = task
 
@@ -77,7 +88,7 @@
             self._moving.cancel()
             self._moving = None
         if address != self._home:
-            self._moving = self._agent.spawn("directory move", self._move(address))
+            self._moving = self._tasks.spawn("directory move", self._move(address))
 
     async def _move(self, address: Address) -> None:
         tries = 0
@@ -93,15 +104,15 @@
             self._failed(why, where)
             # Guards against agents that all come back to a new directory at once.
             tries += 1
-            chance = crc32(b"%d:%d" % (self._agent.config.seed, tries)) / 2**32
+            chance = crc32(b"%d:%d" % (self._seed, tries)) / 2**32
             await asyncio.sleep(MOVE_AGAIN * protocol.BEAT / 1000 * (1 + chance))
         self._home, self._moving = address, None
-        self._agent.log.event("directory moved", discovery=list(address))
+        self._log.event("directory moved", discovery=list(address))
         self.ask(True)
 
     def _failed(self, why: End, where: str) -> None:
-        self._agent.counters.directory[f"failed: {why.value}"] += 1
-        self._agent.log.event("directory failed", why=why.value, where=where)
+        self._counters.directory[f"failed: {why.value}"] += 1
+        self._log.event("directory failed", why=why.value, where=where)
 
     async def _call(self, follow: bool) -> None:
         where = ""
@@ -122,7 +133,7 @@
             await asyncio.sleep(protocol.BEAT / 1000)
             self.ask(True)
         else:
-            self._agent.listed(News.FAILED, [])
+            self._listed(News.FAILED, [])
 
     async def _list(self, address: Address, within: float) -> http.Slice | bytes:
         """The text of the whole list, in so many s."""
@@ -167,9 +178,9 @@
             channel.close()
 
     async def _send(self, address: Address, target: bytes) -> Channel:
-        self._agent.counters.directory["called"] += 1
+        self._counters.directory["called"] += 1
         host = b"%s:%d" % (address[0].encode(), address[1])
-        channel = await connect(address, SILENT_BEATS * protocol.BEAT, http.MOST_HEAD + MOST_LIST)
+        channel = await connect(self._sockets, address, SILENT_BEATS * protocol.BEAT, http.MOST_HEAD + MOST_LIST)
         channel.write(http.request(b"GET", target, (), host))
         return channel
 
@@ -193,7 +204,7 @@
         if news is News.CHANGES and self._version is not None and version < self._version:
             raise BadConfig(f"{top.at(protocol.VERSION)}: {version} comes after {self._version}")
         read = [self._entry(e) for e in top.sections(protocol.ENTRIES, NEEDED)]
-        now, pool = self._agent.clock.now(), self._agent.pool
+        now, pool = self._clock.now(), self._pool
         for uid, address, listing in read:
             entry = self._entries.get(uid)
             if entry is None:
@@ -215,9 +226,9 @@
                     entry.gone_at = now
                     pool.forget(entry.place)
         self._version = version
-        self._agent.counters.directory[f"news: {news.name.lower()}"] += 1
+        self._counters.directory[f"news: {news.name.lower()}"] += 1
         listings = [replace(listing, backend=self._entries[uid].place.backend) for uid, _, listing in read]
-        self._agent.listed(news, listings)
+        self._listed(news, listings)
         for uid, entry in list(self._entries.items()):
             if entry.gone_at is not None and now > entry.gone_at + self._keep:
                 del self._entries[uid], self._by_index[entry.place.backend]
--- a/lupinreach/net/listener.py
+++ b/lupinreach/net/listener.py
@@ -7,16 +7,15 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from itertools import chain, takewhile
-from typing import TYPE_CHECKING
 
 from lupinreach.config import Address
 from lupinreach.net import http, protocol
 from lupinreach.net.call import ApiCall, BadRequest
 from lupinreach.net.channel import Channel
 from lupinreach.net.ends import End, Ended
-
-if TYPE_CHECKING:
-    from lupinreach.net.agent import Agent
+from lupinreach.net.log import Log
+from lupinreach.net.serving import Serving
+from lupinreach.net.sockets import Sockets
 
 BACKLOG = 512
 AT_ONCE = 64  # connections accepted in one turn of the event loop
@@ -41,11 +40,11 @@
 class Client:
     """One connection of a client."""
 
-    def __init__(self, agent: Agent, listener: Listener, sock: socket.socket) -> None:
-        self._agent = agent
+    def __init__(self, serving: Serving, listener: Listener, sock: socket.socket) -> None:
+        self._serving = serving
         self._listener = listener
         self.channel = Channel(sock, http.MOST_HEAD + protocol.MOST_BODY)
-        self.since = agent.clock.now()  # accepted, or free for the next request
+        self.since = serving.clock.now()  # accepted, or free for the next request
         self.fresh = True  # nothing has come yet
         self._keeps = True  # as the last request said
         self._writing: asyncio.Future[None] | None = None
@@ -55,7 +54,7 @@
         try:
             while self._keeps:
                 await self._one()
-            end = End.STOPPED if self._agent.stopping else End.LEFT
+            end = End.STOPPED if self._serving.standing.stopping else End.LEFT
         except Ended as ended:
             end = ended.end
             if end in STATUSES:
@@ -77,7 +76,7 @@
                 raise Ended(End.LEFT) from None
             finally:
                 listener.stirs(self)
-        now = self._agent.clock.now()
+        now = self._serving.clock.now()
         arrived = now - channel.quiet
         listener.reading[self] = (self.since if self.fresh else now) + WHOLE * 1000
         self.fresh = False
@@ -93,38 +92,38 @@
             raise BadRequest("more has come than one request")
         self._keeps = request.keeps
         if request.target == protocol.READY_PATH:
-            self._reply(http.answer(200 if self._agent.ready else 503, keeps=self._stays()))
+            self._reply(http.answer(200 if self._serving.standing.ready else 503, keeps=self._stays()))
         else:
             await self._api_call(request, arrived)
         if self._writing is not None:
             try:
                 if not self._writing.done():
-                    async with asyncio.timeout(self._agent.longest_wait / 1000):
+                    async with asyncio.timeout(self._serving.longest_wait / 1000):
                         await self._writing
                 await self._writing
             except (OSError, TimeoutError):
                 raise Ended(End.LEFT) from None
-        self._keeps = self._keeps and not self._agent.stopping
+        self._keeps = self._keeps and not self._serving.standing.stopping
 
     async def _api_call(self, request: http.Message, arrived: float) -> None:
         if self._listener.full:
             # Turned away before it reaches the module, and harmless to repeat: nothing was sent for it.
             # Guards against requests that the kernel has taken in and that nobody has a descriptor to read.
-            self._agent.counters.answered["no room"] += 1
+            self._serving.counters.answered["no room"] += 1
             self._keeps = False
             self._reply(http.answer(NO_ROOM, keeps=False))
             return
-        call = ApiCall(self._agent, request, arrived, self._reply, self._stays)
+        call = ApiCall(self._serving, request, arrived, self._reply, self._stays)
         # To go on reading is how a client is seen to leave while its shot is out.
         reading = self.channel.listen()
         reading.add_done_callback(call.client_spoke)
-        self._agent.spawn("api call", call.run())
+        self._serving.tasks.spawn("api call", call.run())
         await call.answered
         reading.remove_done_callback(call.client_spoke)
 
     def _stays(self) -> bool:
         """What the answer says of the connection, and what then holds."""
-        if self._agent.stopping or self._listener.short:
+        if self._serving.standing.stopping or self._listener.short:
             self._keeps = False
         return self._keeps
 
@@ -133,7 +132,7 @@
 
     async def _refuse(self, status: int, why: str) -> None:
         """Answer what is no request, and end the connection: nobody knows what else is on it."""
-        self._agent.counters.answered["bad request"] += 1
+        self._serving.counters.answered["bad request"] += 1
         async with self._listener.refusing() as first:
             if first:
                 self.turn_away(status, why)
@@ -146,8 +145,12 @@
 class Listener:
     """Accepts clients, as many as there are descriptors for."""
 
-    def __init__(self, agent: Agent, most: int) -> None:
-        self._agent = agent
+    def __init__(self, serving: Serving, sockets: Sockets, address: Address, log: Log, most: int) -> None:
+        self._serving = serving
+        self._sockets = sockets
+        self._wanted = address
+        self._log = log
+        self.changed = asyncio.Event()  # a client has gone
         self.most = most
         self.served = most - max(2, int(RESERVE * most))  # at most; the rest are turned away
         self._socket: socket.socket | None = None
@@ -160,12 +163,7 @@
         self._lingering = 0  # those on which a refused request is held up or dropped
 
     def open(self) -> None:
-        host, port = self._agent.config.listen
-        sock = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        sock.setblocking(False)
-        sock.bind((host, port))
-        self._socket = sock
+        self._socket = self._sockets.listening(self._wanted)
         self._resume()
 
     @property
@@ -193,7 +191,7 @@
             spare = self._spare() if len(self.clients) >= self.served else None
             if len(self.clients) >= self.most and spare is None:
                 self._pause()
-                self._agent.counters.connections["accept paused"] += 1
+                self._serving.counters.connections["accept paused"] += 1
                 return
             try:
                 sock, _ = self._socket.accept()
@@ -201,21 +199,21 @@
                 return
             except OSError as failed:
                 # Guards against a process out of descriptors that would spin on its listener.
-                self._agent.counters.connections["accept failed"] += 1
-                self._agent.log.event("accept failed", why=str(failed))
+                self._serving.counters.connections["accept failed"] += 1
+                self._log.event("accept failed", why=str(failed))
                 self._pause()
                 asyncio.get_running_loop().call_later(PAUSE, self._resume)
                 return
-            self._agent.counters.connections["client opened"] += 1
+            self._serving.counters.connections["client opened"] += 1
             if spare is not None:
                 self.closed(spare, End.MADE_ROOM)
             try:
-                client = Client(self._agent, self, sock)
+                client = Client(self._serving, self, sock)
             except OSError:  # gone before it was looked at
                 sock.close()
                 continue
             self.clients.add(client)
-            self._agent.spawn("client", client.serve())
+            self._serving.tasks.spawn("client", client.serve())
 
     @property
     def short(self) -> bool:
@@ -236,14 +234,14 @@
         Guards against connections by the hundred that say nothing and would push out those of usual clients, and
         against a request on its way on a connection that was opened for it just now.
         """
-        silent = self._agent.clock.now() - ON_ITS_WAY * 1000
+        silent = self._serving.clock.now() - ON_ITS_WAY * 1000
         said_nothing = takewhile(lambda client: client.since <= silent, self.fresh)
         by_turn = chain(said_nothing, self.idle, self.fresh)
         return next((client for client in by_turn if not client.channel.heard), None)
 
     def rests(self, client: Client) -> None:
         """A connection is between two requests: it could make room for another."""
-        client.since = self._agent.clock.now()
+        client.since = self._serving.clock.now()
         (self.fresh if client.fresh else self.idle)[client] = None
         self._resume()
 
@@ -256,7 +254,7 @@
         """Close those that say nothing, don't come to an end, or stand idle where room is short."""
         while True:
             await asyncio.sleep(SWEEP)
-            now = self._agent.clock.now()
+            now = self._serving.clock.now()
             for client, due in list(self.reading.items()):
                 if now >= due:
                     client.turn_away(LATE, "the request did not come whole in time")
@@ -279,7 +277,7 @@
         Guards against a flood that comes again as soon as it is turned away: past so many a second each waits
         its time, which costs nothing, and so many at most hold a descriptor.
         """
-        now = self._agent.clock.now()
+        now = self._serving.clock.now()
         self._refused = max(0.0, self._refused - (now - self._refused_at) / 1000 * REFUSALS) + 1
         self._refused_at = now
         room = self._lingering < max(1, int(LINGERING * self.most))
@@ -297,8 +295,8 @@
         client.channel.close()
         self.clients.discard(client)
         self.stirs(client)
-        self._agent.counters.connections[f"client {end.value}"] += 1
-        self._agent.changed.set()
+        self._serving.counters.connections[f"client {end.value}"] += 1
+        self.changed.set()
         if len(self.clients) < self.most:
             self._resume()
 
--- a/lupinreach/net/peers.py
+++ b/lupinreach/net/peers.py
@@ -9,6 +9,7 @@
 from lupinreach.config import Address
 from lupinreach.net.counters import Counters
 from lupinreach.net.protocol import MOST_DATAGRAM
+from lupinreach.net.sockets import Sockets
 
 
 class Peers(asyncio.DatagramProtocol):
@@ -22,8 +23,8 @@
         self._heard = heard
         self._transport: asyncio.DatagramTransport | None = None
 
-    async def open(self, address: Address) -> None:
-        await asyncio.get_running_loop().create_datagram_endpoint(lambda: self, local_addr=address)
+    async def open(self, sockets: Sockets, address: Address) -> None:
+        await sockets.datagrams(lambda: self, address)
 
     def connection_made(self, transport: Any) -> None:
         self._transport = transport
--- a/lupinreach/net/pool.py
+++ b/lupinreach/net/pool.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import errno
-import socket
 from math import inf
 from typing import NamedTuple
 
@@ -16,6 +15,7 @@
 from lupinreach.net.counters import Counters
 from lupinreach.net.ends import End, Ended
 from lupinreach.net.protocol import MOST_BODY
+from lupinreach.net.sockets import Sockets
 
 IDLE_SHARE = 0.5  # of the time after which a backend closes an idle connection: well before it does
 MOST_IDLE = 60_000.0  # ms, where that time is unknown
@@ -25,12 +25,11 @@
 OUT_OF_DESCRIPTORS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
 
-async def connect(address: Address, within: float, most: int = http.MOST_HEAD + MOST_BODY,
+async def connect(sockets: Sockets, address: Address, within: float, most: int = http.MOST_HEAD + MOST_BODY,
                   patience: float = inf) -> Channel:
     """A new connection, in `within` ms."""
     try:
-        family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
-        channel = Channel(socket.socket(family), most, patience)
+        channel = Channel(sockets.stream(address), most, patience)
     except OSError:
         raise Ended(End.NO_ROOM) from None
     try:
@@ -62,11 +61,12 @@
     """All connections to backends. One in use belongs to its shot; the others stand idle here."""
 
     def __init__(self, most: int, connect_timeout: float, idle: float, counters: Counters,
-                 most_answer: int = MOST_BODY) -> None:
+                 most_answer: int = MOST_BODY, sockets: Sockets | None = None) -> None:
         self._most = most
         self._connect_timeout = connect_timeout or CONNECT_WITHIN
         self._idle_for = (idle or MOST_IDLE) * IDLE_SHARE / 1000
         self._counters = counters
+        self._sockets = sockets or Sockets()
         self.most_answer = most_answer  # bytes of a body
         self.open = 0
         # Idle connections, oldest first, and since when; one leaves when it is used, ends, gets old or has to
@@ -92,7 +92,8 @@
             self._close(oldest, End.MADE_ROOM)
         self.open += 1
         try:
-            channel = await connect(place.address, self._connect_timeout, http.MOST_HEAD + self.most_answer,
+            channel = await connect(self._sockets, place.address, self._connect_timeout,
+                                    http.MOST_HEAD + self.most_answer,
                                     STANDS_STILL * self._connect_timeout / 1000)
         except BaseException:
             self.open -= 1
--- a/lupinreach/net/port.py
+++ b/lupinreach/net/port.py
@@ -3,22 +3,27 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Hashable
-from typing import TYPE_CHECKING
+from collections.abc import Callable, Hashable
 
+from lupinreach.model import Limits
 from lupinreach.net.call import ApiCall, CallOff, GiveUp, Order, RateLimit, Send
-from lupinreach.net.probes import probe
-
-if TYPE_CHECKING:
-    from lupinreach.net.agent import Agent
+from lupinreach.net.clock import Clock
+from lupinreach.net.log import Log
 
 
 class AgentPort:
     """The module's port. Orders for an API call go to that API call, which carries them out in turn."""
 
-    def __init__(self, agent: Agent) -> None:
-        self._agent = agent
-        self._limits = agent.config.settings.limits
+    def __init__(self, clock: Clock, log: Log, limits: Limits, woke: Callable[[float, str], None],
+                 ask: Callable[[bool], None], probe: Callable[[int], None],
+                 tell: Callable[[bytes], None]) -> None:
+        self._clock = clock
+        self._log = log
+        self._limits = limits
+        self._woke = woke
+        self._ask = ask
+        self._probe = probe
+        self._tell = tell
 
     @staticmethod
     def _order(token: Hashable, order: Order) -> None:
@@ -38,19 +43,18 @@
         self._order(token, GiveUp())
 
     def wake(self, at: float, mark: str) -> None:
-        loop, clock = asyncio.get_running_loop(), self._agent.clock
-        loop.call_at(clock.on_loop(at), self._agent.woke, at, mark)
+        asyncio.get_running_loop().call_at(self._clock.on_loop(at), self._woke, at, mark)
 
     def directory(self, follow: bool) -> None:
-        self._agent.directory.ask(follow)
+        self._ask(follow)
 
     def probe(self, backend: int) -> None:
         if self._limits.probes:
-            self._agent.spawn("probe", probe(self._agent, backend))
+            self._probe(backend)
 
     def peers(self, message: bytes) -> None:
         if self._limits.peers:
-            self._agent.peers.tell(message)
+            self._tell(message)
 
     def log(self, text: str) -> None:
-        self._agent.log.event("module", text=text)
+        self._log.event("module", text=text)
--- a/lupinreach/net/probes.py
+++ b/lupinreach/net/probes.py
@@ -2,29 +2,25 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
 from lupinreach.net import http, protocol
 from lupinreach.net.ends import ENDINGS, End
+from lupinreach.net.serving import Serving
 from lupinreach.net.shot import Shot, read_load
 
-if TYPE_CHECKING:
-    from lupinreach.net.agent import Agent
-
 
-async def probe(agent: Agent, backend: int) -> None:
+async def probe(serving: Serving, backend: int) -> None:
     """One probe, from the module's order to its outcome."""
-    settings, clock = agent.config.settings, agent.clock
-    place = agent.directory.place(backend)
+    settings, clock = serving.settings, serving.clock
+    place = serving.directory.place(backend)
     path = protocol.STATS_PATH if settings.load_fields else protocol.LIVE_PATH
     message = http.request(b"GET", path, (), b"%s:%d" % (place.address[0].encode(), place.address[1]))
     sent = clock.now()
     until = sent + min(p.slo or p.timeout for p in settings.products)
-    shot = Shot(agent.pool, place, message, clock.on_loop(until))
+    shot = Shot(serving.pool, place, message, clock.on_loop(until))
     await shot.run()
-    agent.counters.others[f"probe {shot.end.value}"] += 1
+    serving.counters.others[f"probe {shot.end.value}"] += 1
     load = None
     if shot.answer is not None:
         load = read_load(shot.answer.header(protocol.LOAD) or bytes(shot.answer.body))
     ending = ENDINGS[shot.end if shot.end is not End.TURNED_AWAY else End.FAULT]
-    agent.balancer.probed(clock.now(), backend, ending, clock.now() - sent, load)
+    serving.balancer.probed(clock.now(), backend, ending, clock.now() - sent, load)
--- /dev/null
+++ b/lupinreach/net/serving.py
@@ -0,0 +1,46 @@
+"""What the parts that serve API calls share: the agent's own state, and the other parts they go through."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from lupinreach.balance import Balancer
+from lupinreach.model import Settings
+from lupinreach.net.clock import Clock
+from lupinreach.net.counters import Counters
+from lupinreach.net.directory import Directory
+from lupinreach.net.ids import Ids
+from lupinreach.net.pool import Pool
+from lupinreach.net.tasks import Tasks
+
+
+class Standing:
+    """If the agent can serve: it has a list of backends and is to stay."""
+
+    def __init__(self) -> None:
+        self.listed = False
+        self.stopping = False
+
+    @property
+    def ready(self) -> bool:
+        return self.listed and not self.stopping
+
+
+@dataclass
+class Serving:
+    """Lives as long as the process. A second front gets the same one."""
+
+    settings: Settings
+    clock: Clock
+    counters: Counters
+    tasks: Tasks
+    standing: Standing
+    pool: Pool
+    directory: Directory
+    balancer: Balancer
+    ids: Ids = field(default_factory=Ids)
+
+    def __post_init__(self) -> None:
+        self.products = {p.name.encode(): (i, p) for i, p in enumerate(self.settings.products)}
+        self.customers = {c.name.encode(): i for i, c in enumerate(self.settings.customers)}
+        self.longest_wait = self.settings.longest_wait
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -264,12 +264,9 @@
         return self
 
     async def __aexit__(self, *_):
-        if not self.agent.stopping:
+        if not self.agent.standing.stopping:
             self.agent.listener.close()
-            tasks = list(self.agent._tasks)
-            for task in tasks:
-                task.cancel()
-            await asyncio.gather(*tasks, return_exceptions=True)
+            await self.agent.tasks.stop()
         os.close(self.sink)
         os.close(self.log)
 
@@ -283,7 +280,7 @@
 
     async def settled(self) -> None:
         """Until no API call and no shot is under way."""
-        while any(t.get_coro().__qualname__ in ("ApiCall.run", "Shot.run") for t in self.agent._tasks):
+        while any(t.get_coro().__qualname__ in ("ApiCall.run", "Shot.run") for t in self.agent.tasks.running):
             await asyncio.sleep(0)
 
 
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -337,9 +337,9 @@
             assert status(await read_http(client[0])) == 200
             await site.settled()
             assert status(await site.ask(raw)) == 409 and len(backend.requests) == 1
-            assert not site.agent.ids._open and site.agent.counters.taken == {"pay": 1}
-            site.agent.ids.turn()
-            site.agent.ids.turn()
+            assert not site.agent.serving.ids._open and site.agent.counters.taken == {"pay": 1}
+            site.agent.serving.ids.turn()
+            site.agent.serving.ids.turn()
             assert status(await site.ask(raw)) == 200  # forgotten, so nothing grows
     run(work())
 
@@ -500,7 +500,7 @@
             shots = [Shot(pool, places[n], look(), soon) for n in (0, 1, 0)]
             await shots[0].run()
             assert shots[0].end is End.SERVED and pool.open == 1
-            held = agent.spawn("shot", shots[1].run())
+            held = agent.tasks.spawn("shot", shots[1].run())
             while not two.requests:
                 await asyncio.sleep(0.001)
             await shots[2].run()
@@ -515,7 +515,7 @@
     async def work():
         async with Peer(says(OK)) as backend, Site() as site:
             pool = Pool(9, 200.0, 40.0, site.agent.counters)
-            site.agent.spawn("idle backends", pool.sweep())
+            site.agent.tasks.spawn("idle backends", pool.sweep())
             await Shot(pool, place(pool, backend.address), look(), asyncio.get_running_loop().time() + 5).run()
             await asyncio.wait_for(backend.gone.wait(), 1)
             assert pool.open == 0 and site.agent.counters.connections["backend idle"] == 1
