The bed: agents unmodified in virtual time, with a ledger, a checker and planted faults

The repository could not show by itself that it works: nothing of our own ran many agents, a cut zone or a restart under load. lupinreach/bed plays a world (backends, clients, registry, network, 22 kinds of trouble, as data) on an asyncio loop of virtual time with sockets in memory; IOStream and the agent run unmodified.

--- /dev/null
+++ b/lupinreach/bed/check.py
@@ -0,0 +1,239 @@
+"""Judges a run by its ledger alone: the four rules, and that nothing given up is held. Pure."""
+
+from __future__ import annotations
+
+from collections import Counter, defaultdict, deque
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from math import inf
+
+from lupinreach.bed import ledger as books
+from lupinreach.bed.backend import SLACK
+from lupinreach.bed.ledger import Record
+from lupinreach.bed.spec import ProductSpec, World
+from lupinreach.model import Group, Kind
+
+LATE = 50.0  # ms that each limit is longer: messages take their time
+HELD_AT = 0.9  # of a client's wait: a refusal that comes later, though nothing
+HELD_SINCE = 0.5  # of it was out, was held
+MOST_TOLD = 50  # breaches that a verdict tells in full
+RULES = ("answered", "effects", "drains", "cold", "held")
+
+
+@dataclass(frozen=True)
+class Breach:
+    rule: str
+    name: str  # of what went wrong, one of a few
+    at: float  # ms
+    what: str
+
+
+@dataclass
+class Shot:
+    sent: float
+    backend: int
+    ended: float = inf
+    ran: list[float] = field(default_factory=list)  # when it had an effect
+
+
+@dataclass
+class Tried:
+    """One try of a client's, as the ledger has it."""
+
+    call: int
+    agent: int
+    product: ProductSpec
+    at: float
+    waits: float
+    got: tuple[float, int, str] | None = None  # when, status, name that the body carries
+    left: float = inf
+    lost: tuple[float, str] | None = None
+    shots: list[Shot] = field(default_factory=list)
+
+    @property
+    def over(self) -> float:
+        return min(self.got[0] if self.got else inf, self.left, self.lost[0] if self.lost else inf)
+
+
+class Checker:
+    """Reads the records once, in order."""
+
+    def __init__(self, world: World) -> None:
+        self._world = world
+        self._products = {p.name: p for p in world.products}
+        self.breaches: list[Breach] = []
+        self.tries: dict[str, Tried] = {}
+        self._killed: dict[int, list[float]] = defaultdict(list)
+        self._held_up: list[tuple[float, float]] = []  # agents' event loops, by trouble
+        # What each life of an agent was told of each backend: not ready since when; absent: ready, inf: never told
+        self._barred: dict[tuple[int, int], dict[int, float]] = defaultdict(dict)
+        self._listed: dict[tuple[int, int], set[int]] = defaultdict(set)
+        self._lives: dict[int, tuple[float, float, float, float]] = {}  # backend: booted, capacity, cold, start
+        self._came: dict[int, deque[tuple[float, float]]] = defaultdict(deque)
+        self._sum: Counter[int] = Counter()
+        self._tipped: set[tuple[int, float]] = set()
+
+    def _breach(self, rule: str, name: str, at: float, what: str) -> None:
+        self.breaches.append(Breach(rule, name, round(at, 3), what))
+
+    def read(self, records: Iterable[Record]) -> list[Breach]:
+        """All breaches, in the order of their times."""
+        for record in records:
+            handle = getattr(self, "_on_" + record[0], None)
+            if handle is not None:
+                handle(record[1] / 1000, *record[2:])
+        for name, one in self.tries.items():
+            self._judge(name, one)
+        self.breaches.sort(key=lambda b: b.at)
+        return self.breaches
+
+    # Record by record.
+
+    def _on_asked(self, at: float, name: str, call: int, number: int, agent: int, product: str, customer: str,
+                  work: float, waits: float) -> None:
+        self.tries[name] = Tried(call, agent, self._products[product], at, waits)
+
+    def _on_got(self, at: float, name: str, status: int, retry_after: float, carried: str) -> None:
+        one = self.tries[name]
+        if one.got is not None:
+            self._breach("answered", "answered twice", at, f"{name} at agent {one.agent}")
+        else:
+            one.got = at, status, carried
+
+    def _on_extra(self, at: float, name: str) -> None:
+        self._breach("answered", "answered twice", at, f"bytes after the answer to {name}")
+
+    def _on_left(self, at: float, name: str) -> None:
+        self.tries[name].left = at
+
+    def _on_lost(self, at: float, name: str, why: str) -> None:
+        self.tries[name].lost = at, why
+
+    def _on_agent(self, at: float, agent: int, life: int, what: str) -> None:
+        if what == "killed":
+            self._killed[agent].append(at)
+
+    def _on_trouble(self, at: float, number: int, kind: str, what: str, targets: list[int]) -> None:
+        trouble = self._world.troubles[number]
+        if kind == "busy-agents" and what == "begins":
+            self._held_up.append((at, at + trouble.length + trouble.strength))
+
+    def _on_told(self, at: float, agent: int, life: int, version: int, entries: list[tuple[int, str]],
+                 whole: bool) -> None:
+        barred, listed = self._barred[agent, life], self._listed[agent, life]
+        named = set()
+        for backend, state in entries:
+            named.add(backend)
+            listed.add(backend)
+            if state == "Ready":
+                barred.pop(backend, None)
+            else:
+                barred.setdefault(backend, at)
+        if whole:
+            for backend in listed - named:
+                barred.setdefault(backend, at)
+
+    def _on_sent(self, at: float, agent: int, life: int, backend: int, name: str) -> None:
+        since = self._barred[agent, life].get(backend)
+        if since is not None and at > since + self._world.rules.drain_grace + LATE:
+            self._breach("drains", "sent to draining", at,
+                         f"{name} to backend {backend}, {at - since:.0f} ms after agent {agent} was told")
+        elif backend not in self._listed[agent, life]:
+            self._breach("drains", "sent to unlisted", at, f"{name} to backend {backend} by agent {agent}")
+        one = self.tries.get(name)
+        if one is None:
+            self._breach("answered", "sent unasked", at, f"{name} to backend {backend}")
+            return
+        if at > one.over + LATE:
+            self._breach("answered", "sent after the answer", at, f"{name} to backend {backend}")
+        one.shots.append(Shot(at, backend))
+
+    def _on_away(self, at: float, backend: int, name: str) -> None:
+        for shot in self._shots(name, backend):
+            shot.ended = min(shot.ended, at)
+
+    def _on_ran(self, at: float, backend: int, name: str, effect: bool) -> None:
+        for shot in self._shots(name, backend):
+            shot.ended = min(shot.ended, at)
+            if effect:
+                shot.ran.append(at)
+
+    def _shots(self, name: str, backend: int) -> list[Shot]:
+        """The oldest shot of this try to this backend that has not ended yet, or the newest there was."""
+        found = [s for s in self.tries[name].shots if s.backend == backend] if name in self.tries else []
+        return ([s for s in found if s.ended == inf] or found[-1:])[:1]
+
+    # Cold backends: recomputed, whatever their models say.
+
+    def _on_state(self, at: float, backend: int, life: int, state: str, capacity: float, cold: float,
+                  start: float) -> None:
+        if state == "Ready":
+            self._lives[backend] = at, capacity, cold, start
+            self._came[backend].clear()
+            self._sum[backend] = 0
+
+    def _on_came(self, at: float, backend: int, life: int, name: str, work: float) -> None:
+        booted, capacity, cold, start = self._lives.get(backend, (0.0, 0.0, 0.0, 1.0))
+        if not cold or at >= booted + cold:
+            return
+        rules, came = self._world.rules, self._came[backend]
+        came.append((at, work))
+        self._sum[backend] += work  # type: ignore[assignment]
+        while came[0][0] <= at - rules.fall:
+            self._sum[backend] -= came.popleft()[1]  # type: ignore[assignment]
+        part = start + (1 - start) * (at - booted) / cold
+        if self._sum[backend] > SLACK * rules.fall_multiple * capacity * part * rules.fall + 1e-6:
+            if (backend, booted) not in self._tipped:
+                self._tipped.add((backend, booted))
+                self._breach("cold", "cold pushed over", at, f"backend {backend}, {at - booted:.0f} ms after its start")
+
+    # Try by try.
+
+    def _judge(self, name: str, one: Tried) -> None:
+        self._judge_answer(name, one)
+        self._judge_effects(name, one)
+
+    def _judge_answer(self, name: str, one: Tried) -> None:
+        if one.got is not None:
+            at, status, carried = one.got
+            if status == 200 and carried != name:
+                self._breach("answered", "another call's answer", at, f"{name} got what belongs to {carried or '?'}")
+            if status != 200 and at - one.at > HELD_AT * one.waits:
+                since = one.at + HELD_SINCE * one.waits
+                if all(s.ended < since for s in one.shots):
+                    self._breach("held", "held", at, f"{name}, refused {at - one.at:.0f} ms after it was asked")
+            return
+        over = one.over
+        if one.lost is not None and one.lost[1] == "refused":
+            return  # never taken
+        if any(one.at <= k <= over + LATE for k in self._killed[one.agent]):
+            return  # what an agent held when it was killed is the client's to try again
+        if any(begin <= over <= end for begin, end in self._held_up):
+            return  # a late answer of an agent that was held up
+        if over < inf:
+            why = f"the connection {one.lost[1]}" if one.lost else "the client timeout passed"
+            self._breach("answered", "no answer", over, f"{name} at agent {one.agent}: {why}")
+
+    def _judge_effects(self, name: str, one: Tried) -> None:
+        effects = sorted(t for s in one.shots for t in s.ran)
+        kind = one.product.kind
+        if kind is Kind.IDEMPOTENT:
+            return
+        if len(effects) > 1:
+            sent = sorted(s.sent for s in one.shots if s.ran)
+            apart = sent[-1] - sent[0]
+            what = "effect twice"
+            if kind is Kind.DEDUPLICATED:
+                what += " past the memory" if apart >= one.product.memory else " outside the group"
+            self._breach("effects", what, effects[1], f"{name} ({one.product.name}), {apart:.0f} ms apart")
+        shared = kind is Kind.DEDUPLICATED and one.product.group is Group.ALL
+        if effects and one.got is not None and one.got[1] in (429, 503) and not shared:
+            self._breach("effects", "rate-limited what ran", one.got[0], f"{name} ({one.product.name})")
+
+
+def verdict(breaches: list[Breach]) -> dict[str, str]:
+    """Each rule, kept or how often it was broken and as what."""
+    found: dict[str, Counter[str]] = defaultdict(Counter)
+    for b in breaches:
+        found[b.rule][b.name] += 1
+    return {rule: ", ".join(f"{name} x{n}" for name, n in found[rule].most_common()) or "kept" for rule in RULES}
--- /dev/null
+++ b/lupinreach/bed/network.py
@@ -0,0 +1,60 @@
+"""The network as a model: how long bytes take between two machines, and whether they get there. Free of I/O."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from math import inf
+
+from lupinreach.bed.chance import Stream
+
+RESEND = 200.0  # ms that a lost segment costs
+MOST_RESENDS = 4
+
+
+@dataclass(eq=False)
+class Machine:
+    """One place that connections end at."""
+
+    name: str
+    zone: int
+    vanished: bool = False  # says nothing and hears nothing; what is open stays open
+    shut: bool = False  # connections are refused
+    resets: float = 0.0  # share of the requests after whose last byte a connection to it breaks,
+    breaks: float = 0.0  # and of those that break before it
+    slower: float = 0.0  # ms more, each way
+
+
+@dataclass
+class Paths:
+    """One-way delays in ms by zone pair, and what is cut."""
+
+    same: float
+    cross: float
+    jitter: float  # share of the delay
+    loss: float  # share of segments
+    chance: Stream
+    cut: set[int] = field(default_factory=set)  # zones that can't reach the others
+
+    def reaches(self, a: Machine, b: Machine) -> bool:
+        if a.vanished or b.vanished:
+            return False
+        return a.zone == b.zone or not ({a.zone, b.zone} & self.cut)
+
+    def delay(self, a: Machine, b: Machine) -> float:
+        """Ms for one segment that gets there."""
+        if a is b:
+            return 0.05
+        usual = (self.same if a.zone == b.zone else self.cross) + a.slower + b.slower
+        took = usual * (1 + self.jitter * float(self.chance.random()))
+        if self.loss:
+            for _ in range(MOST_RESENDS):
+                if self.chance.random() >= self.loss:
+                    break
+                took += RESEND
+        return took
+
+    def datagram(self, a: Machine, b: Machine) -> float:
+        """Ms for one datagram, infinite where it is lost."""
+        if not self.reaches(a, b) or (self.loss and self.chance.random() < self.loss):
+            return inf
+        return self.delay(a, b)
--- /dev/null
+++ b/lupinreach/bed/policies.py
@@ -0,0 +1,127 @@
+"""Baselines to compare with: the agent's own module with another choice of the backend, and its mechanisms off.
+
+They keep what the module is given by the rules (no effect twice, drains, client timeouts); how a baseline treats
+cold backends is its own matter. Chance comes from the seed, as in the module.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from math import inf
+
+from lupinreach.balance import Backend, Balancer, Call
+from lupinreach.model import Ending, Load, Port, Settings
+
+Decide = Callable[[Settings, int, Port], Balancer]
+
+PAPER_WEIGHT = 0.3  # of the newest sample
+PAPER_HOLD = 5000.0  # ms until an ejected backend gets its trial
+
+
+class Baseline(Balancer):
+    """No bound in flight, no ejection, no rest, no second copies, no credit; all ready backends alike."""
+
+    def _choose(self, now: float, call: Call) -> Backend | None:
+        usable = [b for b in self._ring if call.may_use(b)]
+        fresh = [b for b in usable if all(s.backend is not b for s in call.shots)]
+        return self.pick(now, call, fresh or usable) if usable else None
+
+    def pick(self, now: float, call: Call, among: list[Backend]) -> Backend:
+        raise NotImplementedError
+
+    def _sample(self, now: float, call: Call, shot: object, ending: Ending, latency: float) -> None:  # type: ignore[override]
+        """Learns nothing."""
+
+    def _second(self, now: float, call: Call) -> None:
+        """Sends nothing beside a late shot."""
+
+    def _has_credit(self, now: float, b: Backend, call: Call) -> bool:
+        return True
+
+    def spend(self) -> bool:
+        return True
+
+
+class RoundRobin(Baseline):
+    """The next in turn."""
+
+    def pick(self, now: float, call: Call, among: list[Backend]) -> Backend:
+        return min(among, key=lambda b: b.turn)
+
+    def _ramp(self, now: float, b: Backend) -> float:
+        return 1.0
+
+
+class LeastRequest(Baseline):
+    """The one with the fewest shots of this agent in flight, the next in turn of several."""
+
+    def pick(self, now: float, call: Call, among: list[Backend]) -> Backend:
+        return min(among, key=lambda b: (b.flight, b.turn))
+
+
+class TwoChoices(Baseline):
+    """The less loaded of two drawn at random."""
+
+    def pick(self, now: float, call: Call, among: list[Backend]) -> Backend:
+        first = among[int(self._chance() * len(among))]
+        second = among[int(self._chance() * len(among))]
+        return min(first, second, key=lambda b: b.flight)
+
+
+class Paper(Baseline):
+    """QEdgeProxy as the paper has it: a pool by smoothed latency, equal shares, a trial some time after an ejection.
+
+    What the paper leaves open is set as the design page has it: a failed shot is a sample of twice the SLO, an
+    unsampled backend is expected to do as the others do, an empty pool falls back to all.
+    """
+
+    def pick(self, now: float, call: Call, among: list[Backend]) -> Backend:
+        i = call.target.index
+        due = [b for b in among if b.held[i] and now >= b.held[i] and b.trial is None]
+        if due:
+            return due[0]
+        pool = [b for b in among if not b.held[i]]
+        return min(pool or among, key=lambda b: b.turn)
+
+    def _sample(self, now: float, call: Call, shot: object, ending: Ending, latency: float) -> None:  # type: ignore[override]
+        b, target = shot.backend, call.target  # type: ignore[attr-defined]
+        i, failed = target.index, ending is not Ending.FULFILLED
+        sample = 2 * target.slo if failed else latency
+        if b.held[i]:
+            if shot.trial:  # type: ignore[attr-defined]
+                b.held[i] = 0.0 if sample <= target.slo else now + PAPER_HOLD
+                b.figure[i] = sample
+            return
+        old = b.figure[i]
+        b.figure[i] = sample if old is None and not failed else self._paper_mix(i, old, sample)
+        if (b.figure[i] or 0.0) > target.slo:
+            b.held[i] = now + PAPER_HOLD
+
+    def _paper_mix(self, i: int, old: float | None, sample: float) -> float:
+        if old is None:
+            known = [f for o in self._ring if (f := o.figure[i]) is not None]
+            old = sum(known) / len(known) if known else sample
+        return old + PAPER_WEIGHT * (sample - old)
+
+    def landed(self, now: float, call: Call, shot: object, ending: Ending, latency: float,  # type: ignore[override]
+               load: Load | None) -> None:
+        super().landed(now, call, shot, ending, latency, None)  # type: ignore[arg-type]
+
+
+class Nearest(Baseline):
+    """The one with the lowest smoothed latency, whatever else: the paper's proximity baseline as far as it tells."""
+
+    def pick(self, now: float, call: Call, among: list[Backend]) -> Backend:
+        i = call.target.index
+        return min(among, key=lambda b: (b.figure[i] if b.figure[i] is not None else -inf, b.turn))
+
+    def _sample(self, now: float, call: Call, shot: object, ending: Ending, latency: float) -> None:  # type: ignore[override]
+        b, i = shot.backend, call.target.index  # type: ignore[attr-defined]
+        if b.figure[i] is None:  # as told once: what changes later is not seen until it is refreshed
+            b.figure[i] = latency
+
+
+POLICIES: dict[str, Decide] = {
+    "lupinreach": Balancer, "round-robin": RoundRobin, "least-request": LeastRequest, "two-choices": TwoChoices,
+    "paper": Paper, "nearest": Nearest,
+}
--- /dev/null
+++ b/lupinreach/bed/stage.py
@@ -0,0 +1,409 @@
+"""Plays a world on a ground: builds the fleet, lets clients ask, and makes trouble when it is due."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from typing import Any
+
+from lupinreach.bed import ledger as books
+from lupinreach.bed.backend import Backend, Marks
+from lupinreach.bed.chance import stream
+from lupinreach.bed.clients import ClientHost
+from lupinreach.bed.ground import (
+    EVERYBODY, Ground, agent_address, backend_address, peer_address, registry_address,
+)
+from lupinreach.bed.network import Machine
+from lupinreach.bed.registry import Entry, Registry
+from lupinreach.bed.servers import SAMPLE, BackendHost, BackendLine, RegistryHost, RegistryLine
+from lupinreach.bed.spec import Trouble, World, plain
+from lupinreach.bed.traffic import arrivals
+from lupinreach.config import Address
+from lupinreach.model import Group, Kind
+
+READY_WITHIN = 5.0  # s for an agent to listen
+SETTLES = 1.5  # x longest client timeout: after the last arrival, until all is answered
+THIEF = 2000.0  # ms of a thief's on and off together
+BUSY_EVERY = 1000.0  # ms between two times that an agent's event loop is held up
+UNDRAINED = 0.05  # s between the end of a drain and the end of its process
+
+
+def text(address: Address) -> str:
+    return f"{address[0]}:{address[1]}"
+
+
+@dataclass
+class Fleet:
+    """What a world's backends are drawn as."""
+
+    backends: list[Backend]
+    kinds: list[str]
+
+
+def draw(world: World, seed: int) -> Fleet:
+    """The backends of a run; their true speeds and times come from the seed."""
+    chance, rules = stream(seed, "fleet"), world.rules
+    groups = {p.group for p in world.products if p.kind is Kind.DEDUPLICATED}
+    memories: dict[Any, Marks] = {}
+    fleet = Fleet([], [])
+    for kind in world.backends:
+        for i in range(kind.count):
+            number = len(fleet.backends)
+            zones = kind.zones or tuple(range(len(world.zones)))
+            zone = zones[i % len(zones)]
+            cell = number // world.backend.cell_size
+            shared = "all" if Group.ALL in groups else zone if Group.ZONE in groups else ("cell", cell)
+            fleet.backends.append(Backend(
+                number, zone, kind.cores, kind.speed.at(float(chance.random())), world.backend, rules,
+                world.backend.idle.at(float(chance.random())), world.backend.report_every.at(float(chance.random())),
+                memories.setdefault(shared, Marks())))
+            fleet.kinds.append(kind.name)
+    return fleet
+
+
+class Stage:
+    """One run."""
+
+    def __init__(self, world: World, seed: int, ground: Ground, progress: Callable[[float], None] | None = None,
+                 ) -> None:
+        self.world = world
+        self.ground = ground
+        self._seed = seed
+        self._progress = progress
+        self._chance = stream(seed, "stage")
+        fleet = draw(world, seed)
+        self.registry = Registry()
+        self.agents = [0] * world.agents  # their lives
+        self.up: set[int] = set()
+        self._client_machines = [Machine(f"agent {n}", n % len(world.zones)) for n in range(world.agents)]
+        self.clients = [ClientHost(ground, world, n, self._client_machines[n], agent_address(n))
+                        for n in range(world.agents)]
+        self.registry_host = RegistryHost(ground, self.registry, self.agents.__getitem__)
+        self.hosts: list[BackendHost] = []
+        self._entries: list[Entry] = []
+        for b, kind in zip(fleet.backends, fleet.kinds, strict=True):
+            self._add(b, kind)
+        self._registry_machine = Machine("registry", 0)
+        self._start = 0.0
+
+    def machine(self, agent: int) -> Machine:
+        return self._client_machines[agent]
+
+    def _add(self, b: Backend, kind: str, suffix: str = "") -> BackendHost:
+        machine = Machine(f"backend {b.number}", b.zone)
+        host = BackendHost(self.ground, self.world, b, machine, stream(self._seed, "backend", b.number),
+                           self._asked, self._fell)
+        self.hosts.append(host)
+        self._entries.append(Entry(f"b-{b.number:04x}{suffix}", b.number, text(backend_address(b.number)),
+                                   self.world.zones[b.zone], kind, b.cell, float(b.cores)))
+        return host
+
+    def _asked(self, name: str) -> tuple[int, int, int] | None:
+        call, _, _ = name.partition(".")
+        try:
+            agent = self._agent_of[int(call, 16)]
+        except (ValueError, IndexError):
+            return None
+        return self.clients[agent].names.get(name)
+
+    # From start to end.
+
+    async def play(self) -> None:
+        """All of it; the ledger holds what happened."""
+        ground, world = self.ground, self.world
+        self._start = ground.now()
+        ground.ledger.note(books.WORLD, self._start, {**plain(world), "seed": self._seed, "mode": "", "measure": []})
+        for host in self.hosts:
+            await self._serve(host)
+            self._boot(host, cold=False)
+            self.registry.set(self._entries[host.backend.number])
+        for n in range(world.agents):
+            await ground.serve(registry_address(n), self._registry_machine,
+                               lambda n=n: RegistryLine(self.registry_host, n))  # type: ignore[misc]
+        for first in range(0, world.agents, 16):
+            await asyncio.gather(*(self._start_agent(n) for n in range(first, min(first + 16, world.agents))))
+        calls = arrivals(world, self._seed)
+        self._agent_of = [a.agent for a in calls]
+        begin = ground.now()
+        loop = ground.loop
+        for number, trouble in enumerate(world.troubles):
+            targets = self._targets(number, trouble)
+            loop.call_later(trouble.at / 1000, self._begin, number, trouble, targets)
+        if ground.exact:
+            loop.call_later(SAMPLE / 1000, self._sample)
+        else:
+            self._sample()
+        for number, arrival in enumerate(calls):
+            wait = begin + arrival.at - ground.now()
+            if wait > 0:
+                await asyncio.sleep(wait / 1000)
+            self.clients[arrival.agent].ask(number, arrival)
+            if self._progress and number % 64 == 0:
+                self._progress(arrival.at)
+        longest = max(p.timeout for p in world.products)
+        await asyncio.sleep(max(0.0, begin + world.length - ground.now()) / 1000 + SETTLES * longest / 1000)
+
+    async def _serve(self, host: BackendHost) -> None:
+        await self.ground.serve(backend_address(host.backend.number), host.machine, lambda: BackendLine(host))
+
+    def _boot(self, host: BackendHost, cold: bool) -> None:
+        b, rules, now = host.backend, self.world.rules, self.ground.now()
+        b.boot(now, cold)
+        host.machine.shut = False
+        self.ground.ledger.note(books.STATE, now, b.number, b.life, "Ready", round(b.capacity, 4),
+                                rules.cold if cold else 0.0, rules.start_capacity)
+        host.step()
+
+    async def _start_agent(self, n: int) -> None:
+        self.agents[n] += 1
+        life = self.agents[n]
+        self.clients[n].life = life
+        known = self.registry.whole()
+        raw = {
+            "name": f"agent-{n}", "listen": text(agent_address(n)), "discovery": text(registry_address(n)),
+            "seed": f"{int(stream(self._seed, 'agent', n, life).integers(1 << 48)):x}",
+            "limits": {"sockets": self.world.sockets},
+            "known": {"rev": self.registry.version, "all": True, "targets": [e.wire() for e in known]},
+            "settings": self.world.settings(n),
+        }
+        if self.world.limits.peers:
+            raw |= {"peer_listen": text(peer_address(n)), "peers_all": text(EVERYBODY),
+                    "peers": [text(peer_address(i)) for i in range(self.world.agents)]}
+        self.registry_host.told(n, self.registry.version, known, True)
+        self.ground.ledger.note(books.AGENT, self.ground.now(), n, life, "started")
+        async with asyncio.timeout(READY_WITHIN):
+            await self.ground.start_agent(n, life, raw, lambda: self._ended(n, life))
+        self.up.add(n)
+
+    def _ended(self, n: int, life: int) -> None:
+        self.ground.ledger.note(books.AGENT, self.ground.now(), n, life, "ended")
+
+    def _sample(self) -> None:
+        now = self.ground.now()
+        for host in self.hosts:
+            host.step()
+            b = host.backend
+            if b.up:
+                self.ground.ledger.note(books.LOAD, now, b.number, len(b.running), len(b.queue), round(b.part(now), 3))
+        pools = self.ground.pools()
+        if pools:
+            self.ground.ledger.note(books.POOLS, now, sorted(pools.items()))
+        self.ground.loop.call_later(SAMPLE / 1000, self._sample)
+
+    # Troubles.
+
+    def _targets(self, number: int, trouble: Trouble) -> list[int]:
+        """What it strikes: what the world names, else drawn."""
+        if trouble.names:
+            return list(trouble.names)
+        pool = {"backends": len(self.hosts), "agents": self.world.agents, "zones": len(self.world.zones)}
+        total = pool.get(trouble.strikes, 0)
+        if not total:
+            return []
+        wanted = max(1, round(trouble.share * total)) if trouble.strikes != "zones" else 1
+        chance = stream(self._seed, "trouble", number)
+        return sorted(int(n) for n in chance.permutation(total)[:wanted])
+
+    def _begin(self, number: int, trouble: Trouble, targets: list[int]) -> None:
+        self.ground.ledger.note(books.TROUBLE, self.ground.now(), number, trouble.kind, "begins", targets)
+        self._strike(trouble, targets, True)
+        self.ground.loop.call_later(trouble.length / 1000, self._end, number, trouble, targets)
+
+    def _end(self, number: int, trouble: Trouble, targets: list[int]) -> None:
+        self.ground.ledger.note(books.TROUBLE, self.ground.now(), number, trouble.kind, "ends", targets)
+        self._strike(trouble, targets, False)
+
+    def _strike(self, trouble: Trouble, targets: list[int], on: bool) -> None:
+        strike = getattr(self, "_" + trouble.kind.replace("-", "_"), None)
+        if strike is not None:
+            strike(trouble, targets, on)
+
+    def _each(self, targets: list[int], change: Callable[[BackendHost], None]) -> None:
+        for n in targets:
+            host = self.hosts[n]
+            host.step()
+            change(host)
+            host.step()
+
+    def _slow(self, t: Trouble, targets: list[int], on: bool) -> None:
+        def change(host: BackendHost) -> None:
+            host.backend.slower *= t.strength if on else 1 / t.strength
+        self._each(targets, change)
+
+    def _set(self, targets: list[int], name: str, value: float, machine: bool = False) -> None:
+        self._each(targets, lambda host: setattr(host.machine if machine else host.backend, name, value))
+
+    def _silent(self, t: Trouble, targets: list[int], on: bool) -> None:
+        self._set(targets, "silent", t.strength if on else 0.0)
+
+    def _fail(self, t: Trouble, targets: list[int], on: bool) -> None:
+        self._set(targets, "fails", t.strength if on else 0.0)
+
+    def _stall(self, t: Trouble, targets: list[int], on: bool) -> None:
+        self._set(targets, "stalls", t.strength if on else 0.0)
+
+    def _late_reports(self, t: Trouble, targets: list[int], on: bool) -> None:
+        self._set(targets, "report_age", t.strength if on else 1.0)
+
+    def _reset(self, t: Trouble, targets: list[int], on: bool) -> None:
+        self._set(targets, "resets", t.strength if on else 0.0, machine=True)
+
+    def _break(self, t: Trouble, targets: list[int], on: bool) -> None:
+        self._set(targets, "breaks", t.strength if on else 0.0, machine=True)
+
+    def _latency(self, t: Trouble, targets: list[int], on: bool) -> None:
+        self._set(targets, "slower", t.strength if on else 0.0, machine=True)
+
+    def _thief(self, t: Trouble, targets: list[int], on: bool) -> None:
+        self._set(targets, "stolen", t.strength if on else 0.0)
+        if on:
+            until = self.ground.now() + t.length
+
+            def turn(now_on: bool) -> None:
+                if self.ground.now() < until - 1:
+                    self._set(targets, "stolen", t.strength if now_on else 0.0)
+                    self.ground.loop.call_later(THIEF / 2000, turn, not now_on)
+
+            self.ground.loop.call_later(THIEF / 2000, turn, False)
+
+    def _vanish(self, t: Trouble, targets: list[int], on: bool) -> None:
+        for n in targets:
+            host = self.hosts[n]
+            host.machine.vanished = on
+            if not on:
+                host.reset()  # what was open is reset when it is back
+            else:
+                self._later(self.world.registry.silent_lag, self._unlist_lost, n, host.backend.life)
+        if not on:
+            self.ground.mended()
+            for n in targets:
+                self._announce(n, state="Ready")
+
+    def _unlist_lost(self, n: int, life: int) -> None:
+        host = self.hosts[n]
+        if host.backend.life == life and (host.machine.vanished or not host.backend.up):
+            self._list(n, state="Gone")
+
+    def _cut(self, t: Trouble, targets: list[int], on: bool) -> None:
+        self.ground.paths.cut = self.ground.paths.cut | set(targets) if on else self.ground.paths.cut - set(targets)
+        if not on:
+            self.ground.mended()
+
+    def _loss(self, t: Trouble, targets: list[int], on: bool) -> None:
+        self.ground.paths.loss = t.strength if on else self.world.network.loss
+
+    # Backends that come and go.
+
+    def _later(self, lag: Any, what: Callable[..., None], *args: Any) -> None:
+        self.ground.loop.call_later(lag.at(float(self._chance.random())) / 1000, what, *args)
+
+    def _announce(self, n: int, **changed: Any) -> None:
+        """The registry gets to know it after its lag."""
+        self._later(self.world.registry.lag, lambda: self._list(n, **changed))
+
+    def _list(self, n: int, **changed: Any) -> None:
+        entry = self._entries[n] = replace(self._entries[n], **changed)
+        self.registry.set(entry)
+        if self.registry.up:
+            self.registry_host.changed()
+
+    def _die(self, n: int) -> None:
+        host = self.hosts[n]
+        host.die()
+        b = host.backend
+        self.ground.ledger.note(books.STATE, self.ground.now(), n, b.life, "Gone", 0.0, 0.0, 0.0)
+
+    def _return(self, n: int) -> None:
+        self._boot(self.hosts[n], cold=True)
+        self._announce(n, state="Ready", boot=int(self.ground.now()))
+
+    def _fell(self, host: BackendHost) -> None:
+        """Pushed over: it stays down."""
+        host.backend.up = False
+        self.ground.loop.call_soon(self._die, host.backend.number)
+        self._later(self.world.registry.silent_lag, self._unlist_lost, host.backend.number, host.backend.life)
+
+    def _crash(self, t: Trouble, targets: list[int], on: bool) -> None:
+        for n in targets:
+            if on and self.hosts[n].backend.up:
+                self._die(n)
+                self._later(self.world.registry.silent_lag, self._unlist_lost, n, self.hosts[n].backend.life)
+            elif not on and not self.hosts[n].backend.fallen:
+                self._return(n)
+
+    def _drain(self, t: Trouble, targets: list[int], on: bool) -> None:
+        for n in targets:
+            if on:
+                self.ground.ledger.note(books.STATE, self.ground.now(), n, self.hosts[n].backend.life, "Terminating",
+                                        0.0, 0.0, 0.0)
+                self._announce(n, state="Terminating")
+            else:
+                self._die(n)
+                self._list(n, state="Gone")
+                self.ground.loop.call_later(UNDRAINED, self._return, n)
+
+    def _replace(self, t: Trouble, targets: list[int], on: bool) -> None:
+        """As a deployment does: it drains, and another machine under another name takes its place."""
+        for n in targets:
+            if on:
+                self._drain(t, [n], True)
+                continue
+            self._die(n)
+            self._list(n, state="Gone")
+            old = self._entries[n]
+            self._entries[n] = replace(old, uid=f"{old.uid}-{self.hosts[n].backend.life}")
+            self.ground.loop.call_later(UNDRAINED, self._return, n)
+
+    # The registry and the agents.
+
+    def _registry_down(self, t: Trouble, targets: list[int], on: bool) -> None:
+        if on:
+            self.registry_host.down()
+        else:
+            self.registry.up = True
+        self._registry_machine.shut = on
+
+    def _registry_back(self, t: Trouble, targets: list[int], on: bool) -> None:
+        self._registry_down(t, targets, on)
+        if not on:
+            self.registry.restart(self.world.registry.restart_version)
+
+    def _restart_agents(self, t: Trouble, targets: list[int], on: bool) -> None:
+        for n in targets:
+            if on and n in self.up:
+                self.ground.ledger.note(books.AGENT, self.ground.now(), n, self.agents[n], "stopping")
+                self.up.discard(n)
+                self.ground.stop_agent(n)
+            elif not on:
+                self._revive(n)
+
+    def _kill_agents(self, t: Trouble, targets: list[int], on: bool) -> None:
+        for n in targets:
+            if on and n in self.up:
+                self.ground.ledger.note(books.AGENT, self.ground.now(), n, self.agents[n], "killed")
+                self.up.discard(n)
+                self.ground.kill_agent(n)
+            elif not on:
+                self._revive(n)
+
+    def _revive(self, n: int) -> None:
+        if n not in self.up:
+            self._starting = getattr(self, "_starting", {})
+            task = self.ground.loop.create_task(self._start_agent(n))
+            self._starting[task] = None
+            task.add_done_callback(lambda done: self._starting.pop(done, None))
+
+    def _busy_agents(self, t: Trouble, targets: list[int], on: bool) -> None:
+        if not on:
+            return
+        until = self.ground.now() + t.length
+
+        def again() -> None:
+            if self.ground.now() < until:
+                for n in targets:
+                    if n in self.up:
+                        self.ground.hold_agent(n, t.strength)
+                self.ground.loop.call_later(BUSY_EVERY / 1000, again)
+
+        again()
--- /dev/null
+++ b/lupinreach/bed/virtual.py
@@ -0,0 +1,229 @@
+"""Virtual time: all agents, clients and servers of a world in one process, on the bed's own event loop."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import logging
+from collections import Counter
+from collections.abc import Callable
+from typing import Any
+
+from tornado.ioloop import IOLoop
+
+from lupinreach.bed import ledger as books
+from lupinreach.bed.chance import stream
+from lupinreach.bed.faults import FAULTS
+from lupinreach.bed.ground import EPOCH
+from lupinreach.bed.ledger import Ledger
+from lupinreach.bed.loop import START, VirtualLoop
+from lupinreach.bed.memory import RST, MemoryNet, MemorySocket, MemorySockets
+from lupinreach.bed.network import Machine, Paths
+from lupinreach.bed.policies import POLICIES
+from lupinreach.bed.spec import World
+from lupinreach.bed.stage import Stage
+from lupinreach.config import Address, AgentConfig, Section, read_settings
+from lupinreach.net.agent import Agent
+from lupinreach.net.clock import Clock
+from lupinreach.net.log import Log
+
+NAME = b"Req-Id: "
+
+
+class VirtualClock(Clock):
+    """The agent's clock on the loop's time."""
+
+    def __init__(self, loop: VirtualLoop) -> None:
+        self._loop = loop
+
+    def now(self) -> float:
+        return EPOCH + self._loop.time() * 1000
+
+    def on_loop(self, at: float) -> float:
+        return (at - EPOCH) / 1000
+
+
+class VirtualLog(Log):
+    """Counts events, and keeps the last of each kind."""
+
+    def __init__(self) -> None:
+        logging.Handler.__init__(self, logging.ERROR)
+        self.dropped = 0
+        self.events: Counter[str] = Counter()
+        self.last: dict[str, dict[str, object]] = {}
+
+    def event(self, event: str, **fields: object) -> None:
+        self.events[event] += 1
+        self.last[event] = fields
+
+
+class Life:
+    """One agent from start to end."""
+
+    def __init__(self, owner: int, agent: Agent, log: VirtualLog) -> None:
+        self.owner = owner
+        self.agent = agent
+        self.log = log
+
+
+class VirtualGround:
+    exact = True
+
+    def __init__(self, world: World, seed: int) -> None:
+        self.loop = VirtualLoop()
+        network = world.network
+        self.paths = Paths(network.same, network.cross, network.jitter, network.loss, stream(seed, "paths"))
+        self.net = MemoryNet(self.loop, self.paths)
+        self.net.sends = self._sends
+        self.clock = VirtualClock(self.loop)
+        self.ledger = Ledger(EPOCH + START * 1000)
+        self._fault = FAULTS.get(world.fault)
+        self._tamper = self._fault.tamper() if self._fault and self._fault.tamper else None
+        self._decide = self._fault.decide if self._fault and self._fault.decide else POLICIES[world.policy]
+        self._machines: Callable[[int], Machine] = lambda _: Machine("", 0)
+        self._lives: dict[int, Life] = {}
+        self._owners: dict[int, tuple[int, int]] = {}  # owner: agent, life; as many as there were lives
+        self._chance = stream(seed, "breaks")
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.agent_faults: Counter[str] = Counter()
+
+    def now(self) -> float:
+        return self.clock.now()
+
+    async def serve(self, address: Address, machine: Machine, protocol: Callable[[], asyncio.Protocol]) -> None:
+        self.net.serve(address, machine, protocol)
+
+    def connect(self, machine: Machine, protocol: asyncio.Protocol, address: Address) -> None:
+        self.net.connect(machine, protocol, address)
+
+    def mended(self) -> None:
+        self.net.mended()
+
+    def _sends(self, sock: MemorySocket, piece: bytes) -> tuple[bytes, int]:
+        """What an agent writes: booked, tampered with, or broken off."""
+        if sock.address is not None:
+            at = piece.find(NAME)
+            if at >= 0:
+                name = piece[at + len(NAME):piece.index(b"\r", at)].decode()
+                agent, life = self._owners[sock.owner]
+                backend = self._backends.get(sock.address)
+                if backend is not None:
+                    self.ledger.note(books.SENT, self.now(), agent, life, backend, name)
+                other = sock.other
+                if other is not None and other.machine.breaks and self._chance.random() < other.machine.breaks:
+                    self._break(sock, other)
+                    return piece[:len(piece) // 2], len(piece) // 2
+        return (self._tamper(sock, piece) if self._tamper is not None else piece), len(piece)
+
+    def _break(self, sock: MemorySocket, other: Any) -> None:
+        """The connection goes before the last byte: the kernel has taken half, and then says so."""
+        sock.stopped = True
+        self.loop.call_later(0.001, sock.take, RST, context=self.net.context)
+        self.loop.call_later(0.001, other.take, RST, context=self.net.context)
+
+    # Agents.
+
+    async def start_agent(self, number: int, life: int, raw: dict[str, Any], ended: Callable[[], None]) -> None:
+        owner = len(self._owners) + 1
+        self._owners[owner] = number, life
+        log = VirtualLog()
+        with self.loop.owned_by(owner):
+            sockets = MemorySockets(self.net, self._machines(number), raw["limits"]["sockets"])
+            agent = Agent(_config(raw), log, self.clock, sockets, self._decide)
+            self._lives[number] = Life(owner, agent, log)
+            await self.loop.create_task(agent.start())
+        self._ended = ended
+
+    def stop_agent(self, number: int) -> None:
+        life = self._lives[number]
+
+        async def stop() -> None:
+            await life.agent.stop()
+            self.net.die(life.owner)
+            self._close(life)
+
+        with self.loop.owned_by(life.owner):
+            task = self.loop.create_task(stop())
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def kill_agent(self, number: int) -> None:
+        life = self._lives[number]
+        self.loop.kill(life.owner)
+        self.net.die(life.owner)
+        self._close(life)
+
+    def _close(self, life: Life) -> None:
+        for what, times in life.agent.counters.others.items():
+            if what.startswith("fault"):
+                self.agent_faults[what] += times
+
+    def hold_agent(self, number: int, ms: float) -> None:
+        self.loop.hold(self._lives[number].owner, ms)
+
+    def pools(self) -> dict[int, int]:
+        found: Counter[int] = Counter()
+        for life in self._lives.values():
+            for b in life.agent.balancer._ring:
+                if not any(b.held):
+                    backend = self._backends.get(life.agent.directory.place(b.index).address)
+                    if backend is not None:
+                        found[backend] += 1
+        return dict(found)
+
+    def bind(self, stage: Stage, backends: dict[Address, int]) -> None:
+        self._machines = stage.machine
+        self._backends = backends
+
+    def close(self) -> None:
+        for life in self._lives.values():
+            self._close(life)
+
+
+def _config(raw: dict[str, Any]) -> AgentConfig:
+    """What `read_agent` makes of a file, without the file."""
+    top = Section(raw)
+    return AgentConfig(
+        raw["name"], top.address("listen"), top.address("discovery"), int(raw["seed"], 16), raw["limits"]["sockets"],
+        192 << 20, top.address("peer_listen") if "peer_listen" in raw else None,
+        tuple(_pair(t) for t in raw.get("peers", ())), top.address("peers_all") if "peers_all" in raw else None,
+        raw["known"], read_settings(raw["settings"], "settings"))
+
+
+def _pair(text: str) -> Address:
+    host, _, port = text.rpartition(":")
+    return host, int(port)
+
+
+class AgentFault(RuntimeError):
+    """An exception in the agent or the bed that nobody expected."""
+
+
+def play(world: World, seed: int, progress: Callable[[float], None] | None = None) -> Ledger:
+    """One run; its ledger. Raises AgentFault where anything raised that nobody caught."""
+    from lupinreach.bed.ground import backend_address
+    ground = VirtualGround(world, seed)
+    loop = ground.loop
+    asyncio.set_event_loop(loop)
+    frozen = gc.isenabled()
+    gc.disable()  # guards against a collector whose turns cost a third of the run
+    try:
+        IOLoop.current()  # makes Tornado's own for this loop, outside of all owners
+        stage = Stage(world, seed, ground, progress)
+        ground.bind(stage, {backend_address(n): n for n in range(world.fleet)})
+        loop.run_until_complete(stage.play())
+        ground.close()
+    finally:
+        ground.ledger.seal()
+        faults = list(loop.faults)
+        loop.end()
+        if frozen:
+            gc.enable()
+        IOLoop._ioloop_for_asyncio.pop(loop, None)
+        asyncio.set_event_loop(None)
+        loop.close()
+        gc.collect()
+    if faults or ground.agent_faults:
+        first = faults[0] if faults else {}
+        raise AgentFault(f"{dict(ground.agent_faults)} {first.get('message', '')} {first.get('exception', '')!r}")
+    return ground.ledger
