--- a/lupinreach/__main__.py
+++ b/lupinreach/__main__.py
@@ -11,8 +11,9 @@
 
 import uvloop
 
+from lupinreach.balance import Balancer
 from lupinreach.config import BadConfig, read_agent
-from lupinreach.net.agent import Agent
+from lupinreach.net.agent import Agent, Decide
 
 COLLECT_AFTER = 2000  # objects more than before: some hundred API calls under way
 
@@ -37,10 +38,10 @@
     await agent.stop()
 
 
-async def main() -> int:
+async def main(decide: Decide) -> int:
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # guards against an end by one that comes before the start
     try:
-        agent = Agent(read_agent(os.environ))
+        agent = Agent(read_agent(os.environ), decide=decide)
     except BadConfig as bad:
         print(f"lupinreach: {bad}", file=sys.stderr)
         return 2
@@ -52,6 +53,11 @@
     return 0
 
 
-if __name__ == "__main__":
+def serve(decide: Decide = Balancer) -> int:
+    """Run one agent to its end; the exit code."""
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-        sys.exit(runner.run(main()))
+        return runner.run(main(decide))
+
+
+if __name__ == "__main__":
+    sys.exit(serve())
--- a/lupinreach/bed/check.py
+++ b/lupinreach/bed/check.py
@@ -32,7 +32,7 @@
 class Shot:
     sent: float
     backend: int
-    ended: float = inf
+    ended: float = inf  # when the backend said that it would not, or failed
     ran: list[float] = field(default_factory=list)  # when it had an effect
 
 
@@ -153,15 +153,18 @@
             shot.ended = min(shot.ended, at)
 
     def _on_ran(self, at: float, backend: int, name: str, effect: bool) -> None:
+        # No end: that the work is done does not say that its answer got there.
         for shot in self._shots(name, backend):
-            shot.ended = min(shot.ended, at)
             if effect:
                 shot.ran.append(at)
 
+    def _on_failed(self, at: float, backend: int, name: str) -> None:
+        self._on_away(at, backend, name)
+
     def _shots(self, name: str, backend: int) -> list[Shot]:
-        """The oldest shot of this try to this backend that has not ended yet, or the newest there was."""
+        """The oldest shot of this try to this backend of which nothing is booked yet, or the newest there was."""
         found = [s for s in self.tries[name].shots if s.backend == backend] if name in self.tries else []
-        return ([s for s in found if s.ended == inf] or found[-1:])[:1]
+        return ([s for s in found if s.ended == inf and not s.ran] or found[-1:])[:1]
 
     # Cold backends: recomputed, whatever their models say.
 
--- a/lupinreach/bed/ground.py
+++ b/lupinreach/bed/ground.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Any, Protocol
 
 from lupinreach.bed.ledger import Ledger
@@ -17,6 +18,7 @@
     loop: asyncio.AbstractEventLoop
     paths: Paths
     ledger: Ledger
+    addresses: Addresses
     exact: bool  # it sees itself when an agent sends, and when connections are cut
 
     def now(self) -> float:
@@ -40,26 +42,37 @@
 
     def mended(self) -> None: ...
 
+    def shut(self, machine: Machine, on: bool) -> None:
+        """Connections to it are refused, or accepted again."""
+        ...
+
     def pools(self) -> dict[int, int]:
         """How many agents have each backend in a pool, as far as that can be seen."""
         ...
 
 
-def backend_address(number: int) -> Address:
-    return f"127.2.{number >> 8}.{(number & 255) + 1}", 8000
+@dataclass(frozen=True)
+class Addresses:
+    """Who listens where, on 127.0.0.0/8. Runs beside each other differ in `port`."""
 
+    port: int
 
-def agent_address(number: int) -> Address:
-    return f"127.1.{number >> 8}.{(number & 255) + 1}", 7000
+    def agent(self, number: int) -> Address:
+        return _on(1, number), self.port
 
+    def backend(self, number: int) -> Address:
+        return _on(2, number), self.port
 
-def registry_address(agent: int) -> Address:
-    """Each agent has an address of the registry's for itself, so that it is known who asks."""
-    return f"127.3.{agent >> 8}.{(agent & 255) + 1}", 9000
+    def registry(self, agent: int) -> Address:
+        """Each agent has an address of the registry's for itself, so that it is known who asks."""
+        return _on(3, agent), self.port
 
+    def peer(self, agent: int) -> Address:
+        return _on(1, agent), self.port + 1
 
-def peer_address(agent: int) -> Address:
-    return f"127.1.{agent >> 8}.{(agent & 255) + 1}", 7001
+    def everybody(self) -> Address:
+        return _on(4, 0), self.port + 1
 
 
-EVERYBODY: Address = ("127.4.0.1", 7001)
+def _on(net: int, number: int) -> str:
+    return f"127.{net}.{number // 250}.{number % 250 + 1}"
--- a/lupinreach/bed/ledger.py
+++ b/lupinreach/bed/ledger.py
@@ -25,6 +25,7 @@
 SENT = "sent"  # agent, life, backend, name: the first byte of a shot left the agent
 CAME = "came"  # backend, life, name, work ms: the last byte is there
 AWAY = "away"  # backend, name: turned away, never ran
+FAILED = "failed"  # backend, name: an error at once
 RAN = "ran"  # backend, name, effect: True, or False for a repeat that was dropped
 FELL = "fell"  # backend: pushed over
 TOLD = "told"  # agent, life, version, [[backend, state], ...], whole list or not
--- /dev/null
+++ b/lupinreach/bed/loopback.py
@@ -0,0 +1,276 @@
+"""Loopback: the same world with real agent processes and sockets on 127.0.0.0/8, in real time.
+
+Clients, backends and the registry run in this process, by the same models and protocols as in virtual time. What
+can't be done to the system's sockets without privileges is done at the servers' side: delays and cuts hold bytes
+back there, a connection to what can't be reached is accepted and silent, and a break before the last byte comes
+as a reset after it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import sys
+import tempfile
+import time
+from collections import deque
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+from lupinreach.bed.chance import stream
+from lupinreach.bed.ground import Addresses
+from lupinreach.bed.ledger import Ledger
+from lupinreach.bed.network import Machine, Paths
+from lupinreach.bed.spec import World
+from lupinreach.bed.stage import Stage
+from lupinreach.config import Address
+
+NAME = b"Req-Id: "
+ENDS_WITHIN = 10.0  # s for an agent to end after its signal
+BACKLOG = 512
+
+
+def free_port() -> int:
+    """A port that is free on the addresses of a first agent and the one after it, as far as can be told."""
+    while True:
+        with socket.socket() as first, socket.socket() as second:
+            first.bind(("127.1.0.1", 0))
+            port = int(first.getsockname()[1])
+            try:
+                second.bind(("127.1.0.1", port + 1))
+            except (OSError, OverflowError):
+                continue
+            return port
+
+
+class Slowed(asyncio.Protocol):
+    """Stands between a server's protocol and its connection: bytes take their time, or wait until a cut is over.
+
+    To the protocol it is the transport.
+    """
+
+    def __init__(self, ground: LoopbackGround, machine: Machine, inner: asyncio.Protocol) -> None:
+        self._ground = ground
+        self._machine = machine
+        self._inner = inner
+        self._transport: Any = None
+        self._from = machine  # the agent's, once it is known
+        self._due = [0.0, 0.0]  # in, out: nothing overtakes
+        self._held: list[deque[Callable[[], None]]] = [deque(), deque()]  # emptied by `again`
+
+    def connection_made(self, transport: Any) -> None:
+        self._transport = transport
+        self._inner.connection_made(self)  # type: ignore[arg-type]
+
+    def data_received(self, data: bytes) -> None:
+        at = data.find(NAME)
+        if at >= 0:
+            self._from = self._ground.whose(data[at + len(NAME):data.find(b"\r", at)]) or self._from
+        self._pass(0, lambda: self._inner.data_received(data))
+
+    def _pass(self, way: int, what: Callable[[], None]) -> None:
+        ground = self._ground
+        if self._held[way] or not ground.paths.reaches(self._from, self._machine):
+            self._held[way].append(what)
+            ground.waiting[self] = None
+            return
+        took = ground.paths.delay(self._from, self._machine) / 1000
+        self._due[way] = max(self._due[way], ground.loop.time() + took)
+        ground.loop.call_at(self._due[way], what)
+
+    def again(self) -> None:
+        for way in (0, 1):
+            held, self._held[way] = self._held[way], deque()
+            for what in held:
+                self._pass(way, what)
+
+    def eof_received(self) -> bool:
+        self._pass(0, self._ended)
+        return True
+
+    def _ended(self) -> None:
+        if not self._inner.eof_received():
+            self._transport.close()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._inner.connection_lost(exc)
+
+    # As a transport.
+
+    def write(self, data: bytes) -> None:
+        self._pass(1, lambda: self._transport.write(data))
+
+    def close(self) -> None:
+        self._pass(1, lambda: self._transport.close())
+
+    def abort(self) -> None:
+        self._transport.abort()
+
+    def is_closing(self) -> bool:
+        return bool(self._transport.is_closing())
+
+
+class LoopbackGround:
+    exact = False
+
+    def __init__(self, world: World, seed: int, folder: Path) -> None:
+        self.loop = asyncio.get_running_loop()
+        network = world.network
+        self.paths = Paths(network.same, network.cross, network.jitter, network.loss, stream(seed, "paths"))
+        self.addresses = Addresses(free_port())
+        self.ledger = Ledger(self.now())
+        self._policy = world.policy
+        self._folder = folder
+        self._served: dict[Machine, list[tuple[Address, Callable[[], asyncio.Protocol]]]] = {}
+        self._servers: dict[Machine, list[asyncio.Server]] = {}
+        self._shut: set[Machine] = set()
+        self._agents: dict[int, asyncio.subprocess.Process] = {}
+        self._tasks: set[asyncio.Task[Any]] = set()  # each leaves when it ends
+        self.waiting: dict[Slowed, None] = {}  # with something held; emptied by `mended`
+        self.whose: Callable[[bytes], Machine | None] = lambda _: None
+        self.logs: dict[int, dict[str, Any]] = {}  # the last counters of each agent
+        self.ended_badly: list[str] = []
+
+    def now(self) -> float:
+        return time.time() * 1000
+
+    def _spawn(self, work: Any) -> asyncio.Task[Any]:
+        task = self.loop.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    # Servers and clients.
+
+    async def serve(self, address: Address, machine: Machine, protocol: Callable[[], asyncio.Protocol]) -> None:
+        self._served.setdefault(machine, []).append((address, protocol))
+        await self._open(machine, address, protocol)
+
+    async def _open(self, machine: Machine, address: Address, protocol: Callable[[], asyncio.Protocol]) -> None:
+        server = await self.loop.create_server(lambda: Slowed(self, machine, protocol()), *address,
+                                               backlog=BACKLOG, reuse_address=True)
+        if machine in self._shut:
+            server.close()
+        else:
+            self._servers.setdefault(machine, []).append(server)
+
+    def shut(self, machine: Machine, on: bool) -> None:
+        if on and machine not in self._shut:
+            self._shut.add(machine)
+            for server in self._servers.pop(machine, ()):
+                server.close()
+        elif not on and machine in self._shut:
+            self._shut.discard(machine)
+            for address, protocol in self._served.get(machine, ()):
+                self._spawn(self._open(machine, address, protocol))
+
+    def connect(self, machine: Machine, protocol: asyncio.Protocol, address: Address) -> None:
+        self._spawn(self._connect(protocol, address))
+
+    async def _connect(self, protocol: asyncio.Protocol, address: Address) -> None:
+        try:
+            await self.loop.create_connection(lambda: protocol, *address)
+        except OSError as failed:
+            protocol.connection_lost(failed)
+
+    def mended(self) -> None:
+        held, self.waiting = list(self.waiting), {}
+        for line in held:
+            line.again()
+
+    # Agents.
+
+    async def start_agent(self, number: int, life: int, raw: dict[str, Any], ended: Callable[[], None]) -> None:
+        path = self._folder / f"agent-{number}.json"
+        path.write_text(json.dumps(raw))
+        program = ["-m", "lupinreach"] if self._policy == "lupinreach" else ["-m", "lupinreach.bed.agent", self._policy]
+        agent = await asyncio.create_subprocess_exec(
+            sys.executable, *program, stdout=asyncio.subprocess.PIPE, env={**os.environ, "PROXY_CONFIG": str(path)})
+        self._agents[number] = agent
+        up = asyncio.Event()
+        self._spawn(self._follow(number, agent, up, ended))
+        await up.wait()
+
+    async def _follow(self, number: int, agent: asyncio.subprocess.Process, up: asyncio.Event,
+                      ended: Callable[[], None]) -> None:
+        assert agent.stdout is not None
+        async for line in agent.stdout:
+            event = json.loads(line)
+            if event["event"] == "started":
+                up.set()
+            elif event["event"] in ("counters", "stopped"):
+                self.logs[number] = event
+            elif event["event"] == "fault":
+                self.ended_badly.append(f"agent {number}: {event.get('why')}")
+        code = await agent.wait()
+        if code not in (0, -signal.SIGKILL):
+            self.ended_badly.append(f"agent {number} ended with {code}")
+        up.set()
+        ended()
+
+    def stop_agent(self, number: int) -> None:
+        self._signal(number, signal.SIGTERM)
+
+    def kill_agent(self, number: int) -> None:
+        self._signal(number, signal.SIGKILL)
+
+    def hold_agent(self, number: int, ms: float) -> None:
+        self._signal(number, signal.SIGSTOP)
+        self.loop.call_later(ms / 1000, self._signal, number, signal.SIGCONT)
+
+    def _signal(self, number: int, what: int) -> None:
+        if self._agents[number].returncode is None:
+            self._agents[number].send_signal(what)
+
+    def pools(self) -> dict[int, int]:
+        return {}
+
+    async def close(self) -> None:
+        for number in self._agents:
+            self._signal(number, signal.SIGCONT)
+            self._signal(number, signal.SIGTERM)
+        try:
+            async with asyncio.timeout(ENDS_WITHIN):
+                await asyncio.gather(*(a.wait() for a in self._agents.values()))
+        except TimeoutError:
+            for number in self._agents:
+                self._signal(number, signal.SIGKILL)
+        for servers in self._servers.values():
+            for server in servers:
+                server.close()
+        if self._tasks:
+            await asyncio.wait(self._tasks, timeout=1.0)
+        for task in list(self._tasks):
+            task.cancel()
+
+
+class AgentFault(RuntimeError):
+    """An agent ended or logged in a way that it should not."""
+
+
+async def play_on(world: World, seed: int, progress: Callable[[float], None] | None = None,
+                  watch: Callable[[Stage], None] | None = None) -> Ledger:
+    """One run on the running event loop. `watch` is handed the stage before it begins."""
+    with tempfile.TemporaryDirectory(prefix="lupinreach-bed-") as folder:
+        ground = LoopbackGround(world, seed, Path(folder))
+        stage = Stage(world, seed, ground, progress)
+        ground.whose = stage.whose
+        if watch is not None:
+            watch(stage)
+        try:
+            await stage.play()
+        finally:
+            ground.ledger.seal()
+            await ground.close()
+    if ground.ended_badly:
+        raise AgentFault("; ".join(ground.ended_badly[:5]))
+    return ground.ledger
+
+
+def play(world: World, seed: int, progress: Callable[[float], None] | None = None) -> Ledger:
+    """One run; its ledger."""
+    return asyncio.run(play_on(world, seed, progress))
--- /dev/null
+++ b/lupinreach/bed/report.py
@@ -0,0 +1,159 @@
+"""One self-contained HTML page about a run, from its ledger: plots over time and the verdict."""
+
+from __future__ import annotations
+
+import html
+import io
+from collections import defaultdict
+from pathlib import Path
+from typing import Any
+
+import matplotlib
+
+matplotlib.use("svg")
+import matplotlib.pyplot as plt  # noqa: E402
+import numpy as np  # noqa: E402
+
+from lupinreach.bed import service  # noqa: E402
+from lupinreach.bed.experiment import Result  # noqa: E402
+from lupinreach.bed.ledger import Record  # noqa: E402
+from lupinreach.bed.spec import World  # noqa: E402
+
+SECOND = 1000.0
+COLOURS = {"fulfilled": "#2a7f62", "rate-limited": "#e0a030", "errored": "#c04040", "left": "#7a3f8f",
+           "lost": "#606060", "none": "#202020"}
+MOST_ROWS = 60  # backends that a map shows each for itself
+STYLE = """body{font:15px/1.5 system-ui,sans-serif;max-width:70em;margin:2em auto;padding:0 1em;color:#222}
+table{border-collapse:collapse}td,th{border-bottom:1px solid #ccc;padding:.2em .8em;text-align:left}
+.broken{color:#b00020;font-weight:bold}svg{max-width:100%;height:auto}"""
+
+
+def write(folder: Path, world: World, result: Result, records: list[Record]) -> Path:
+    """The page's path."""
+    folder.mkdir(parents=True, exist_ok=True)
+    path = folder / f"{world.name}-{world.policy}-{result.seed}.html"
+    path.write_text(page(world, result, records), encoding="utf-8")
+    return path
+
+
+def page(world: World, result: Result, records: list[Record]) -> str:
+    calls = list(service.calls(world, records).values())
+    troubles = _troubles(records)
+    figures = [
+        ("Service over time", "Share of the billed value asked for in each second that was answered within its SLO.",
+         _service(calls, troubles)),
+        ("Latency", "Of fulfilled API calls, by the second in which they were asked.", _latency(calls, troubles)),
+        ("In flight by backend", "API calls that each backend holds, in work or waiting, sampled each second.",
+         _map(records, "load", "in flight", lambda r: [(r[2], r[3] + r[4])])),
+        ("Pool by backend", "Share of agents that have the backend in every pool.",
+         _map(records, "pools", "share of agents", lambda r: [(b, n / world.agents) for b, n in r[2]])),
+        ("Answers by kind", "API calls a second by how they ended.", _answers(calls, troubles)),
+    ]
+    rules = "".join(f"<tr><td>{rule}</td><td class='{'' if said == 'kept' else 'broken'}'>{html.escape(said)}</td></tr>"
+                    for rule, said in result.rules.items())
+    facts = {"agents": world.agents, "backends": world.fleet, "policy": world.policy, "seed": result.seed,
+             **{k: v for k, v in result.figures.items() if not isinstance(v, dict)},
+             **{f"latency {k}": f"{v} ms" for k, v in result.figures["latency_ms"].items()}, "digest": result.digest}
+    rows = "".join(f"<tr><td>{html.escape(k)}</td><td>{html.escape(str(v))}</td></tr>" for k, v in facts.items())
+    first = "".join(f"<li>{b.at:.0f} ms: {html.escape(b.name)}: {html.escape(b.what)}</li>" for b in result.breaches[:20])
+    plots = "".join(f"<h2>{title}</h2><p>{words}</p>{svg}" for title, words, svg in figures if svg)
+    return (f"<!doctype html><html lang='en'><meta charset='utf-8'><title>{html.escape(world.name)}</title>"
+            f"<style>{STYLE}</style><h1>{html.escape(world.name)}</h1>"
+            f"<p>Simulated backends, clients and network; figures are of this model and no real machines.</p>"
+            f"<table>{rules}</table><ul>{first}</ul><table>{rows}</table>{plots}</html>")
+
+
+def _troubles(records: list[Record]) -> list[tuple[str, float, float]]:
+    begun: dict[int, tuple[str, float]] = {}
+    found = []
+    for r in records:
+        if r[0] == "trouble":
+            if r[4] == "begins":
+                begun[r[2]] = r[3], r[1] / 1e6
+            elif r[2] in begun:
+                kind, at = begun.pop(r[2])
+                found.append((kind, at, r[1] / 1e6))
+    return found
+
+
+def _svg(figure: Any) -> str:
+    text = io.StringIO()
+    figure.savefig(text, format="svg", bbox_inches="tight")
+    plt.close(figure)
+    drawn = text.getvalue()
+    return drawn[drawn.index("<svg"):]
+
+
+def _axes(troubles: list[tuple[str, float, float]], label: str, height: float = 2.6) -> tuple[Any, Any]:
+    figure, axes = plt.subplots(figsize=(10, height))
+    for i, (kind, begin, end) in enumerate(troubles):
+        axes.axvspan(begin, end, color="#d8c8a8", alpha=0.45, lw=0)
+        axes.text(begin, 1.01 + 0.07 * (i % 3), kind, fontsize=8, transform=axes.get_xaxis_transform())
+    axes.set_xlabel("s")
+    axes.set_ylabel(label)
+    axes.grid(alpha=0.3)
+    return figure, axes
+
+
+def _by_second(calls: list[service.Asked]) -> dict[int, list[service.Asked]]:
+    found: dict[int, list[service.Asked]] = defaultdict(list)
+    for one in calls:
+        found[int(one.at // SECOND)].append(one)
+    return dict(sorted(found.items()))
+
+
+def _service(calls: list[service.Asked], troubles: list[tuple[str, float, float]]) -> str:
+    seconds = _by_second(calls)
+    figure, axes = _axes(troubles, "share")
+    axes.step(list(seconds), [service.share(some) for some in seconds.values()], where="post", color="#2a5f9e")
+    axes.set_ylim(0, 1.02)
+    return _svg(figure)
+
+
+def _latency(calls: list[service.Asked], troubles: list[tuple[str, float, float]]) -> str:
+    seconds = {s: [c.answered for c in some if c.answered >= 0] for s, some in _by_second(calls).items()}
+    seconds = {s: some for s, some in seconds.items() if some}
+    if not seconds:
+        return ""
+    figure, axes = _axes(troubles, "ms")
+    for share, colour in ((50, "#2a7f62"), (90, "#e0a030"), (99, "#c04040")):
+        axes.plot(list(seconds), [np.percentile(some, share) for some in seconds.values()], label=f"p{share}", color=colour)
+    axes.legend(loc="upper right")
+    axes.set_ylim(bottom=0)
+    return _svg(figure)
+
+
+def _answers(calls: list[service.Asked], troubles: list[tuple[str, float, float]]) -> str:
+    seconds = _by_second(calls)
+    figure, axes = _axes(troubles, "API calls a second")
+    below = np.zeros(len(seconds))
+    for ending, colour in COLOURS.items():
+        some = np.array([sum(c.ending == ending for c in asked) for asked in seconds.values()], dtype=float)
+        if some.any():
+            axes.bar(list(seconds), some, bottom=below, width=1.0, align="edge", label=ending, color=colour)
+            below += some
+    axes.legend(loc="upper right")
+    return _svg(figure)
+
+
+def _map(records: list[Record], kind: str, label: str, read: Any) -> str:
+    cells: dict[tuple[int, int], float] = {}
+    for r in records:
+        if r[0] == kind:
+            for backend, value in read(r):
+                cells[backend, int(r[1] // 1_000_000)] = value
+    if not cells:
+        return ""
+    backends = sorted({b for b, _ in cells})[:MOST_ROWS]
+    last = max(s for _, s in cells)
+    table = np.full((len(backends), last + 1), np.nan)
+    rows = {b: i for i, b in enumerate(backends)}
+    for (b, s), value in cells.items():
+        if b in rows:
+            table[rows[b], s] = value
+    figure, axes = plt.subplots(figsize=(10, 1.2 + 0.14 * len(backends)))
+    drawn = axes.imshow(table, aspect="auto", interpolation="nearest", cmap="viridis", vmin=0)
+    figure.colorbar(drawn, ax=axes, label=label)
+    axes.set_xlabel("s")
+    axes.set_ylabel("backend")
+    return _svg(figure)
--- a/lupinreach/bed/servers.py
+++ b/lupinreach/bed/servers.py
@@ -5,7 +5,7 @@
 import asyncio
 from collections.abc import Callable
 from math import inf
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 import orjson
 
@@ -22,8 +22,7 @@
 from lupinreach.net.ends import Ended
 from lupinreach.net.http import Head
 
-if TYPE_CHECKING:
-    Asked = Callable[[str], tuple[int, int, int] | None]
+Asked = Callable[[str], tuple[int, int, int] | None]  # by the name of a try: agent, its life, product
 
 BODY = b"ran:"
 DECLINED = answer(503, b"", b"Srv-Declined: 1")
@@ -89,6 +88,7 @@
             self.ground.ledger.note(books.AWAY, now, backend.number, name)
             line.say(DECLINED)
         elif way is Way.FAILED:
+            self.ground.ledger.note(books.FAILED, now, backend.number, name)
             line.say(answer(500, b"", *self.load(now)))
         self.step()
 
@@ -104,7 +104,7 @@
         """The process ends: its connections are reset, new ones refused."""
         self.step()
         self.backend.die(self.ground.now())
-        self.machine.shut = True
+        self.ground.shut(self.machine, True)
         self.reset()
         self.step()
 
@@ -130,7 +130,7 @@
     def connection_made(self, transport: Any) -> None:
         host = self._host
         self._transport = transport
-        if not host.backend.up or (not host.ground.exact and host.machine.shut):
+        if not host.backend.up:
             transport.abort()
             return
         host.step()
@@ -213,7 +213,6 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._busy = True
-        self._transport = None if self._transport is None else self._transport
         self._host.lines.pop(self, None)
         if self.job is not None:
             job, self.job = self.job, None
--- a/lupinreach/bed/spec.py
+++ b/lupinreach/bed/spec.py
@@ -279,17 +279,42 @@
         }
 
 
+WORLDS = Path(__file__).parent / "worlds"
+
+
 def read_file(path: str | Path) -> World:
-    """A world from a TOML file; BadConfig says what is wrong and where."""
+    """A world from a TOML file, or one of the bed's own by its name; BadConfig says what is wrong and where."""
+    return read(_load(Path(path)))
+
+
+def _load(path: Path, depth: int = 0) -> dict[str, Any]:
+    own = WORLDS / f"{path}.toml"
+    if not path.suffix and not path.exists() and own.is_file():
+        path = own
     try:
-        raw = tomllib.loads(Path(path).read_text(encoding="utf-8"))
+        raw = tomllib.loads(path.read_text(encoding="utf-8"))
     except OSError as bad:
         raise BadConfig(f"{path}: {bad.strerror}") from None
     except UnicodeDecodeError:
         raise BadConfig(f"{path}: not UTF-8") from None
     except tomllib.TOMLDecodeError as bad:
         raise BadConfig(f"{path}: no TOML: {bad}") from None
-    return read(raw)
+    base = raw.pop("base", None)
+    if base is None:
+        return raw
+    if not isinstance(base, str) or depth > 3:
+        raise BadConfig("base: must be the name of a world or a file, and not go in a circle")
+    below = path.parent / base
+    return _over(_load(below if below.suffix and below.exists() else Path(base), depth + 1), raw)
+
+
+def _over(below: dict[str, Any], above: dict[str, Any]) -> dict[str, Any]:
+    """Tables are merged key by key, everything else is replaced."""
+    merged = dict(below)
+    for key, value in above.items():
+        old = merged.get(key)
+        merged[key] = _over(old, value) if isinstance(old, dict) and isinstance(value, dict) else value
+    return merged
 
 
 def read(raw: Mapping[str, Any]) -> World:
--- a/lupinreach/bed/stage.py
+++ b/lupinreach/bed/stage.py
@@ -11,9 +11,7 @@
 from lupinreach.bed.backend import Backend, Marks
 from lupinreach.bed.chance import stream
 from lupinreach.bed.clients import ClientHost
-from lupinreach.bed.ground import (
-    EVERYBODY, Ground, agent_address, backend_address, peer_address, registry_address,
-)
+from lupinreach.bed.ground import Ground
 from lupinreach.bed.network import Machine
 from lupinreach.bed.registry import Entry, Registry
 from lupinreach.bed.servers import SAMPLE, BackendHost, BackendLine, RegistryHost, RegistryLine
@@ -77,7 +75,7 @@
         self.agents = [0] * world.agents  # their lives
         self.up: set[int] = set()
         self._client_machines = [Machine(f"agent {n}", n % len(world.zones)) for n in range(world.agents)]
-        self.clients = [ClientHost(ground, world, n, self._client_machines[n], agent_address(n))
+        self.clients = [ClientHost(ground, world, n, self._client_machines[n], ground.addresses.agent(n))
                         for n in range(world.agents)]
         self.registry_host = RegistryHost(ground, self.registry, self.agents.__getitem__)
         self.hosts: list[BackendHost] = []
@@ -85,21 +83,28 @@
         for b, kind in zip(fleet.backends, fleet.kinds, strict=True):
             self._add(b, kind)
         self._registry_machine = Machine("registry", 0)
-        self._start = 0.0
+        self._starting: dict[asyncio.Task[None], None] = {}  # agents that come back; each leaves when it is up
+        self._agent_of: list[int] = []  # by API call
 
     def machine(self, agent: int) -> Machine:
         return self._client_machines[agent]
 
+    def whose(self, name: bytes) -> Machine | None:
+        """The machine of the agent that a try is made through."""
+        found = self._asked(name.decode("latin-1"))
+        return self._client_machines[found[0]] if found else None
+
     def _add(self, b: Backend, kind: str, suffix: str = "") -> BackendHost:
         machine = Machine(f"backend {b.number}", b.zone)
         host = BackendHost(self.ground, self.world, b, machine, stream(self._seed, "backend", b.number),
                            self._asked, self._fell)
         self.hosts.append(host)
-        self._entries.append(Entry(f"b-{b.number:04x}{suffix}", b.number, text(backend_address(b.number)),
+        self._entries.append(Entry(f"b-{b.number:04x}{suffix}", b.number, text(self.ground.addresses.backend(b.number)),
                                    self.world.zones[b.zone], kind, b.cell, float(b.cores)))
         return host
 
     def _asked(self, name: str) -> tuple[int, int, int] | None:
+        """Whose try it is, in which life, and its product; None if nobody asked under this name."""
         call, _, _ = name.partition(".")
         try:
             agent = self._agent_of[int(call, 16)]
@@ -112,14 +117,13 @@
     async def play(self) -> None:
         """All of it; the ledger holds what happened."""
         ground, world = self.ground, self.world
-        self._start = ground.now()
-        ground.ledger.note(books.WORLD, self._start, {**plain(world), "seed": self._seed, "mode": "", "measure": []})
+        ground.ledger.note(books.WORLD, ground.now(), {**plain(world), "seed": self._seed, "mode": "", "measure": []})
         for host in self.hosts:
             await self._serve(host)
             self._boot(host, cold=False)
             self.registry.set(self._entries[host.backend.number])
         for n in range(world.agents):
-            await ground.serve(registry_address(n), self._registry_machine,
+            await ground.serve(ground.addresses.registry(n), self._registry_machine,
                                lambda n=n: RegistryLine(self.registry_host, n))  # type: ignore[misc]
         for first in range(0, world.agents, 16):
             await asyncio.gather(*(self._start_agent(n) for n in range(first, min(first + 16, world.agents))))
@@ -130,10 +134,7 @@
         for number, trouble in enumerate(world.troubles):
             targets = self._targets(number, trouble)
             loop.call_later(trouble.at / 1000, self._begin, number, trouble, targets)
-        if ground.exact:
-            loop.call_later(SAMPLE / 1000, self._sample)
-        else:
-            self._sample()
+        loop.call_later(SAMPLE / 1000, self._sample)
         for number, arrival in enumerate(calls):
             wait = begin + arrival.at - ground.now()
             if wait > 0:
@@ -145,12 +146,12 @@
         await asyncio.sleep(max(0.0, begin + world.length - ground.now()) / 1000 + SETTLES * longest / 1000)
 
     async def _serve(self, host: BackendHost) -> None:
-        await self.ground.serve(backend_address(host.backend.number), host.machine, lambda: BackendLine(host))
+        await self.ground.serve(self.ground.addresses.backend(host.backend.number), host.machine, lambda: BackendLine(host))
 
     def _boot(self, host: BackendHost, cold: bool) -> None:
         b, rules, now = host.backend, self.world.rules, self.ground.now()
         b.boot(now, cold)
-        host.machine.shut = False
+        self.ground.shut(host.machine, False)
         self.ground.ledger.note(books.STATE, now, b.number, b.life, "Ready", round(b.capacity, 4),
                                 rules.cold if cold else 0.0, rules.start_capacity)
         host.step()
@@ -159,17 +160,17 @@
         self.agents[n] += 1
         life = self.agents[n]
         self.clients[n].life = life
-        known = self.registry.whole()
+        known, at = self.registry.whole(), self.ground.addresses
         raw = {
-            "name": f"agent-{n}", "listen": text(agent_address(n)), "discovery": text(registry_address(n)),
+            "name": f"agent-{n}", "listen": text(at.agent(n)), "discovery": text(at.registry(n)),
             "seed": f"{int(stream(self._seed, 'agent', n, life).integers(1 << 48)):x}",
             "limits": {"sockets": self.world.sockets},
             "known": {"rev": self.registry.version, "all": True, "targets": [e.wire() for e in known]},
             "settings": self.world.settings(n),
         }
         if self.world.limits.peers:
-            raw |= {"peer_listen": text(peer_address(n)), "peers_all": text(EVERYBODY),
-                    "peers": [text(peer_address(i)) for i in range(self.world.agents)]}
+            raw |= {"peer_listen": text(at.peer(n)), "peers_all": text(at.everybody()),
+                    "peers": [text(at.peer(i)) for i in range(self.world.agents)]}
         self.registry_host.told(n, self.registry.version, known, True)
         self.ground.ledger.note(books.AGENT, self.ground.now(), n, life, "started")
         async with asyncio.timeout(READY_WITHIN):
@@ -362,7 +363,7 @@
             self.registry_host.down()
         else:
             self.registry.up = True
-        self._registry_machine.shut = on
+        self.ground.shut(self._registry_machine, on)
 
     def _registry_back(self, t: Trouble, targets: list[int], on: bool) -> None:
         self._registry_down(t, targets, on)
@@ -389,7 +390,6 @@
 
     def _revive(self, n: int) -> None:
         if n not in self.up:
-            self._starting = getattr(self, "_starting", {})
             task = self.ground.loop.create_task(self._start_agent(n))
             self._starting[task] = None
             task.add_done_callback(lambda done: self._starting.pop(done, None))
--- a/lupinreach/bed/virtual.py
+++ b/lupinreach/bed/virtual.py
@@ -14,7 +14,7 @@
 from lupinreach.bed import ledger as books
 from lupinreach.bed.chance import stream
 from lupinreach.bed.faults import FAULTS
-from lupinreach.bed.ground import EPOCH
+from lupinreach.bed.ground import EPOCH, Addresses
 from lupinreach.bed.ledger import Ledger
 from lupinreach.bed.loop import START, VirtualLoop
 from lupinreach.bed.memory import RST, MemoryNet, MemorySocket, MemorySockets
@@ -68,6 +68,7 @@
 
 class VirtualGround:
     exact = True
+    addresses = Addresses(7000)
 
     def __init__(self, world: World, seed: int) -> None:
         self.loop = VirtualLoop()
@@ -85,6 +86,7 @@
         self._owners: dict[int, tuple[int, int]] = {}  # owner: agent, life; as many as there were lives
         self._chance = stream(seed, "breaks")
         self._tasks: set[asyncio.Task[None]] = set()
+        self._ends: dict[int, Callable[[], None]] = {}  # of the agents that run
         self.agent_faults: Counter[str] = Counter()
 
     def now(self) -> float:
@@ -99,6 +101,9 @@
     def mended(self) -> None:
         self.net.mended()
 
+    def shut(self, machine: Machine, on: bool) -> None:
+        machine.shut = on
+
     def _sends(self, sock: MemorySocket, piece: bytes) -> tuple[bytes, int]:
         """What an agent writes: booked, tampered with, or broken off."""
         if sock.address is not None:
@@ -132,7 +137,7 @@
             agent = Agent(_config(raw), log, self.clock, sockets, self._decide)
             self._lives[number] = Life(owner, agent, log)
             await self.loop.create_task(agent.start())
-        self._ended = ended
+        self._ends[number] = ended
 
     def stop_agent(self, number: int) -> None:
         life = self._lives[number]
@@ -141,6 +146,7 @@
             await life.agent.stop()
             self.net.die(life.owner)
             self._close(life)
+            self._ends[number]()
 
         with self.loop.owned_by(life.owner):
             task = self.loop.create_task(stop())
@@ -201,7 +207,6 @@
 
 def play(world: World, seed: int, progress: Callable[[float], None] | None = None) -> Ledger:
     """One run; its ledger. Raises AgentFault where anything raised that nobody caught."""
-    from lupinreach.bed.ground import backend_address
     ground = VirtualGround(world, seed)
     loop = ground.loop
     asyncio.set_event_loop(loop)
@@ -210,7 +215,7 @@
     try:
         IOLoop.current()  # makes Tornado's own for this loop, outside of all owners
         stage = Stage(world, seed, ground, progress)
-        ground.bind(stage, {backend_address(n): n for n in range(world.fleet)})
+        ground.bind(stage, {ground.addresses.backend(n): n for n in range(world.fleet)})
         loop.run_until_complete(stage.play())
         ground.close()
     finally:
