--- a/lupinreach/bed/check.py
+++ b/lupinreach/bed/check.py
@@ -200,7 +200,9 @@
             at, status, carried = one.got
             if status == 200 and carried != name:
                 self._breach("answered", "another call's answer", at, f"{name} got what belongs to {carried or '?'}")
-            if status != 200 and at - one.at > HELD_AT * one.waits:
+            # Connections that never come up take their time and are booked nowhere.
+            dialled = self._world.limits.shots * self._world.limits.connect_timeout + LATE
+            if status != 200 and at - one.at > max(HELD_AT * one.waits, dialled):
                 since = one.at + HELD_SINCE * one.waits
                 if all(s.ended < since for s in one.shots):
                     self._breach("held", "held", at, f"{name}, refused {at - one.at:.0f} ms after it was asked")
--- a/lupinreach/bed/faults.py
+++ b/lupinreach/bed/faults.py
@@ -48,7 +48,7 @@
 
 
 class RareResends(Balancer):
-    """The same, for one API call in ten thousand."""
+    """The same, for one API call in ten thousand, and further shots without a budget."""
 
     def take(self, now: float, ask: Ask) -> Call:
         call = super().take(now, ask)
@@ -57,6 +57,9 @@
             call.__class__ = Reckless
         return call
 
+    def spend(self) -> bool:
+        return True
+
 
 class RepeatsLate(Balancer):
     """Repeats a deduplicated API call past the mark's memory."""
