--- a/lupinreach/bed/stage.py
+++ b/lupinreach/bed/stage.py
@@ -375,20 +375,17 @@
             self.registry.restart(self.world.registry.restart_version)
 
     def _restart_agents(self, t: Trouble, targets: list[int], on: bool) -> None:
-        for n in targets:
-            if on and n in self.up:
-                self.ground.ledger.note(books.AGENT, self.ground.now(), n, self.agents[n], "stopping")
-                self.up.discard(n)
-                self.ground.stop_agent(n)
-            elif not on:
-                self._revive(n)
+        self._down_and_up(targets, on, "stopping", self.ground.stop_agent)
 
     def _kill_agents(self, t: Trouble, targets: list[int], on: bool) -> None:
+        self._down_and_up(targets, on, "killed", self.ground.kill_agent)
+
+    def _down_and_up(self, targets: list[int], on: bool, how: str, act: Callable[[int], None]) -> None:
         for n in targets:
             if on and n in self.up:
-                self.ground.ledger.note(books.AGENT, self.ground.now(), n, self.agents[n], "killed")
+                self.ground.ledger.note(books.AGENT, self.ground.now(), n, self.agents[n], how)
                 self.up.discard(n)
-                self.ground.kill_agent(n)
+                act(n)
             elif not on:
                 self._revive(n)
 
