Backends in no pool stand in the report as such; closes that cross requests are tested

The map of pools left a backend white that no agent had in its pool, as if nothing were known of it. The new test has backends close idle connections far earlier than the agent reckons: shots were lost to closes on their way, no payment ran twice, and every API call had its answer.

--- a/lupinreach/bed/virtual.py
+++ b/lupinreach/bed/virtual.py
@@ -168,14 +168,14 @@
         self.loop.hold(self._lives[number].owner, ms)
 
     def pools(self) -> dict[int, int]:
-        found: Counter[int] = Counter()
+        found = dict.fromkeys(self._backends.values(), 0)  # one that is in no pool counts too
         for life in self._lives.values():
             for b in life.agent.balancer._ring:
                 if not any(b.held):
                     backend = self._backends.get(life.agent.directory.place(b.index).address)
                     if backend is not None:
                         found[backend] += 1
-        return dict(found)
+        return found
 
     def bind(self, stage: Stage, backends: dict[Address, int]) -> None:
         self._machines = stage.machine
--- a/tests/test_bed.py
+++ b/tests/test_bed.py
@@ -317,3 +317,13 @@
     virtually, really = (experiment.run(replace(one, mode=mode), 1) for mode in ("virtual", "loopback"))
     assert virtually.kept and really.kept and virtually.figures["calls"] == really.figures["calls"] > 200
     assert abs(virtually.figures["service"] - really.figures["service"]) <= 0.03
+
+
+def test_backends_that_close_idle_connections_early_cost_connections_and_run_no_payment_twice():
+    # The agent reckons with twice the time after which some close, so that closes cross its requests.
+    one = world(backend={"idle": [40.0, 41.0]}, products=[PAY], agents={"count": 6}, traffic={"calls_per_s": 60},
+                network={"same": 10.0, "cross": 25.0})
+    breaches, records = judged(one)
+    assert breaches == []
+    shots, came = ({r[i] for r in records if r[0] == kind} for kind, i in (("sent", 5), ("came", 4)))
+    assert shots - came  # written to a connection whose close was on its way
