The bed: state that nobody read is gone, addresses are read by config alone

Read again: counts of open tries, loop turns, log events and the agents' last counters were kept and never read, and the virtual ground split addresses by hand beside config's reader.

--- a/lupinreach/bed/clients.py
+++ b/lupinreach/bed/clients.py
@@ -49,7 +49,6 @@
         self.address = address
         self.idle: list[ClientLine] = []  # each leaves when it is used, or closes
         self.names: dict[str, tuple[int, int, int]] = {}  # of the tries that are open: agent, its life, product
-        self.open = 0
         self.lines: dict[int, ClientLine] = {}  # of open tries, by API call; each leaves with its answer
 
     def ask(self, call: int, arrival: Arrival, number: int = 0, began: float | None = None) -> None:
@@ -65,7 +64,6 @@
         self.ground.ledger.note(books.ASKED, now, one.name, call, number, self.agent, product.name, customer,
                                 round(arrival.work, 3), round(waits, 3))
         self.names[one.name] = self.agent, self.life, arrival.product
-        self.open += 1
         one.timer = self.ground.loop.call_later(waits / 1000, self._left, one)
         self._begin(one)
 
@@ -104,7 +102,6 @@
         if one.over:
             return False
         one.over = True
-        self.open -= 1
         if one.timer is not None:
             one.timer.cancel()
         # Its name is known for a while: a shot may still be on its way.
--- a/lupinreach/bed/loop.py
+++ b/lupinreach/bed/loop.py
@@ -52,7 +52,6 @@
         self._held: dict[int, tuple[float, list[events.Handle]]] = {}  # owner: until when, and what waits
         self._killed: set[int] = set()  # owners; numbers are never used again
         self.faults: list[dict[str, Any]] = []  # exceptions that nobody caught; there should be none
-        self.turns = 0
         self.set_exception_handler(lambda _, context: self.faults.append(context))
 
     def time(self) -> float:
@@ -93,7 +92,6 @@
             handle = heapq.heappop(timers)[2]
             if not handle.cancelled():
                 ready.append(handle)
-        self.turns += 1
         for _ in range(len(ready)):
             handle = ready.popleft()
             if handle.cancelled():
--- a/lupinreach/bed/loopback.py
+++ b/lupinreach/bed/loopback.py
@@ -136,7 +136,6 @@
         self._tasks: set[asyncio.Task[Any]] = set()  # each leaves when it ends
         self.waiting: dict[Slowed, None] = {}  # with something held; emptied by `mended`
         self.whose: Callable[[bytes], Machine | None] = lambda _: None
-        self.logs: dict[int, dict[str, Any]] = {}  # the last counters of each agent
         self.ended_badly: list[str] = []
 
     def now(self) -> float:
@@ -209,8 +208,6 @@
             event = json.loads(line)
             if event["event"] == "started":
                 up.set()
-            elif event["event"] in ("counters", "stopped"):
-                self.logs[number] = event
             elif event["event"] == "fault":
                 self.ended_badly.append(f"agent {number}: {event.get('why')}")
         code = await agent.wait()
--- a/lupinreach/bed/virtual.py
+++ b/lupinreach/bed/virtual.py
@@ -44,17 +44,14 @@
 
 
 class VirtualLog(Log):
-    """Counts events, and keeps the last of each kind."""
+    """Drops events: what is judged stands in the ledger, and faults are counted by the agent."""
 
     def __init__(self) -> None:
         logging.Handler.__init__(self, logging.ERROR)
         self.dropped = 0
-        self.events: Counter[str] = Counter()
-        self.last: dict[str, dict[str, object]] = {}
 
     def event(self, event: str, **fields: object) -> None:
-        self.events[event] += 1
-        self.last[event] = fields
+        pass
 
 
 class Life:
@@ -192,15 +189,10 @@
     return AgentConfig(
         raw["name"], top.address("listen"), top.address("discovery"), int(raw["seed"], 16), raw["limits"]["sockets"],
         192 << 20, top.address("peer_listen") if "peer_listen" in raw else None,
-        tuple(_pair(t) for t in raw.get("peers", ())), top.address("peers_all") if "peers_all" in raw else None,
+        tuple(Section({"peer": t}).address("peer") for t in raw.get("peers", ())), top.address("peers_all") if "peers_all" in raw else None,
         raw["known"], read_settings(raw["settings"], "settings"))
 
 
-def _pair(text: str) -> Address:
-    host, _, port = text.rpartition(":")
-    return host, int(port)
-
-
 def play(world: World, seed: int, progress: Callable[[float], None] | None = None) -> Ledger:
     """One run; its ledger, in which a fault stands where anything raised that nobody caught."""
     ground = VirtualGround(world, seed)
