Agents ask a slow directory in a wider span; cold backends no longer narrow the bound

Times of the answers show the directory at one call in 144 ms, and 28 x 144 ms after the start the first push: it works through calls that it has already turned away. So 15 agents that come back within 0.3 s of each other meet the queue of their own dead calls, time after time. Excluded: a directory that is down then (pushes went out in between), a bound on watches (all 40 hold one after the change). Cause: `listed` on FAILED waits 0.5 to 1.5 x a time that knows nothing of how long the call waited. Now: any time within the larger of that span and twice what the failed call took.

Cause: `_sample` counted shots to cold backends as evidence of too much out, though credit bounds those already. Now they say nothing of the bound.

--- a/lupinreach/balance.py
+++ b/lupinreach/balance.py
@@ -69,7 +69,8 @@
 LEAST_ROOM = 0.5  # share of the bound that the API calls of least value may fill; the dearest fill it all
 LOOK = 0.05  # x shortest SLO: the time between two looks at the line
 FALL_USE = 0.5  # x fall_multiple: what cold backends earn while most are cold and can't be spared
-ASK_FIRST, ASK_MOST = 0.05, 0.4  # x ask_within: first and longest wait until the directory is asked again
+ASK_FIRST, ASK_MOST = 0.1, 0.4  # x ask_within: first and longest span in which the directory is asked again,
+SPREAD = 2.0  # x what the call that failed took, where that is more
 
 
 class Target:
@@ -86,7 +87,7 @@
 
     def slow(self, latency: float) -> bool:
         """If a shot took so long that backends must be holding too many."""
-        # Guards against quick API calls, of which one that met a late event loop would pass for a full backend.
+        # Guards against quick API calls, of which one that met a late loop would pass for a full backend.
         return latency > min(FULL_AT * self.slo, max(EASE * self.ease, LEAST_SLOW * self.slo))
 
 
@@ -273,6 +274,7 @@
         self._must_ask = settings.must_ask
         self._ask_first, self._ask_most = ASK_FIRST * rules.ask_within, ASK_MOST * rules.ask_within
         self._ask_wait = self._ask_first
+        self._asked_at = 0.0
         self._fractions = [c.fraction for c in settings.customers]
         self._over = [0.0] * len(settings.customers)  # API calls beyond the share, drained by each one taken
         self._backends: dict[int, Backend] = {}  # emptied as the directory drops them
@@ -303,7 +305,11 @@
     def start(self, now: float) -> None:
         self._earned_at = now
         if self._must_ask:
-            self._port.directory(True)
+            self._ask(now)
+
+    def _ask(self, now: float) -> None:
+        self._asked_at = now
+        self._port.directory(True)
 
     def take(self, now: float, ask: Ask) -> Call:
         """Take an API call; it gets exactly one final answer."""
@@ -330,8 +336,11 @@
     def listed(self, now: float, news: News, entries: list[Listing]) -> None:
         """The directory has spoken."""
         if news is News.FAILED:
-            # Guards against a directory that turns away a crowd: each agent comes back at its own time.
-            self._port.wake(now + self._ask_wait * (0.5 + self._chance()), "ask")
+            # Guards against a directory that turns away a crowd, works through it all the same, and meets it
+            # again in step: each agent comes back at its own time, within a span in which the directory gets
+            # through what was ahead of this call and as much again.
+            span = max(self._ask_wait, SPREAD * (now - self._asked_at))
+            self._port.wake(now + span * self._chance(), "ask")
             self._ask_wait = min(self._ask_most, 2 * self._ask_wait)
             return
         if news is not News.CACHED:
@@ -380,7 +389,7 @@
 
     def woke(self, now: float, mark: str) -> None:
         if mark == "ask":
-            self._port.directory(True)
+            self._ask(now)
         elif mark == "look":
             if now >= self._looks_at:
                 self._looks_at = inf
@@ -659,7 +668,9 @@
         Guards against agents with little traffic that would learn of a slow backend once for each product.
         """
         b, own, failed = shot.backend, call.target, ending is not Ending.FULFILLED
-        if not b.held[own.index] and ending is not Ending.UNREACHABLE and ending not in SPOILT:
+        # Guards against a wave of cold backends, slow by their age, that would narrow what the warm ones get.
+        tells = not self._is_cold(now, b) and ending is not Ending.UNREACHABLE and ending not in SPOILT
+        if tells and not b.held[own.index]:
             self._learn_bound(now, failed or own.slow(latency))
         latency /= max(1.0, call.work)  # guards against a long API call that ejects a sound backend
         for t in self._targets:
@@ -725,7 +736,8 @@
         known = sorted(f for f in left if f is not None)
         usual = known[len(known) // 2] if known else 0.0
         # Guards against breaks and spoilt answers that come from any backend alike, and in runs by chance.
-        alike = spoilt and b.ill < STANDS_OUT * sum(o.ill for o in self._ring if o is not b) / max(1, ready - 1)
+        ill = sum(o.ill for o in self._ring if o is not b) / max(1, ready - 1)
+        alike = spoilt and b.ill < STANDS_OUT * ill
         if alike or len(left) < KEEP * ready or not left or (b.figure[i] or 0.0) < STANDS_OUT * usual:
             # Guards against a shared slowdown that empties the pool and floods the few that are left.
             b.figure[i] = min(b.figure[i] or 0.0, MISS * t.slo)
