--- a/lupinreach/balance.py
+++ b/lupinreach/balance.py
@@ -299,6 +299,8 @@
         self._rate = 0.0  # work (API calls of mean cost) per ms to a warm backend, smoothed over `fall`
         self._earned_at = 0.0
         self._looks_at = inf  # when the next look is due
+        # What the operators' counters say beside the front's own: shots to cold backends, what found no turn, why.
+        self.counts = {"cold shots": 0, "bound full": 0, "empty list": 0, "no turn": 0, "late or used up": 0}
 
     # Events that belong to no API call.
 
@@ -406,6 +408,7 @@
     def place(self, now: float, call: Call) -> None:
         """Send the API call on, put it in line, or answer it at once."""
         if not call.may_send(now) or (not call.offer.late_counts and now >= call.taken + call.target.slo):
+            self.counts["late or used up"] += 1
             self.give_up(now, call)
             return
         b = self._choose(now, call)
@@ -491,6 +494,7 @@
         kept = (1 - call.room) * min(1.0, self._fullness / FULL_SHARE)
         bound = self._bound * (1 - kept)
         if self._flight >= max(1.0, bound) or (bound < 1 and now < self._sent_at + self._pace() / bound):
+            self.counts["bound full"] += not call.waiting
             return None
         tried = {s.backend for s in call.shots}
         usable = [b for b in self._ring if call.may_use(b)] if tried else self._ring
@@ -516,7 +520,9 @@
                 # House custom: one is exchanged now and then, here the slowest for the next in order.
                 self._ring.remove(worst)
                 self._ring.append(worst)
-        return self._turn(now, call, used)
+        b = self._turn(now, call, used)
+        self.counts["no turn" if self._ring else "empty list"] += b is None and not call.waiting
+        return b
 
     def _homes(self, pool: list[Backend], key: int) -> list[Backend]:
         """The backends of the pool that a key is at home at, the same at all agents, by size."""
@@ -559,6 +565,7 @@
         self._clock = max(self._clock, min(b.turn, self._clock + use))
         b.turn = max(b.turn, self._clock) + use
         if self._is_cold(now, b):
+            self.counts["cold shots"] += 1
             b.credit -= call.work
         else:
             b.sent += call.work
--- a/lupinreach/bed/policies.py
+++ b/lupinreach/bed/policies.py
@@ -35,6 +35,9 @@
     def _second(self, now: float, call: Call) -> None:
         """Sends nothing beside a late shot."""
 
+    def _usual(self, b: Backend, target: object) -> float:
+        return 1.0  # turns are counted, not timed
+
     def _has_credit(self, now: float, b: Backend, call: Call) -> bool:
         return True
 
--- a/lupinreach/bed/servers.py
+++ b/lupinreach/bed/servers.py
@@ -17,7 +17,7 @@
 from lupinreach.bed.messages import Reader, answer
 from lupinreach.bed.network import Machine
 from lupinreach.bed.registry import Entry, Registry
-from lupinreach.bed.spec import World
+from lupinreach.bed.spec import RegistrySpec, World
 from lupinreach.model import Kind
 from lupinreach.net import protocol
 from lupinreach.net.ends import Ended
@@ -225,9 +225,11 @@
     """The registry's service: lists and watches, and what is told to whom."""
 
     def __init__(self, ground: Ground, registry: Registry, machine: Machine, life_of: Callable[[int], int],
-                 machine_of: Callable[[int], Machine]) -> None:
+                 machine_of: Callable[[int], Machine], spec: RegistrySpec) -> None:
         self.ground = ground
         self.registry = registry
+        self._spec = spec
+        self._free_at = 0.0  # when it is through with the calls that have come so far
         self.machine = machine
         self.life_of = life_of
         self.machine_of = machine_of
@@ -235,6 +237,16 @@
         self._untold: defaultdict[int, deque[Any]] = defaultdict(deque)
         self.lines: dict[RegistryLine, None] = {}
 
+    def turn(self) -> tuple[float, bool]:
+        """Ms until a call that comes now gets its answer, and if that is what it asked for.
+
+        One that waits too long is turned away, and worked through all the same.
+        """
+        now = self.ground.now()
+        self._free_at = max(self._free_at, now) + self._spec.call_cost
+        waits = self._free_at - now
+        return min(waits, self._spec.call_wait), waits <= self._spec.call_wait
+
     def changed(self) -> None:
         """Tell all watches what they have not been told."""
         for line in list(self.lines):
@@ -286,22 +298,33 @@
             return
         for head, _ in messages:
             target = head.first[1]
-            if target == protocol.LIST_PATH:
-                self._transport.write(answer(200, self._whole()))
-            elif target.startswith(protocol.WATCH_PATH):
-                after = int(target.rpartition(b"after=")[2] or b"0")
-                self._transport.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
-                if after > self._host.registry.version:
-                    # It comes back with a lower version: what was known then belongs to another count.
-                    self._line(self._whole())
-                self._version = min(after, self._host.registry.version)
-                if after <= self._host.registry.version:
-                    self.follow()
-                else:
-                    self._version = self._host.registry.version
-                self._beat()
+            waits, heard = self._host.turn()
+            if waits:
+                self._host.ground.loop.call_later(waits / 1000, self._answer, target, heard)
             else:
-                self._transport.write(answer(404))
+                self._answer(target, heard)
+
+    def _answer(self, target: bytes, heard: bool) -> None:
+        if self not in self._host.lines:
+            return  # gone meanwhile
+        if not heard:
+            self._transport.write(answer(503))
+        elif target == protocol.LIST_PATH:
+            self._transport.write(answer(200, self._whole()))
+        elif target.startswith(protocol.WATCH_PATH):
+            after = int(target.rpartition(b"after=")[2] or b"0")
+            self._transport.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+            if after > self._host.registry.version:
+                # It comes back with a lower version: what was known then belongs to another count.
+                self._line(self._whole())
+            self._version = min(after, self._host.registry.version)
+            if after <= self._host.registry.version:
+                self.follow()
+            else:
+                self._version = self._host.registry.version
+            self._beat()
+        else:
+            self._transport.write(answer(404))
 
     def _whole(self) -> bytes:
         registry = self._host.registry
--- a/lupinreach/bed/spec.py
+++ b/lupinreach/bed/spec.py
@@ -172,6 +172,8 @@
     silent_lag: Span  # ms where a backend just dies
     ask: bool  # the agent must ask; else it follows by itself
     restart_version: int  # that it comes back with after `registry-back`
+    call_cost: float  # ms of its time that a call with something to tell takes; it works through calls in turn
+    call_wait: float  # ms after which a call that waits is turned away; it is worked through all the same
 
 
 @dataclass(frozen=True)
@@ -435,7 +437,7 @@
 
 def _registry(s: Strict) -> RegistrySpec:
     spec = RegistrySpec(s.span("lag", (200.0, 1000.0)), s.span("silent_lag", (2000.0, 6000.0)), s.flag("ask", True),
-                        s.whole("restart_version", 1))
+                        s.whole("restart_version", 1), s.number("call_cost", 0.0), s.number("call_wait", 2000.0, low=1.0))
     s.done()
     return spec
 
--- a/lupinreach/bed/stage.py
+++ b/lupinreach/bed/stage.py
@@ -79,7 +79,7 @@
                         for n in range(world.agents)]
         self._registry_machine = Machine("registry", 0)
         self.registry_host = RegistryHost(ground, self.registry, self._registry_machine, self.agents.__getitem__,
-                                          self.machine)
+                                          self.machine, world.registry)
         self.hosts: list[BackendHost] = []
         self.entries: list[Entry] = []
         for b, kind in zip(fleet.backends, fleet.kinds, strict=True):
--- a/lupinreach/net/agent.py
+++ b/lupinreach/net/agent.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import resource
+import time
 from collections.abc import Callable, Mapping
 from dataclasses import fields, replace
 
@@ -26,6 +27,7 @@
 
 OWN_DESCRIPTORS = 12  # standard streams, event loop, listener, directory, datagrams, and a few spare
 ANSWER_SHARE = 1 / 64  # of the memory that it may hold: the longest answer that is passed on
+COUNTED_EVERY = 10.0  # s between two lines of counters, so that one that is killed leaves some
 GOES_ON = 0.5  # s for which a stopping agent goes on accepting
 LAST = 0.1  # s for which what was accepted last may still send its request
 OF_A_START = ("directory", "known", "seed")  # parts of the configuration that may differ when it is read again
@@ -75,6 +77,7 @@
         self.tasks.spawn("sweep", self.listener.sweep())
         self.tasks.spawn("idle backends", self.pool.sweep())
         self.tasks.spawn("ids", self._turn_ids())
+        self.tasks.spawn("counters", self._report_on())
         self.log.event("started", listen=list(self.listener.address), sockets=self.config.sockets,
                        loop=type(asyncio.get_running_loop()).__module__)
 
@@ -118,7 +121,13 @@
 
     def report(self, event: str = "counters") -> None:
         self.log.event(event, clients=len(self.listener.clients), backends=self.pool.open,
-                       log_lines_dropped=self.log.dropped, **self.counters.snapshot())
+                       log_lines_dropped=self.log.dropped, list_age_ms=self.directory.age, cpu_s=time.process_time(),
+                       module=self.balancer.counts, **self.counters.snapshot())
+
+    async def _report_on(self) -> None:
+        while True:
+            await asyncio.sleep(COUNTED_EVERY)
+            self.report()
 
     async def _turn_ids(self) -> None:
         while True:
--- a/lupinreach/net/directory.py
+++ b/lupinreach/net/directory.py
@@ -58,6 +58,7 @@
         self._entries: dict[str, Entry] = {}  # by uid; emptied some time after a backend is gone
         self._by_index: dict[int, Place] = {}  # the same by index; an index is never used again
         self._next = 0
+        self._heard_at: float | None = None  # when the directory last said anything, a beat included
         self._home = config.directory  # the address of the directory that is followed
         self._task: asyncio.Task[None] | None = None
         self._moving: asyncio.Task[None] | None = None  # to another directory, until its list has come
@@ -65,6 +66,11 @@
     def place(self, backend: int) -> Place:
         return self._by_index[backend]
 
+    @property
+    def age(self) -> float | None:
+        """Ms since the directory last said anything, and so the age of the list; None: it has not since the start."""
+        return None if self._heard_at is None else round(self._clock.now() - self._heard_at, 1)
+
     # Asking.
 
     def start(self, known: dict[str, Any]) -> None:
@@ -187,6 +193,7 @@
     # Taking in.
 
     def _line(self, text: bytes | bytearray | memoryview) -> None:
+        self._heard_at = self._clock.now()
         if not bytes(text).strip():
             return  # a beat
         try:
--- a/tests/test_bed.py
+++ b/tests/test_bed.py
@@ -327,3 +327,21 @@
     assert breaches == []
     shots, came = ({r[i] for r in records if r[0] == kind} for kind, i in (("sent", 5), ("came", 4)))
     assert shots - came  # written to a connection whose close was on its way
+
+
+def test_a_registry_works_through_calls_in_turn_and_turns_away_those_that_wait_too_long():
+    one = world(seconds=4, agents={"count": 8}, registry={"call_cost": 400.0, "call_wait": 2000.0},
+                troubles=[{"kind": "replace", "at": 0.2, "seconds": 1, "targets": [0, 1]},
+                          {"kind": "kill-agents", "at": 1, "seconds": 1, "share": 1.0}])
+    breaches, records = judged(one)
+    assert breaches == []
+    told = {(r[2], r[3]) for r in records if r[0] == "told"}
+    assert len({agent for agent, _ in told}) == 8
+
+
+@pytest.mark.parametrize("name", ["fleet-herd", "fleet-zone", "fleet-join"])
+def test_a_large_fleet_world_keeps_the_rules(name):
+    whole = spec.read_file(name)
+    short = spec.read(spec.plain(whole) | {"seconds": 9})
+    records = virtual.play(short, 1).records
+    assert check.Checker(short).read(records) == []
