--- a/lupinreach/bed/commands.py
+++ b/lupinreach/bed/commands.py
@@ -69,6 +69,29 @@
         bad(wrong)
 
 
+@lupinreach.command("logs")
+@click.argument("files", nargs=-1, required=True, type=click.Path())
+def read_logs(files: tuple[str, ...]) -> None:
+    """Count over a whole fleet what agents wrote to their logs: any number of files, one object of JSON."""
+    from lupinreach import logs
+    try:
+        fleet = logs.read([Path(file).read_bytes().splitlines() for file in files])
+    except OSError as wrong:
+        bad(f"{wrong.filename}: {wrong.strerror}")
+    if not fleet.lives:
+        bad(f"{', '.join(files)}: no line of an agent's log in it")
+    found = logs.summary(fleet)
+    table = Table(box=None)
+    for column in ("group", "what", "count", "share"):
+        table.add_column(column, justify="left" if column in ("group", "what") else "right")
+    for group in (*logs.GROUPS, "events"):
+        whole = sum(found[group].values()) or 1
+        for what, count in sorted(found[group].items(), key=lambda pair: -pair[1]):
+            table.add_row(group, what, str(count), f"{count / whole:.1%}")
+    told.print(table)
+    print(json.dumps(found))
+
+
 @lupinreach.command()
 @click.option("--seconds", type=click.FloatRange(3, 3600), default=20.0, show_default=True)
 @click.option("--seed", type=click.IntRange(0), default=1, show_default=True)
--- /dev/null
+++ b/lupinreach/logs.py
@@ -0,0 +1,138 @@
+"""What a fleet of agents tells in its logs, counted: a reader of the agents' own JSON lines. Decides nothing."""
+
+from __future__ import annotations
+
+import re
+from collections import Counter, defaultdict
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from typing import Any
+
+import orjson
+
+GROUPS = ("taken", "answered", "shots", "connections", "directory", "others", "module")  # of counters, all that grow
+BURST = 100.0  # ms: the window in which the most events of a kind are looked for
+TURN = re.compile(r"backend \d+ (ejected|restored) ")
+MOST_LINE = 1 << 16
+
+
+@dataclass
+class Life:
+    """One agent from a start to its end, by the last counters that it left."""
+
+    agent: str
+    began: float | None  # Unix ms; None: its start is in no file
+    counted_at: float | None = None
+    counts: dict[str, Any] = field(default_factory=dict)
+    stopped: bool = False  # it said so itself; else it was killed, or the file ends before
+
+
+@dataclass
+class Fleet:
+    """What was read. Holds an entry for each life and each event that is not a line of counters."""
+
+    lives: list[Life] = field(default_factory=list)
+    events: list[tuple[float, str, str]] = field(default_factory=list)  # at, what, agent; in order of time
+    no_event: int = 0  # lines that could not be read as an event
+
+
+def read(files: Iterable[Iterable[bytes]]) -> Fleet:
+    """Read the lines of any number of files, in any order, several agents to a file or one.
+
+    A line may carry a collector's own text before its JSON. What is no event is counted and skipped, never guessed at.
+    """
+    fleet, found = Fleet(), []
+    for lines in files:
+        for line in lines:
+            event = _event(line)
+            if event is not None:
+                found.append(event)
+            elif line.strip():
+                fleet.no_event += 1
+    found.sort(key=lambda event: event["at"])
+    current: dict[str, Life] = {}
+    for event in found:
+        agent, what = event["agent"], event["event"]
+        if what == "started" or agent not in current:
+            current[agent] = Life(agent, event["at"] if what == "started" else None)
+            fleet.lives.append(current[agent])
+        life = current[agent]
+        if what in ("counters", "stopped"):
+            life.counted_at, life.counts, life.stopped = event["at"], event, what == "stopped"
+        if what != "counters":
+            fleet.events.append((event["at"], _name(event), agent))
+    return fleet
+
+
+def _event(line: bytes) -> dict[str, Any] | None:
+    begin = line.find(b"{")
+    if begin < 0 or len(line) > MOST_LINE:
+        return None
+    try:
+        event = orjson.loads(line[begin:])
+    except orjson.JSONDecodeError:
+        return None
+    at = event.get("at") if isinstance(event, dict) else None
+    if not isinstance(at, (int, float)) or isinstance(at, bool):
+        return None
+    return event if isinstance(event.get("agent"), str) and isinstance(event.get("event"), str) else None
+
+
+def _name(event: dict[str, Any]) -> str:
+    """The event with what tells its kinds apart."""
+    if event["event"] == "module":
+        turn = TURN.match(str(event.get("text")))
+        return f"backend {turn[1]}" if turn else "module"
+    if event["event"] == "directory failed":
+        return f"directory failed: {event.get('why')}"
+    return str(event["event"])
+
+
+def totals(fleet: Fleet) -> dict[str, Counter[str]]:
+    """The counters of all lives together, by group; a figure that is none counts for nothing."""
+    summed = {group: Counter[str]() for group in GROUPS}
+    for life in fleet.lives:
+        for group in GROUPS:
+            counts = life.counts.get(group)
+            for name, count in counts.items() if isinstance(counts, dict) else ():
+                if isinstance(count, (int, float)) and not isinstance(count, bool) and count >= 0:
+                    summed[group][name] += count
+    return summed
+
+
+def most_at_once(fleet: Fleet, within: float = BURST) -> dict[str, tuple[int, float]]:
+    """By event: the most of them in any so many ms over the fleet, and when that was (Unix ms)."""
+    times: defaultdict[str, list[float]] = defaultdict(list)
+    for at, what, _ in fleet.events:
+        times[what].append(at)
+    found = {}
+    for what, at in times.items():
+        first, best = 0, (0, at[0])
+        for last, end in enumerate(at):
+            while at[first] < end - within:
+                first += 1
+            best = max(best, (last - first + 1, at[first]), key=lambda pair: pair[0])
+        found[what] = best
+    return found
+
+
+def summary(fleet: Fleet) -> dict[str, Any]:
+    """All figures as one JSON object; shares are of all API calls taken, ages in ms."""
+    counts = totals(fleet)
+    taken = sum(counts["taken"].values())
+    ages = sorted(age for life in fleet.lives if isinstance(age := life.counts.get("list_age_ms"), (int, float)))
+    cpu = sum(s for life in fleet.lives if isinstance(s := life.counts.get("cpu_s"), (int, float)))
+    return {
+        "agents": len({life.agent for life in fleet.lives}),
+        "starts": sum(life.began is not None for life in fleet.lives),
+        "without_counters": sum(not life.counts for life in fleet.lives),
+        "never_heard_from_directory": sum(
+            bool(life.counts) and life.counts.get("list_age_ms") is None for life in fleet.lives),
+        "list_age_ms": {"median": ages[len(ages) // 2], "oldest": ages[-1]} if ages else None,
+        "cpu_ms_an_api_call": round(cpu * 1000 / taken, 3) if taken else None,
+        "rate_limited_share": round(counts["answered"]["rate-limited"] / taken, 4) if taken else None,
+        "most_within_100_ms": {what: n for what, (n, _) in sorted(most_at_once(fleet).items())},
+        "events": dict(sorted(Counter(what for _, what, _ in fleet.events).items())),
+        "no_event_lines": fleet.no_event,
+        **{group: dict(sorted(counter.items())) for group, counter in counts.items()},
+    }
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -12,6 +12,7 @@
 import pytest
 
 from helpers import AGENT_SETTINGS, OK, Peer, Site, full_list, look, read_http, run, says, target
+from lupinreach import logs
 from lupinreach.config import LOADS
 from lupinreach.model import NEVER_RAN, Ending, Load
 from lupinreach.net import listener, protocol
@@ -897,6 +898,21 @@
     run(work())
 
 
+def test_the_counters_that_an_agent_writes_are_read_by_the_reader_of_logs(monkeypatch):
+    monkeypatch.setattr("lupinreach.net.agent.COUNTED_EVERY", 0.01)
+
+    async def work():
+        async with Site() as site:
+            text = b""
+            while text.count(b'"counters"') < 2:
+                text += await asyncio.to_thread(os.read, site.sink, 1 << 16)
+            fleet = logs.read([text.splitlines()])
+            counts = fleet.lives[0].counts
+            assert [life.agent for life in fleet.lives] == ["n"] and fleet.no_event == 0
+            assert counts["module"]["bound full"] == 0 and counts["cpu_s"] > 0 and "list_age_ms" in counts
+    run(work())
+
+
 def test_where_changes_come_unasked_the_agent_follows_by_itself(monkeypatch):
     monkeypatch.setattr(protocol, "BEAT", 30.0)
     pushed = copy.deepcopy(AGENT_SETTINGS) | {"discovery": "pushed"}
