Agents that discover a cold backend together begin with unlike credit

Seen in a test of the hard case (40 agents hear of one new backend in the same instant, each asked alike): all earn alike and reach one API call's credit together; 32 of their first shots fell into the same 0.1 s at a backend with a fifth of its capacity. Cause: `listed` begins credit at 0 for all.

--- a/lupinreach/balance.py
+++ b/lupinreach/balance.py
@@ -352,12 +352,13 @@
             if b is None:
                 b = self._backends[e.backend] = Backend(e.backend, len(self._targets))
                 b.turn = self._clock
+                b.credit = self._first_credit() if e.boot_time else 0.0
             elif e.boot_time > b.boot_time:
                 # A restart: what was known of the old process says nothing of the new one.
                 b.figure = [None] * len(self._targets)
                 b.held = [0.0] * len(self._targets)
                 b.rest_until, b.refusals = 0.0, 0
-                b.credit = 0.0
+                b.credit = self._first_credit()
             b.name, b.zone, b.cell, b.listed = e.name, e.zone, e.cell, e.size or 1.0
             b.state, b.boot_time = e.state, max(b.boot_time, e.boot_time)
         if news is not News.CHANGES:
@@ -389,6 +390,10 @@
         self._bound = max(self._least, self._bound)
         self.pump(now)
 
+    def _first_credit(self) -> float:
+        # Guards against agents that hear of a cold backend together, earn alike, and all send in one instant.
+        return self._chance() - 0.5  # nothing in the mean
+
     def woke(self, now: float, mark: str) -> None:
         if mark == "ask":
             self._ask(now)
--- a/tests/test_design.py
+++ b/tests/test_design.py
@@ -482,3 +482,48 @@
     bench = Bench(settings())
     bench.take("a")
     assert [at - bench.now for at, _ in bench.port.wakes] == [LATE_AT * SLO]
+
+
+def test_a_restarted_agent_that_knows_only_gone_backends_answers_at_once_and_serves_on_the_first_news():
+    bench = Bench(settings(((Kind.NON_IDEMPOTENT, Group.ALL),), shots=3), backends=3)
+    bench.take("early")
+    while bench.calls["early"].out:
+        bench.answer("early", 1.0, Ending.UNREACHABLE)
+        bench.move(1.0)
+    assert bench.port.answers == [("rate-limited", "early")] and len(set(bench.sent_to("early"))) == 3
+    bench.list(News.CHANGES, [Listing(i, State.GONE) for i in range(3)] + [Listing(3, READY), Listing(4, READY)])
+    assert {bench.serve(n, 50.0) for n in range(6)} == {3, 4}
+
+
+def fleet_on_one_new_backend():
+    """Forty agents that learn of one cold backend in the same instant: shots to it, and to a warm one in the mean."""
+    cold, warm = [], 0
+    for seed in range(40):
+        bench = Bench(settings(agents=40, start=0.2, cold=20_000.0), backends=12, seed=seed)
+        for n in range(60):
+            bench.serve(("before", n), 45.0)
+        begun = bench.now
+        bench.list(News.CHANGES, [Listing(12, READY, boot_time=begun)])
+        for n in range(200):
+            at = bench.now - begun
+            if bench.serve(n, 40.0) == 12:
+                cold.append(at)
+            else:
+                warm += 1
+    return sorted(cold), warm / 12
+
+
+def most_over(cold, warm):
+    """The most shots in any fall window, as a share of what a backend of that age may get at most."""
+    fall, times, length = 2000.0, 3.0, 8000.0
+    return max(sum(at <= other < at + fall for other in cold)
+               / (times * (0.2 + 0.8 * (at + fall) / 20_000.0) * warm * fall / length) for at in cold)
+
+
+def test_a_backend_that_all_agents_discover_at_once_is_not_pushed_over(monkeypatch):
+    cold, warm = fleet_on_one_new_backend()
+    assert len(cold) > 40 and most_over(cold, warm) < 0.8
+    assert max(sum(at <= other < at + 100 for other in cold) for at in cold) <= 40 / 4
+    monkeypatch.setattr("lupinreach.balance.Balancer._has_credit", lambda self, now, b, call: True)
+    monkeypatch.setattr("lupinreach.balance.Balancer._ramp", lambda self, now, b: 1.0)
+    assert most_over(*fleet_on_one_new_backend()) > 1
