--- a/lupinreach/balance.py
+++ b/lupinreach/balance.py
@@ -299,7 +299,7 @@
         self._rate = 0.0  # work (API calls of mean cost) per ms to a warm backend, smoothed over `fall`
         self._earned_at = 0.0
         self._looks_at = inf  # when the next look is due
-        # What the operators' counters say beside the front's own: shots to cold backends, what found no turn, why.
+        # For the operators, beside the front's own counters; grows with nothing.
         self.counts = {"cold shots": 0, "bound full": 0, "empty list": 0, "no turn": 0, "late or used up": 0}
 
     # Events that belong to no API call.
