What found no turn is counted once, where an API call is placed; a field nobody read is gone

Read again: the operators' counts were booked inside `_choose`, on the path of every shot, also for each look at a second shot, so they counted looks and not API calls, and baselines with a `_choose` of their own had none. `place` books them now, by `_full`, the bound's check taken out of `_choose`. `Life.counted_at` of the log reader was never read.

--- a/lupinreach/balance.py
+++ b/lupinreach/balance.py
@@ -419,7 +419,10 @@
         b = self._choose(now, call)
         if b is not None:
             self._send(now, call, b)
-        elif now < self._stands_until(call) and self._ring:
+            return
+        why = "empty list" if not self._ring else "bound full" if self._full(now, call) else "no turn"
+        self.counts[why] += 1
+        if now < self._stands_until(call) and self._ring:
             self._wait(now, call)
         else:
             self.give_up(now, call)
@@ -495,11 +498,7 @@
     def _choose(self, now: float, call: Call) -> Backend | None:
         """The next turn in the pool of the API call's SLO."""
         t = call.target.index
-        # Room is kept for the dearest only as far as shots are slow: with all in time, all may fill it.
-        kept = (1 - call.room) * min(1.0, self._fullness / FULL_SHARE)
-        bound = self._bound * (1 - kept)
-        if self._flight >= max(1.0, bound) or (bound < 1 and now < self._sent_at + self._pace() / bound):
-            self.counts["bound full"] += not call.waiting
+        if self._full(now, call):
             return None
         tried = {s.backend for s in call.shots}
         usable = [b for b in self._ring if call.may_use(b)] if tried else self._ring
@@ -525,9 +524,14 @@
                 # House custom: one is exchanged now and then, here the slowest for the next in order.
                 self._ring.remove(worst)
                 self._ring.append(worst)
-        b = self._turn(now, call, used)
-        self.counts["no turn" if self._ring else "empty list"] += b is None and not call.waiting
-        return b
+        return self._turn(now, call, used)
+
+    def _full(self, now: float, call: Call) -> bool:
+        """If the bound in flight leaves no room for a shot of this API call now."""
+        # Room is kept for the dearest only as far as shots are slow: with all in time, all may fill it.
+        kept = (1 - call.room) * min(1.0, self._fullness / FULL_SHARE)
+        bound = self._bound * (1 - kept)
+        return self._flight >= max(1.0, bound) or (bound < 1 and now < self._sent_at + self._pace() / bound)
 
     def _homes(self, pool: list[Backend], key: int) -> list[Backend]:
         """The backends of the pool that a key is at home at, the same at all agents, by size."""
--- a/lupinreach/logs.py
+++ b/lupinreach/logs.py
@@ -22,7 +22,6 @@
 
     agent: str
     began: float | None  # Unix ms; None: its start is in no file
-    counted_at: float | None = None
     counts: dict[str, Any] = field(default_factory=dict)
     stopped: bool = False  # it said so itself; else it was killed, or the file ends before
 
@@ -58,7 +57,7 @@
             fleet.lives.append(current[agent])
         life = current[agent]
         if what in ("counters", "stopped"):
-            life.counted_at, life.counts, life.stopped = event["at"], event, what == "stopped"
+            life.counts, life.stopped = event, what == "stopped"
         if what != "counters":
             fleet.events.append((event["at"], _name(event), agent))
     return fleet
