A door for operators: readiness, figures, drains, on descriptors of its own

Figures were counted by what the client was told, not by product, and shots written whole nowhere. Change: lupinreach/ops (door, figures), net/standing (one state machine, its table in the docstring, tested over all orders of four events), Counters.told with one table of outcomes, shots counted by the write itself.

--- a/lupinreach/__main__.py
+++ b/lupinreach/__main__.py
@@ -15,6 +15,7 @@
 from lupinreach.config import BadConfig, read_agent
 from lupinreach.net.agent import Agent, Decide
 
+DOOR_DESCRIPTORS = 18  # for operators, where there is a door
 COLLECT_AFTER = 2000  # objects more than before: some hundred API calls under way
 
 
@@ -29,6 +30,12 @@
     loop.set_exception_handler(lambda _, context: agent.tasks.fault(
         str(context.get("message")), context.get("exception") or RuntimeError("no exception given")))
     logging.getLogger().addHandler(agent.log)
+    door = None
+    if agent.config.mgmt is not None:
+        from lupinreach.ops.door import Door  # an agent without a door doesn't load it
+
+        door = Door(agent, agent.config.mgmt)
+        door.open()  # before the agent: until it serves, the answer is no
     await agent.start()
     # What is there now stays: guards against a collector that looks through all of it again and again.
     gc.collect()
@@ -36,12 +43,15 @@
     gc.set_threshold(COLLECT_AFTER, 5, 5)
     await stop.wait()
     await agent.stop()
+    if door is not None:
+        door.close()
 
 
 async def main(decide: Decide) -> int:
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # guards against an end by one that comes before the start
     try:
-        agent = Agent(read_agent(os.environ), decide=decide)
+        config = read_agent(os.environ)
+        agent = Agent(config, decide=decide, reserved=DOOR_DESCRIPTORS if config.mgmt is not None else 0)
     except BadConfig as bad:
         print(f"lupinreach: {bad}", file=sys.stderr)
         return 2
--- a/lupinreach/balance.py
+++ b/lupinreach/balance.py
@@ -402,6 +402,13 @@
                 self._looks_at = inf
                 self._sweep(now)
 
+    def avoided(self, now: float) -> int:
+        """How many listed backends get no turn now: draining, at rest, silent, or ejected for every SLO."""
+        least = min(t.slo for t in self._targets)
+        return sum(b.state is State.DRAINING or now < b.rest_until or all(b.held)
+                   or (b.flight > 0 and now - b.silent_since > FULL_AT * least)
+                   for b in self._backends.values() if b.state is not State.GONE)
+
     def probed(self, now: float, backend: int, ending: Ending, latency: float, load: Load | None) -> None:
         """The outcome of a probe; this version sends none."""
 
--- a/lupinreach/config.py
+++ b/lupinreach/config.py
@@ -202,6 +202,7 @@
     peers_all: Address | None
     known: dict[str, Any]  # the list of backends as this agent last had it, in the directory's form
     settings: Settings
+    mgmt: Address | None = None  # where operators connect; None: nowhere
 
 
 def read_agent(environment: Mapping[str, str], again: bool = False) -> AgentConfig:
@@ -234,6 +235,7 @@
     return AgentConfig(
         name=environment.get("PROXY_NAME") or top.text("name"),
         listen=told("PROXY_LISTEN", "listen"),
+        mgmt=told("PROXY_MGMT", "mgmt") if "PROXY_MGMT" in environment or top.text("mgmt", "") else None,
         directory=told("PROXY_DISCOVERY", "discovery"),
         seed=number,
         sockets=top.section("limits").whole("sockets", 1024, low=FEWEST_SOCKETS),
--- a/lupinreach/net/agent.py
+++ b/lupinreach/net/agent.py
@@ -21,8 +21,9 @@
 from lupinreach.net.pool import Pool
 from lupinreach.net.port import AgentPort
 from lupinreach.net.probes import probe
-from lupinreach.net.serving import Serving, Standing
+from lupinreach.net.serving import Serving
 from lupinreach.net.sockets import Sockets
+from lupinreach.net.standing import Standing
 from lupinreach.net.tasks import Tasks
 
 OWN_DESCRIPTORS = 12  # standard streams, event loop, listener, directory, datagrams, and a few spare
@@ -42,7 +43,8 @@
     """
 
     def __init__(self, config: AgentConfig, log: Log | None = None, clock: Clock | None = None,
-                 sockets: Sockets | None = None, decide: Decide = Balancer) -> None:
+                 sockets: Sockets | None = None, decide: Decide = Balancer, reserved: int = 0) -> None:
+        """`reserved` descriptors are left to others."""
         settings = config.settings
         self.config = config
         self.clock = clock or Clock()
@@ -51,7 +53,7 @@
         self.tasks = Tasks(self.clock, self.log, self.counters)
         self.standing = Standing()
         self._sockets = sockets or Sockets()
-        room = _descriptors(config.sockets) - OWN_DESCRIPTORS
+        room = _descriptors(config.sockets) - OWN_DESCRIPTORS - reserved
         most_answer = max(protocol.MOST_BODY, int(ANSWER_SHARE * config.memory))
         # One for each side of an API call: with fewer to backends, a shot would fail for want of one.
         self.pool = Pool(room // 2, settings.limits.connect_timeout, settings.limits.connection_idle,
@@ -119,6 +121,12 @@
         self.config = replace(self.config, directory=fresh.directory)
         self.directory.move(fresh.directory)
 
+    def drain(self, on: bool) -> None:
+        """Send clients away, or take them back; what is said again changes nothing."""
+        if on is not (self.standing.drained_at is not None):
+            self.log.event("drain on" if on else "drain off")
+        self.standing.drain(self.clock.now()) if on else self.standing.resume()
+
     def report(self, event: str = "counters") -> None:
         self.log.event(event, clients=len(self.listener.clients), backends=self.pool.open,
                        log_lines_dropped=self.log.dropped, list_age_ms=self.directory.age, cpu_s=time.process_time(),
--- a/lupinreach/net/call.py
+++ b/lupinreach/net/call.py
@@ -93,6 +93,7 @@
         self.orders: asyncio.Queue[Order] = asyncio.Queue()  # a few for each shot; dies with the API call
         self.answered = asyncio.get_running_loop().create_future()
         self.ask, until = read_ask(self, request, arrived, serving)
+        self._product = serving.settings.products[self.ask.product].name
         self._overdue = (self.ask.until + until) / 2
         self._id = request.headers[protocol.ID]
         if not serving.ids.begin(self._id):
@@ -102,7 +103,7 @@
         """From top to bottom: taken, shots out as the module orders them, one final answer."""
         serving = self._serving
         now, counters = serving.clock.now, serving.counters
-        counters.taken[serving.settings.products[self.ask.product].name] += 1
+        counters.taken[self._product] += 1
         call, shots = None, list[Out]()
         overdue = asyncio.get_running_loop().call_at(serving.clock.on_loop(self._overdue),
                                                      self.orders.put_nowait, Overdue())
@@ -185,7 +186,7 @@
 
     def _close(self, what: str) -> None:
         if not self.answered.done():
-            self._serving.counters.answered[what] += 1
+            self._serving.counters.told(what, self._product)
             self.answered.set_result(None)
 
 
--- a/lupinreach/net/counters.py
+++ b/lupinreach/net/counters.py
@@ -5,6 +5,7 @@
 import os
 import re
 from collections import Counter
+from enum import Enum
 from typing import Any
 
 
@@ -18,6 +19,24 @@
     return round(int(found[1]) / 1024, 1) if found else None
 
 
+class Outcome(Enum):
+    """What an API call came to, for whoever counts them."""
+
+    FULFILLED = "fulfilled"
+    RATE_LIMITED = "rate-limited"
+    ERRORED = "errored"
+
+
+# What the client was told, as `answered` counts it. One that left, or whose request was none, has no outcome.
+OUTCOMES = {
+    "fulfilled": Outcome.FULFILLED,
+    "rate-limited": Outcome.RATE_LIMITED,
+    "no room": Outcome.RATE_LIMITED,
+    "errored": Outcome.ERRORED,
+    "fault": Outcome.ERRORED,
+}
+
+
 class Counters:
     """Grows with the kinds of things counted and never with their number."""
 
@@ -28,10 +47,21 @@
         self.connections: Counter[str] = Counter()  # opened, and closed by which end
         self.directory: Counter[str] = Counter()
         self.others: Counter[str] = Counter()  # probes, messages between agents, faults
+        self.outcomes: dict[Outcome, Counter[str]] = {outcome: Counter() for outcome in Outcome}  # by product
+        self.written = 0  # shots written whole
+        self.open = 0  # API calls taken and not ended
+
+    def told(self, what: str, product: str | None) -> None:
+        """An API call has ended for its client; a product that isn't known has no outcome."""
+        self.answered[what] += 1
+        if product is not None and what in OUTCOMES:
+            self.outcomes[OUTCOMES[what]][product] += 1
 
     def snapshot(self) -> dict[str, Any]:
-        groups = {name: dict(counts) for name, counts in vars(self).items()}
+        groups = {name: dict(counts) for name, counts in vars(self).items() if isinstance(counts, Counter)}
         return groups | {
+            "written": self.written,
+            "open": self.open,
             "descriptors": len(os.listdir("/proc/self/fd")) if os.path.isdir("/proc/self/fd") else None,
             "peak_memory_mb": peak_memory(),
         }
--- a/lupinreach/net/directory.py
+++ b/lupinreach/net/directory.py
@@ -66,6 +66,11 @@
     def place(self, backend: int) -> Place:
         return self._by_index[backend]
 
+    @property
+    def listed(self) -> int:
+        """Backends in the list as it stands, draining ones too."""
+        return sum(entry.gone_at is None for entry in self._entries.values())
+
     @property
     def age(self) -> float | None:
         """Ms since the directory last said anything, and so the age of the list; None: it has not since the start."""
--- a/lupinreach/net/http.py
+++ b/lupinreach/net/http.py
@@ -24,8 +24,10 @@
 ))
 FRAMING = frozenset((b"content-length", b"transfer-encoding", b"connection"))
 NO_OPTIONS: frozenset[bytes] = frozenset()
-REASONS = {200: b"OK", 400: b"Bad Request", 408: b"Request Timeout", 409: b"Conflict", 413: b"Content Too Large",
-           429: b"Too Many Requests", 500: b"Internal Server Error", 502: b"Bad Gateway", 503: b"Service Unavailable"}
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+REASONS = {200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed", 408: b"Request Timeout",
+           409: b"Conflict", 413: b"Content Too Large", 429: b"Too Many Requests", 500: b"Internal Server Error",
+           502: b"Bad Gateway", 503: b"Service Unavailable"}
 
 Slice = memoryview
 
--- a/lupinreach/net/listener.py
+++ b/lupinreach/net/listener.py
@@ -83,7 +83,7 @@
         try:
             head = await http.read_head(channel, answer=False)
             if b"expect" in head.headers and channel.start == channel.end:  # its body may wait for a word
-                channel.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+                channel.write(http.CONTINUE)
             request = http.message(head, await http.read_body(channel, head, protocol.MOST_BODY))
         finally:
             del listener.reading[self]
@@ -93,8 +93,18 @@
         self._keeps = request.keeps
         if request.target == protocol.READY_PATH:
             self._reply(http.answer(200 if self._serving.standing.ready else 503, keeps=self._stays()))
+            await self._written()
         else:
-            await self._api_call(request, arrived)
+            self._serving.counters.open += 1
+            try:
+                await self._api_call(request, arrived)
+                await self._written()
+            finally:
+                self._serving.counters.open -= 1
+        self._keeps = self._keeps and not self._serving.standing.parting
+
+    async def _written(self) -> None:
+        """Wait until the kernel has the answer."""
         if self._writing is not None:
             try:
                 if not self._writing.done():
@@ -103,13 +113,14 @@
                 await self._writing
             except (OSError, TimeoutError):
                 raise Ended(End.LEFT) from None
-        self._keeps = self._keeps and not self._serving.standing.stopping
 
     async def _api_call(self, request: http.Message, arrived: float) -> None:
         if self._listener.full:
             # Turned away before it reaches the module, and harmless to repeat: nothing was sent for it.
             # Guards against requests that the kernel has taken in and that nobody has a descriptor to read.
-            self._serving.counters.answered["no room"] += 1
+            kind = request.header(protocol.KIND)
+            product = kind.decode() if kind in self._serving.products else None
+            self._serving.counters.told("no room", product)
             self._keeps = False
             self._reply(http.answer(NO_ROOM, keeps=False))
             return
@@ -123,7 +134,7 @@
 
     def _stays(self) -> bool:
         """What the answer says of the connection, and what then holds."""
-        if self._serving.standing.stopping or self._listener.short:
+        if self._serving.standing.parting or self._listener.short:
             self._keeps = False
         return self._keeps
 
@@ -264,6 +275,8 @@
                     break
                 if not client.channel.heard:
                     self.closed(client, End.SILENT)
+            if self._serving.standing.closes_idle(now):
+                self.close_idle()
             for client in list(self.idle):
                 if now < client.since + MAY_CLOSE * 1000 or len(self.clients) < CROWDED * self.served:
                     break
--- a/lupinreach/net/pool.py
+++ b/lupinreach/net/pool.py
@@ -101,6 +101,11 @@
         self._counters.connections["backend opened"] += 1
         return channel
 
+    def wrote(self, writing: asyncio.Future[None]) -> None:
+        """A shot has been written, whole if the write has not failed."""
+        # Counted by the write itself, since a shot may be called off the moment after.
+        self._counters.written += not writing.cancelled() and writing.exception() is None
+
     def keep(self, place: Place) -> None:
         """From now on connections to this place are worth keeping."""
         self._kept.add(place)
--- a/lupinreach/net/serving.py
+++ b/lupinreach/net/serving.py
@@ -11,21 +11,10 @@
 from lupinreach.net.directory import Directory
 from lupinreach.net.ids import Ids
 from lupinreach.net.pool import Pool
+from lupinreach.net.standing import Standing
 from lupinreach.net.tasks import Tasks
 
 
-class Standing:
-    """If the agent can serve: it has a list of backends and is to stay."""
-
-    def __init__(self) -> None:
-        self.listed = False
-        self.stopping = False
-
-    @property
-    def ready(self) -> bool:
-        return self.listed and not self.stopping
-
-
 @dataclass
 class Serving:
     """Lives as long as the process. A second front gets the same one."""
--- a/lupinreach/net/shot.py
+++ b/lupinreach/net/shot.py
@@ -33,6 +33,7 @@
             async with asyncio.timeout_at(self._until):
                 channel = await self._pool.take(self._place)
                 self._writing = channel.write(self._message)
+                self._writing.add_done_callback(self._pool.wrote)
                 try:
                     await self._writing
                 except OSError:  # what Tornado raises for a closed stream is one
--- /dev/null
+++ b/lupinreach/net/standing.py
@@ -0,0 +1,68 @@
+"""What the agent says of itself to clients: one state machine, without I/O.
+
+    state      /health/ready   an answer ends its connection   idle connections are closed
+    unlisted   no              no                              no
+    serving    yes             no                              no
+    drained    no              yes                             SETTLES after the drain began
+    stopping   no              yes                             in the steps of `Agent.stop`
+
+`stopping` goes before all others and is never left; `drained` goes before the other two. Calls repeated
+change nothing.
+"""
+
+from __future__ import annotations
+
+from enum import Enum
+
+SETTLES = 500.0  # ms from the first no until nobody is sent here any more
+
+
+class State(Enum):
+    UNLISTED = "unlisted"  # no list of backends yet
+    SERVING = "serving"
+    DRAINED = "drained"
+    STOPPING = "stopping"
+
+
+class Standing:
+    """If the agent can serve: it has a list of backends, is not drained, and is to stay."""
+
+    def __init__(self) -> None:
+        self.listed = False
+        self.stopping = False
+        self.drained_at: float | None = None  # ms, when the drain that holds began
+
+    @property
+    def state(self) -> State:
+        if self.stopping:
+            return State.STOPPING
+        if self.drained_at is not None:
+            return State.DRAINED
+        return State.SERVING if self.listed else State.UNLISTED
+
+    @property
+    def ready(self) -> bool:
+        """What `/health/ready` says."""
+        return self.state is State.SERVING
+
+    @property
+    def takes_clients(self) -> bool:
+        """If this process serves whatever comes, sent here or not: what the door's `/_ready` says."""
+        return self.listed and not self.stopping
+
+    @property
+    def parting(self) -> bool:
+        """If an answer ends its connection."""
+        return self.stopping or self.drained_at is not None
+
+    def closes_idle(self, now: float) -> bool:
+        """If connections between two requests are to be closed."""
+        # Guards against clients that would open another one here, as long as they are still sent here.
+        return self.state is State.DRAINED and now >= (self.drained_at or 0.0) + SETTLES
+
+    def drain(self, now: float) -> None:
+        if self.drained_at is None:
+            self.drained_at = now
+
+    def resume(self) -> None:
+        self.drained_at = None
--- /dev/null
+++ b/lupinreach/ops/__init__.py
@@ -0,0 +1,1 @@
+"""The agent day by day: the operators' door and what it tells."""
--- /dev/null
+++ b/tests/test_ops.py
@@ -0,0 +1,227 @@
+"""The operators' door, the figures and sending clients away, on loopback and without a bench."""
+
+import asyncio
+import itertools
+import json
+import time
+
+import pytest
+
+from helpers import OK, Peer, Site, look, read_http, run, says, target
+from lupinreach.net.counters import Counters, Outcome
+from lupinreach.net.standing import SETTLES, Standing, State
+from lupinreach.ops import figures
+from lupinreach.ops.door import MOST_HELD, Door
+
+READY = b"GET /health/ready HTTP/1.1\r\n\r\n"
+FAILED = b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n"
+
+
+class Operated(Site):
+    """A site whose agent has a door."""
+
+    async def __aenter__(self):
+        await super().__aenter__()
+        self.door = Door(self.agent, ("127.0.0.1", 0))
+        self.door.open()
+        return self
+
+    async def __aexit__(self, *failed):
+        self.door.close()
+        await super().__aexit__(*failed)
+
+    async def call(self, method: bytes, path: bytes, more=b"", body=b"") -> tuple[int, bytes, bytes]:
+        """Status, head and body of one call at the door; the door ends the connection."""
+        reader, writer = await asyncio.open_connection(*self.door.address)
+        writer.write(method + b" " + path + b" HTTP/1.1\r\nHost: x\r\n" + more + b"\r\n" + body)
+        answer = await asyncio.wait_for(reader.read(), 5)
+        writer.close()
+        head, _, said = answer.partition(b"\r\n\r\n")
+        return int(head.split()[1]), head, said
+
+    async def figures(self) -> dict:
+        code, _, said = await self.call(b"GET", b"/_vars")
+        assert code == 200
+        return json.loads(said)
+
+
+def code(answer: bytes) -> int:
+    return int(answer.split()[1])
+
+
+# What is said to clients: the state machine beside its table.
+
+def test_the_standing_follows_its_table_whatever_the_order_of_events():
+    events = {
+        "listed": lambda s: setattr(s, "listed", True), "on": lambda s: s.drain(1000.0),
+        "again": lambda s: s.drain(5000.0), "off": lambda s: s.resume(),
+        "stop": lambda s: setattr(s, "stopping", True),
+    }
+    for order in itertools.product(events, repeat=4):
+        standing, listed, drained, stopping = Standing(), False, None, False
+        for name in order:
+            events[name](standing)
+            listed, stopping = listed or name == "listed", stopping or name == "stop"
+            if name in ("on", "again"):
+                drained = drained or (1000.0 if name == "on" else 5000.0)
+            if name == "off":
+                drained = None
+            wanted = (State.STOPPING if stopping else State.DRAINED if drained is not None
+                      else State.SERVING if listed else State.UNLISTED)
+            assert standing.state is wanted
+            assert standing.ready == (wanted is State.SERVING)
+            assert standing.parting == (stopping or drained is not None)
+            assert standing.takes_clients == (listed and not stopping)
+            for late in (-1.0, 0.0):
+                assert standing.closes_idle((drained or 0.0) + SETTLES + late) == (
+                    wanted is State.DRAINED and late == 0.0)
+
+
+# The door.
+
+@pytest.mark.parametrize("method, path, more, body, wanted, says_too", [
+    (b"GET", b"/_ready", b"", b"", 200, b"yes"),
+    (b"GET", b"/_ready?x=1", b"", b"", 200, b"yes"),
+    (b"POST", b"/_lameduck/on", b"Content-Length: 2\r\n", b"{}", 200, b"drained"),
+    (b"POST", b"/_lameduck/off", b"Transfer-Encoding: chunked\r\n", b"1\r\nx\r\n0\r\n\r\n", 200, b"back to work"),
+    (b"GET", b"/_lameduck/on", b"", b"", 405, b"Allow: POST"),
+    (b"POST", b"/_vars", b"Content-Length: 0\r\n", b"", 405, b"Allow: GET"),
+    (b"GET", b"/api", b"", b"", 404, b"no such path; there are /_ready"),
+    (b"GET", b"/_ready", b"Content-Length: 1\r\nContent-Length: 2\r\n", b"", 400, b"can't be read"),
+    (b"POST", b"/_lameduck/on", b"Content-Length: 9999999\r\n", b"", 413, b"too large"),
+    (b"GET", b"/_ready", b"X: " + b"x" * 20_000 + b"\r\n", b"", 413, b"too large"),
+])
+def test_each_call_at_the_door_has_its_answer(method, path, more, body, wanted, says_too):
+    async def work():
+        async with Operated(target("s-1", "127.0.0.1:9")) as site:
+            status, head, said = await site.call(method, path, more, body)
+            assert status == wanted and says_too in head + said and b"Connection: close" in head
+            assert (site.agent.standing.drained_at is not None) == (path == b"/_lameduck/on" and wanted == 200)
+    run(work())
+
+
+def test_the_door_says_no_until_there_is_a_list():
+    async def work():
+        async with Operated() as site:
+            assert (await site.call(b"GET", b"/_ready"))[0] == 503
+            assert b"unlisted" in (await site.call(b"GET", b"/_ready"))[2]
+    run(work())
+
+
+def test_callers_that_hold_a_connection_lock_nobody_out_and_get_their_end():
+    async def work():
+        async with Operated(target("s-1", "127.0.0.1:9")) as site:
+            held = [await asyncio.open_connection(*site.door.address) for _ in range(3 * MOST_HELD)]
+            for _, writer in held[::2]:
+                writer.write(b"GET /_re")
+            started = time.monotonic()
+            assert (await site.call(b"GET", b"/_ready"))[0] == 200
+            assert time.monotonic() - started < 1.0
+            assert len(site.door._held) <= MOST_HELD
+            ends = [await asyncio.wait_for(reader.read(), 5) for reader, _ in held]
+            assert all(not end or code(end) == 408 for end in ends) and any(ends)
+            while site.door._held:
+                await asyncio.sleep(0)
+            for _, writer in held:
+                writer.close()
+    run(work())
+
+
+def test_a_full_agent_still_answers_its_operators():
+    async def work():
+        settings = {"limits": {"memory_mb": 64, "sockets": 40}}
+        async with Operated(target("s-1", "127.0.0.1:9"), **settings) as site:
+            clients = [await site.client() for _ in range(30)]
+            while site.agent.listener.clients and len(site.agent.listener.clients) < site.agent.listener.served:
+                await asyncio.sleep(0)
+            assert (await site.call(b"GET", b"/_ready"))[0] == 200
+            for _, writer in clients:
+                writer.close()
+    run(work())
+
+
+# The figures.
+
+def test_the_figures_agree_with_what_the_peers_saw():
+    async def work():
+        asked, hold = 0, asyncio.Event()
+
+        async def script(request, writer):
+            nonlocal asked
+            asked += 1
+            if b"Req-Id: slow" in request:
+                await hold.wait()
+            writer.write(FAILED if b"Req-Id: bad" in request else OK)
+
+        async with Peer(script) as backend, Operated(target("s-1", backend.address)) as site:
+            for _ in range(7):
+                assert code(await site.ask(look())) == 200
+            pay = {"kind": b"pay", "method": b"POST", "body": b"x"}
+            assert code(await site.ask(look(**pay, name=b"bad1"))) == 502
+            assert code(await site.ask(look(name=b"bad2"))) == 429
+            assert code(await site.ask(look(kind=b"nothing"))) == 400
+            slow = asyncio.create_task(site.ask(look(name=b"slow1")))
+            while (await site.figures())["concurrent"] != 1:
+                pass
+            said = await site.figures()
+            assert said["success"] == {"look": 7, "pay": 0} and said["error"] == {"look": 0, "pay": 1}
+            assert said["overload"] == {"look": 1, "pay": 0}
+            assert said["dispatches"] == asked and said["targets"] == 1
+            hold.set()
+            assert code(await slow) == 200
+            while (said := await site.figures())["concurrent"]:
+                pass
+            assert said["success"]["look"] == 8
+            assert site.agent.counters.snapshot()["written"] == said["dispatches"] == asked
+    run(work())
+
+
+def test_a_report_names_every_product_and_never_avoids_more_than_is_listed():
+    counters = Counters()
+    counters.told("fulfilled", "a")
+    counters.told("left", "a")
+    counters.told("no room", None)
+    said = figures.report(["a", "b"], counters, 2, 3)
+    assert said == {"success": {"a": 1, "b": 0}, "overload": {"a": 0, "b": 0}, "error": {"a": 0, "b": 0},
+                    "dispatches": 0, "concurrent": 0, "targets": 2, "targets_disabled": 2}
+    assert sum(sum(c.values()) for c in counters.outcomes.values()) == 1
+    assert counters.outcomes[Outcome.FULFILLED]["a"] == 1
+
+
+# Sending clients away.
+
+def test_a_drain_says_no_ends_connections_with_answers_and_closes_idle_ones():
+    async def work():
+        async with Peer(says(OK)) as backend, Operated(target("s-1", backend.address)) as site:
+            busy, idle, silent = [await site.client() for _ in range(3)]
+            for client in (busy, idle):
+                assert code(await site.ask(look(), client)) == 200
+            assert code(await site.ask(READY, await site.client())) == 200
+            assert (await site.call(b"POST", b"/_lameduck/on"))[0] == 200
+            assert code(await site.ask(READY)) == 503
+            answer = await site.ask(look(), busy)
+            assert code(answer) == 200 and b"Connection: close" in answer  # served, and sent away
+            assert await asyncio.wait_for(busy[0].read(), 1) == b""
+            for reader, _ in (idle, silent):
+                assert await asyncio.wait_for(reader.read(), 3) == b""
+            assert code(await site.ask(look())) == 200  # what still comes is served
+            assert (await site.call(b"GET", b"/_ready"))[0] == 200  # the process runs on
+            assert (await site.call(b"POST", b"/_lameduck/on"))[0] == 200  # once more changes nothing
+            assert (await site.call(b"POST", b"/_lameduck/off"))[0] == 200
+            back = await site.client()
+            assert code(await site.ask(READY, back)) == 200
+            assert b"Connection: close" not in await site.ask(look(), back)
+    run(work())
+
+
+def test_off_right_after_on_closes_nothing():
+    async def work():
+        async with Peer(says(OK)) as backend, Operated(target("s-1", backend.address)) as site:
+            client = await site.client()
+            assert code(await site.ask(look(), client)) == 200
+            for _ in range(3):
+                await site.call(b"POST", b"/_lameduck/on")
+                await site.call(b"POST", b"/_lameduck/off")
+            await asyncio.sleep((SETTLES + 300) / 1000)
+            assert code(await site.ask(look(), client)) == 200
+    run(work())
