Upgrades: both processes accept from an inherited socket, a file names the successor

Cause: the door said yes on the known list while the process still waited for the directory and was not accepting, so SIGTERM found no successor and idle connections were closed at once.

--- a/lupinreach/__main__.py
+++ b/lupinreach/__main__.py
@@ -16,6 +16,7 @@
 from lupinreach.net.agent import Agent, Decide
 
 DOOR_DESCRIPTORS = 18  # for operators, where there is a door
+HEAR_FIRST = 1.5  # s for which a new process waits for the directory while the old one serves
 COLLECT_AFTER = 2000  # objects more than before: some hundred API calls under way
 
 
@@ -36,13 +37,20 @@
 
         door = Door(agent, agent.config.mgmt)
         door.open()  # before the agent: until it serves, the answer is no
-    await agent.start()
+    succession = None
+    if agent.config.inherited is not None:
+        from lupinreach.ops.succession import Succession  # nor one that has its address to itself this
+
+        succession = Succession(os.environ.get("TMPDIR"), agent.config.name)
+    await agent.start(HEAR_FIRST if succession and succession.other() else 0.0)
+    if succession is not None and not succession.take_over():
+        agent.log.event("no succession", why="TMPDIR can't be written")
     # What is there now stays: guards against a collector that looks through all of it again and again.
     gc.collect()
     gc.freeze()
     gc.set_threshold(COLLECT_AFTER, 5, 5)
     await stop.wait()
-    await agent.stop()
+    await agent.stop(succeeded=succession is not None and succession.other() is not None)
     if door is not None:
         door.close()
 
@@ -57,7 +65,10 @@
         return 2
     try:
         await run(agent)
-    except (BadConfig, OSError) as bad:
+    except BadConfig as bad:
+        print(f"lupinreach: {bad}", file=sys.stderr)
+        return 2
+    except OSError as bad:
         print(f"lupinreach: {bad}", file=sys.stderr)
         return 1
     return 0
--- a/lupinreach/config.py
+++ b/lupinreach/config.py
@@ -125,6 +125,12 @@
     return host.strip("[]"), int(port)
 
 
+def _descriptor(text: str) -> int:
+    if not text.isdecimal() or int(text) >= 1 << 20:
+        raise BadConfig(f"PROXY_FD: {text!r} is no descriptor")
+    return int(text)
+
+
 def read_settings(raw: Any, path: str = "") -> Settings:
     """The settings in our words; absent keys get their default."""
     top = Section(raw, path)
@@ -203,6 +209,7 @@
     known: dict[str, Any]  # the list of backends as this agent last had it, in the directory's form
     settings: Settings
     mgmt: Address | None = None  # where operators connect; None: nowhere
+    inherited: int | None = None  # the descriptor on which clients connect, already listening; None: `listen`
 
 
 def read_agent(environment: Mapping[str, str], again: bool = False) -> AgentConfig:
@@ -235,6 +242,7 @@
     return AgentConfig(
         name=environment.get("PROXY_NAME") or top.text("name"),
         listen=told("PROXY_LISTEN", "listen"),
+        inherited=_descriptor(environment["PROXY_FD"]) if "PROXY_FD" in environment else None,
         mgmt=told("PROXY_MGMT", "mgmt") if "PROXY_MGMT" in environment or top.text("mgmt", "") else None,
         directory=told("PROXY_DISCOVERY", "discovery"),
         seed=number,
--- a/lupinreach/net/agent.py
+++ b/lupinreach/net/agent.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import resource
 import time
 from collections.abc import Callable, Mapping
 from dataclasses import fields, replace
 
 from lupinreach.balance import Balancer
-from lupinreach.config import AgentConfig, BadConfig, read_agent
+from lupinreach.config import Address, AgentConfig, BadConfig, read_agent
 from lupinreach.model import Listing, News, Port, Settings
 from lupinreach.net import protocol
 from lupinreach.net.clock import Clock
@@ -30,6 +31,7 @@
 ANSWER_SHARE = 1 / 64  # of the memory that it may hold: the longest answer that is passed on
 COUNTED_EVERY = 10.0  # s between two lines of counters, so that one that is killed leaves some
 GOES_ON = 0.5  # s for which a stopping agent goes on accepting
+OPEN_AGAIN = 0.5  # s until an address that another process holds is asked for again
 LAST = 0.1  # s for which what was accepted last may still send its request
 OF_A_START = ("directory", "known", "seed")  # parts of the configuration that may differ when it is read again
 
@@ -66,16 +68,26 @@
         self.balancer = decide(settings, config.seed, port)
         self.serving = Serving(settings, self.clock, self.counters, self.tasks, self.standing, self.pool,
                                self.directory, self.balancer)
-        self.listener = Listener(self.serving, self._sockets, config.listen, self.log, room // 2)
+        self.listener = Listener(self.serving, self._sockets, config.listen, self.log, room // 2, config.inherited)
 
     # From start to stop.
 
-    async def start(self) -> None:
+    async def start(self, hear_first: float = 0.0) -> None:
+        """Accept clients, after waiting for so many s at most until the directory has spoken."""
         if self.config.peer_listen is not None and self.config.settings.limits.peers:
-            await self.peers.open(self._sockets, self.config.peer_listen)
+            if self.config.inherited is None:
+                await self.peers.open(self._sockets, self.config.peer_listen)
+            else:
+                self.tasks.spawn("peers", self._open_peers(self.config.peer_listen))
         self.balancer.start(self.clock.now())
         self.directory.start(self.config.known)
+        if hear_first:
+            # Guards against a list that has grown old while another process serves by a fresh one.
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(hear_first):
+                    await self.directory.heard.wait()
         self.listener.open()
+        self.standing.accepting = True
         self.tasks.spawn("sweep", self.listener.sweep())
         self.tasks.spawn("idle backends", self.pool.sweep())
         self.tasks.spawn("ids", self._turn_ids())
@@ -83,14 +95,21 @@
         self.log.event("started", listen=list(self.listener.address), sockets=self.config.sockets,
                        loop=type(asyncio.get_running_loop()).__module__)
 
-    async def stop(self) -> None:
-        """Not ready from now on; accept for a little while, answer all that was taken, end."""
+    async def stop(self, succeeded: bool = False) -> None:
+        """Answer all that was taken and end; go on accepting for a little while where no other process does."""
+        self.standing.succeeded = succeeded
         self.standing.stopping = True
-        self.log.event("stopping", clients=len(self.listener.clients))
-        # Idle connections go first, while a client that crosses with that can still open another.
-        self.listener.close_idle()
-        await asyncio.sleep(GOES_ON)
-        self.listener.close()
+        self.log.event("stopping", clients=len(self.listener.clients), succeeded=succeeded)
+        if succeeded:
+            # What waits in the shared queue is the other's. Connections go with their answers, as far as they
+            # have any to come, and those left idle after that: few of these cross with a request.
+            self.listener.close(take_in=False)
+            await asyncio.sleep(GOES_ON)
+        else:
+            # Idle connections go first, while a client that crosses with that can still open another.
+            self.listener.close_idle()
+            await asyncio.sleep(GOES_ON)
+            self.listener.close()
         await asyncio.sleep(LAST)
         self.listener.close_idle()
         try:
@@ -132,6 +151,16 @@
                        log_lines_dropped=self.log.dropped, list_age_ms=self.directory.age, cpu_s=time.process_time(),
                        module=self.balancer.counts, **self.counters.snapshot())
 
+    async def _open_peers(self, address: Address) -> None:
+        """Where the process before this one has not let go of the address yet, ask again until it has."""
+        while True:
+            try:
+                await self.peers.open(self._sockets, address)
+                return
+            except OSError:
+                self.counters.others["datagrams: address taken"] += 1
+                await asyncio.sleep(OPEN_AGAIN)
+
     async def _report_on(self) -> None:
         while True:
             await asyncio.sleep(COUNTED_EVERY)
--- a/lupinreach/net/directory.py
+++ b/lupinreach/net/directory.py
@@ -59,6 +59,7 @@
         self._by_index: dict[int, Place] = {}  # the same by index; an index is never used again
         self._next = 0
         self._heard_at: float | None = None  # when the directory last said anything, a beat included
+        self.heard = asyncio.Event()  # it has told its list at least once
         self._home = config.directory  # the address of the directory that is followed
         self._task: asyncio.Task[None] | None = None
         self._moving: asyncio.Task[None] | None = None  # to another directory, until its list has come
@@ -241,6 +242,8 @@
         self._counters.directory[f"news: {news.name.lower()}"] += 1
         listings = [replace(listing, backend=self._entries[uid].place.backend) for uid, _, listing in read]
         self._listed(news, listings)
+        if news is not News.CACHED:
+            self.heard.set()
         for uid, entry in list(self._entries.items()):
             if entry.gone_at is not None and now > entry.gone_at + self._keep:
                 del self._entries[uid], self._by_index[entry.place.backend]
--- a/lupinreach/net/listener.py
+++ b/lupinreach/net/listener.py
@@ -101,7 +101,6 @@
                 await self._written()
             finally:
                 self._serving.counters.open -= 1
-        self._keeps = self._keeps and not self._serving.standing.parting
 
     async def _written(self) -> None:
         """Wait until the kernel has the answer."""
@@ -156,10 +155,12 @@
 class Listener:
     """Accepts clients, as many as there are descriptors for."""
 
-    def __init__(self, serving: Serving, sockets: Sockets, address: Address, log: Log, most: int) -> None:
+    def __init__(self, serving: Serving, sockets: Sockets, address: Address, log: Log, most: int,
+                 inherited: int | None = None) -> None:
         self._serving = serving
         self._sockets = sockets
         self._wanted = address
+        self._inherited = inherited  # a descriptor: its queue is shared, and not ours to size or to end
         self._log = log
         self.changed = asyncio.Event()  # a client has gone
         self.most = most
@@ -174,7 +175,10 @@
         self._lingering = 0  # those on which a refused request is held up or dropped
 
     def open(self) -> None:
-        self._socket = self._sockets.listening(self._wanted)
+        if self._inherited is not None:
+            self._socket = self._sockets.inherited(self._inherited)
+        else:
+            self._socket = self._sockets.listening(self._wanted)
         self._resume()
 
     @property
@@ -186,14 +190,16 @@
     def _resume(self) -> None:
         if self._socket is not None and not self._accepting:
             self._accepting = True
-            self._socket.listen(min(BACKLOG, self.most))
+            if self._inherited is None:
+                self._socket.listen(min(BACKLOG, self.most))
             asyncio.get_running_loop().add_reader(self._socket, self._accept)
 
     def _pause(self) -> None:
         if self._socket is not None and self._accepting:
             self._accepting = False
             # Guards against connections that the kernel would take for an agent with no room for them.
-            self._socket.listen(0)
+            if self._inherited is None:
+                self._socket.listen(0)
             asyncio.get_running_loop().remove_reader(self._socket)
 
     def _accept(self, most: int = AT_ONCE) -> None:
@@ -254,6 +260,8 @@
         """A connection is between two requests: it could make room for another."""
         client.since = self._serving.clock.now()
         (self.fresh if client.fresh else self.idle)[client] = None
+        if self._serving.standing.stopping:
+            self.changed.set()  # its last answer was under way and promised that it stays
         self._resume()
 
     def stirs(self, client: Client) -> None:
@@ -318,10 +326,11 @@
             if not client.channel.heard:
                 self.closed(client, End.STOPPED)
 
-    def close(self) -> None:
-        """Take in what has come and accept no more."""
+    def close(self, take_in: bool = True) -> None:
+        """Accept no more; what has come is taken in first, unless another process will."""
         if self._socket is not None:
-            self._accept(BACKLOG)
+            if take_in:
+                self._accept(BACKLOG)
             self._pause()
             self._socket.close()
             self._socket = None
--- a/lupinreach/net/sockets.py
+++ b/lupinreach/net/sockets.py
@@ -6,7 +6,7 @@
 import socket
 from collections.abc import Callable
 
-from lupinreach.config import Address
+from lupinreach.config import Address, BadConfig
 
 
 class Sockets:
@@ -24,6 +24,19 @@
         sock.bind(address)
         return sock
 
+    def inherited(self, descriptor: int) -> socket.socket:
+        """The listening socket that this process was started with; BadConfig where it is none."""
+        try:
+            sock = socket.socket(fileno=descriptor)
+        except OSError as failed:
+            raise BadConfig(f"PROXY_FD: descriptor {descriptor}: {failed.strerror}") from None
+        if (sock.family not in (socket.AF_INET, socket.AF_INET6) or sock.type != socket.SOCK_STREAM
+                or not sock.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN)):
+            sock.detach()  # not ours to close
+            raise BadConfig(f"PROXY_FD: descriptor {descriptor} is no listening TCP socket")
+        sock.setblocking(False)
+        return sock
+
     async def datagrams(self, protocol: Callable[[], asyncio.DatagramProtocol], address: Address) -> None:
         """Hand the datagrams that come to this address to a protocol."""
         await asyncio.get_running_loop().create_datagram_endpoint(protocol, local_addr=address)
--- a/lupinreach/net/standing.py
+++ b/lupinreach/net/standing.py
@@ -5,9 +5,11 @@
     serving    yes             no                              no
     drained    no              yes                             SETTLES after the drain began
     stopping   no              yes                             in the steps of `Agent.stop`
+    succeeded  yes, or no      yes                             in the steps of `Agent.stop`
+               where drained
 
-`stopping` goes before all others and is never left; `drained` goes before the other two. Calls repeated
-change nothing.
+`stopping` and `succeeded`, which is to stop while another process serves on the same socket, go before all
+others and are never left; `drained` goes before the other two. Calls repeated change nothing.
 """
 
 from __future__ import annotations
@@ -22,6 +24,7 @@
     SERVING = "serving"
     DRAINED = "drained"
     STOPPING = "stopping"
+    SUCCEEDED = "succeeded"
 
 
 class Standing:
@@ -29,13 +32,15 @@
 
     def __init__(self) -> None:
         self.listed = False
+        self.accepting = False  # clients can connect to this process
         self.stopping = False
+        self.succeeded = False  # set before `stopping`: another process takes the clients
         self.drained_at: float | None = None  # ms, when the drain that holds began
 
     @property
     def state(self) -> State:
         if self.stopping:
-            return State.STOPPING
+            return State.SUCCEEDED if self.succeeded else State.STOPPING
         if self.drained_at is not None:
             return State.DRAINED
         return State.SERVING if self.listed else State.UNLISTED
@@ -43,12 +48,13 @@
     @property
     def ready(self) -> bool:
         """What `/health/ready` says."""
-        return self.state is State.SERVING
+        # Clients see one agent: what the old process says on a connection it still has must not turn them away.
+        return self.state is State.SERVING or (self.state is State.SUCCEEDED and self.drained_at is None)
 
     @property
     def takes_clients(self) -> bool:
         """If this process serves whatever comes, sent here or not: what the door's `/_ready` says."""
-        return self.listed and not self.stopping
+        return self.accepting and self.listed and not self.stopping
 
     @property
     def parting(self) -> bool:
--- /dev/null
+++ b/lupinreach/ops/succession.py
@@ -0,0 +1,81 @@
+"""Which process serves under an agent's name: one small file in a folder that old and new process share."""
+
+from __future__ import annotations
+
+import os
+import tempfile
+from typing import NamedTuple
+
+import orjson
+
+FORM = 1  # of the file; another one is no file
+MOST = 4096  # bytes of it
+
+
+class Process(NamedTuple):
+    """Guards against a pid that another process has by now: two never share pid and start."""
+
+    pid: int
+    started: int  # clock ticks since the machine started
+
+
+def written(process: Process) -> bytes:
+    return orjson.dumps({"form": FORM, "pid": process.pid, "started": process.started})
+
+
+def read(text: bytes) -> Process | None:
+    """The process that a file names; None for a file of another form, or a broken one."""
+    try:
+        raw = orjson.loads(text)
+        if raw["form"] != FORM or type(raw["pid"]) is not int or type(raw["started"]) is not int:
+            return None
+        return Process(raw["pid"], raw["started"]) if raw["pid"] > 0 else None
+    except (orjson.JSONDecodeError, KeyError, TypeError):
+        return None
+
+
+def alive(pid: int) -> Process | None:
+    """The process that runs under a pid; None if there is none, or only its remains."""
+    try:
+        with open(f"/proc/{pid}/stat", "rb") as file:
+            after_name = file.read().rpartition(b")")[2].split()
+    except OSError:
+        return None
+    # Fields 3 and 22 of proc(5): state, and when it started.
+    return Process(pid, int(after_name[19])) if after_name[0] not in (b"Z", b"X") else None
+
+
+class Succession:
+    """The file, as one process uses it. Without a folder that can be written there is neither before nor after."""
+
+    def __init__(self, folder: str | None, name: str) -> None:
+        safe = "".join(c if c.isalnum() or c in "-_" else "_" for c in name)
+        self._folder = folder
+        self._path = os.path.join(folder, f"lupinreach-{safe}.serving") if folder else None
+        self._me = alive(os.getpid())
+
+    def other(self) -> Process | None:
+        """The live process that took over last, if it isn't this one."""
+        if self._path is None:
+            return None
+        try:
+            with open(self._path, "rb") as file:
+                named = read(file.read(MOST))
+        except OSError:
+            return None
+        if named is None or named == self._me or alive(named.pid) != named:
+            return None
+        return named
+
+    def take_over(self) -> bool:
+        """Name this process; in one step, so that nobody reads half a file."""
+        if self._path is None or self._me is None:
+            return False
+        try:
+            descriptor, path = tempfile.mkstemp(dir=self._folder, prefix="lupinreach-")
+            with os.fdopen(descriptor, "wb") as file:
+                file.write(written(self._me))
+            os.replace(path, self._path)
+        except OSError:
+            return False
+        return True
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -199,6 +199,7 @@
         self.script = script
         self.requests: list[bytes] = []
         self.connections = 0
+        self.serving: set[asyncio.Task] = set()  # each leaves when its connection ends
         self.gone = asyncio.Event()  # a connection has ended
 
     async def __aenter__(self):
@@ -208,9 +209,13 @@
 
     async def __aexit__(self, *_):
         self.server.close()
+        for task in self.serving:
+            task.cancel()
 
     async def _serve(self, reader, writer):
         self.connections += 1
+        self.serving.add(task := asyncio.current_task())
+        task.add_done_callback(self.serving.discard)
         try:
             while True:
                 request = await read_http(reader)
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -8,6 +8,7 @@
 import pytest
 
 from helpers import OK, Peer, Site, look, read_http, run, says, target
+from lupinreach.net.agent import Agent
 from lupinreach.net.counters import Counters, Outcome
 from lupinreach.net.standing import SETTLES, Standing, State
 from lupinreach.ops import figures
@@ -71,7 +72,10 @@
             assert standing.state is wanted
             assert standing.ready == (wanted is State.SERVING)
             assert standing.parting == (stopping or drained is not None)
+            assert not standing.takes_clients
+            standing.accepting = True
             assert standing.takes_clients == (listed and not stopping)
+            standing.accepting = False
             for late in (-1.0, 0.0):
                 assert standing.closes_idle((drained or 0.0) + SETTLES + late) == (
                     wanted is State.DRAINED and late == 0.0)
@@ -225,3 +229,21 @@
             await asyncio.sleep((SETTLES + 300) / 1000)
             assert code(await site.ask(look(), client)) == 200
     run(work())
+
+
+def test_the_door_says_yes_only_once_clients_can_connect():
+    async def work():
+        async with Operated(target("s-1", "127.0.0.1:9")) as site:
+            second = Agent(site.agent.config, site.agent.log)
+            site.door.close()
+            site.door = Door(second, ("127.0.0.1", 0))
+            site.door.open()
+            starting = asyncio.create_task(second.start(hear_first=0.2))  # the directory says nothing
+            while not second.standing.listed:
+                await asyncio.sleep(0)
+            assert (await site.call(b"GET", b"/_ready"))[0] == 503 and not starting.done()
+            await starting
+            assert (await site.call(b"GET", b"/_ready"))[0] == 200
+            second.listener.close()
+            await second.tasks.stop()
+    run(work())
--- /dev/null
+++ b/tests/test_upgrade.py
@@ -0,0 +1,132 @@
+"""Upgrades: two real processes on one listening socket, and the file that names the one that took over."""
+
+import asyncio
+import os
+import signal
+import socket
+import subprocess
+import sys
+
+import orjson
+import pytest
+
+from helpers import run
+from lupinreach.ops import succession
+from lupinreach.ops.succession import Process, Succession
+from upgrading import ROOT, platform
+
+
+# The file.
+
+def test_a_file_reads_back_and_everything_else_is_no_file():
+    one = Process(7, 99)
+    text = succession.written(one)
+    assert succession.read(text) == one
+    for end in range(len(text)):
+        assert succession.read(text[:end]) is None
+    for other in ({"form": 2}, {"pid": "7"}, {"pid": True}, {"pid": -1}, {"started": None}, {"started": 1.5}):
+        assert succession.read(orjson.dumps({"form": 1, "pid": 7, "started": 99} | other)) is None
+    for other in (b"[]", b"7", b"null", b'{"form":1}', b"\xff" * 9):
+        assert succession.read(other) is None
+
+
+def test_a_stale_file_counts_for_nothing(tmp_path):
+    ours = Succession(str(tmp_path), "n/1")
+    assert ours.other() is None and ours.take_over() and ours.other() is None
+    (path,) = tmp_path.iterdir()
+    child = subprocess.Popen([sys.executable, "-c", "input()"], stdin=subprocess.PIPE)
+    there = succession.alive(child.pid)
+    path.write_bytes(succession.written(there))
+    assert ours.other() == there
+    assert Succession(str(tmp_path), "another").other() is None
+    path.write_bytes(succession.written(there._replace(started=there.started - 1)))  # the pid came again
+    assert ours.other() is None
+    path.write_bytes(succession.written(there))
+    child.kill()
+    os.waitid(os.P_PID, child.pid, os.WEXITED | os.WNOWAIT)
+    assert ours.other() is None  # only its remains are there
+    child.wait()
+    child.stdin.close()
+    assert ours.other() is None
+    path.write_bytes(b"x" * 10_000)
+    assert ours.other() is None and ours.take_over()
+    assert [p.name for p in tmp_path.iterdir()] == [path.name]
+
+
+def test_without_a_folder_there_is_no_other(tmp_path):
+    for folder in (None, str(tmp_path / "none")):
+        nowhere = Succession(folder, "n")
+        assert nowhere.other() is None and not nowhere.take_over()
+
+
+# The descriptor.
+
+@pytest.mark.parametrize("kind", ["none", "word", "closed", "file", "not listening", "datagrams"])
+def test_a_faulty_descriptor_is_named_and_ends_the_start(tmp_path, kind):
+    sock = socket.socket(type=socket.SOCK_DGRAM if kind == "datagrams" else socket.SOCK_STREAM)
+    with sock, open(tmp_path / "file", "w") as file:
+        number = {"none": "", "word": "four", "closed": "987", "file": str(file.fileno())}.get(
+            kind, str(sock.fileno()))
+        (tmp_path / "c.json").write_text(orjson.dumps({
+            "name": "n", "listen": "127.0.0.1:1", "seed": "7", "discovery": "127.0.0.1:9",
+            "settings": {"categories": [{"give_up": 1000.0}]}}).decode())
+        done = subprocess.run(
+            [sys.executable, "-m", "lupinreach"], cwd=ROOT, capture_output=True, text=True, timeout=20,
+            pass_fds=[file.fileno(), sock.fileno()],
+            env=os.environ | {"PROXY_CONFIG": str(tmp_path / "c.json"), "PROXY_FD": number})
+    assert done.returncode == 2 and "PROXY_FD" in done.stderr
+
+
+# The upgrade.
+
+def test_upgrades_in_a_row_under_steady_clients_lose_nothing_and_run_no_payment_twice(tmp_path):
+    async def work():
+        async with platform(tmp_path) as site:
+            process = await site.start()
+            for _ in range(3):
+                process = await site.upgrade(process)
+            seen = site.seen
+            assert set(seen.answers) == {200} and seen.answers[200] > 200
+            assert seen.lost == 0 and max(seen.runs.values()) == 1
+            assert seen.turned_back <= 2 * 3  # one that crosses with a close is written again, unheard
+    run(work())
+
+
+def test_a_new_process_that_dies_before_its_yes_changes_nothing(tmp_path):
+    async def work():
+        async with platform(tmp_path) as site:
+            old = await site.start()
+            new, _ = await site.spawn()
+            new.kill()
+            await new.wait()
+            before = site.seen.answers[200]
+            while site.seen.answers[200] < before + 50:
+                await asyncio.sleep(0.01)
+            assert old.returncode is None and site.seen.lost == site.seen.turned_back == 0
+            await site.upgrade(old)  # and the next one succeeds
+            assert site.seen.lost == 0
+    run(work())
+
+
+def test_a_sigterm_before_the_new_process_has_said_yes_leaves_the_queue_to_it(tmp_path):
+    async def work():
+        async with platform(tmp_path) as site:
+            old = await site.start()
+            new, door = await site.spawn()
+            old.send_signal(signal.SIGTERM)
+            assert await asyncio.wait_for(old.wait(), 3.7) == 0
+            before = site.seen.answers[200]
+            while site.seen.answers[200] < before + 50:
+                await asyncio.sleep(0.01)
+            assert site.seen.lost == 0 and new.returncode is None and max(site.seen.runs.values()) == 1
+    run(work())
+
+
+def test_an_old_file_in_the_folder_does_not_make_a_lone_process_wait_or_leave_early(tmp_path):
+    async def work():
+        async with platform(tmp_path, clients=False) as site:
+            (tmp_path / "lupinreach-n_1.serving").write_bytes(succession.written(Process(1, 0)))
+            process = await site.start()
+            process.send_signal(signal.SIGTERM)
+            assert await asyncio.wait_for(process.wait(), 3.7) == 0
+    run(work())
