Long answers are passed on as they come, long requests kept; time counts from the last byte

Seen and ruled out: docs/design-operations.md, part 3 (counts by cause from the agents' logs and a probe of forms and sizes). Change: http.Body, net/reply.py, net/kept.py, Shot passes an answer over 64 KiB on, Call.began books it at its first bytes, answers that end with their connection are whole where they said close, limits on requests follow progress.

--- a/lupinreach/balance.py
+++ b/lupinreach/balance.py
@@ -135,7 +135,7 @@
 class Shot:
     """One shot of an API call; lives as long as its API call."""
 
-    __slots__ = ("number", "backend", "sent", "out", "ran", "overdue", "trial", "called_off")
+    __slots__ = ("number", "backend", "sent", "out", "ran", "overdue", "trial", "called_off", "passing")
 
     def __init__(self, number: int, backend: Backend, sent: float) -> None:
         self.number = number
@@ -146,6 +146,7 @@
         self.overdue = False
         self.trial = False
         self.called_off = False
+        self.passing = False  # its answer is on its way to the client, and was booked when it began
 
 
 class Call:
@@ -212,10 +213,20 @@
 
     # What happens to the API call.
 
-    def began(self, now: float, number: int) -> None:
-        """The answer has begun to stream: this shot is now the client's."""
+    def began(self, now: float, number: int, latency: float | None = None, load: Load | None = None) -> None:
+        """The answer has begun to stream: this shot is now the client's.
+
+        With a latency, that is the shot's, to its first bytes: what comes after is transfer and says nothing of
+        how full the backend is. Without one, all of it is the shot's.
+        """
+        shot, to = self.shots[number], self._to
         self.streaming = True
-        self.shots[number].overdue = True
+        if latency is not None and shot.out and not shot.passing:
+            shot.ran = shot.passing = True
+            to.landed(now, self, shot, Ending.FULFILLED, latency, load)
+            to.call_off(self, shot)
+        shot.overdue = True
+        to.pump(now)
 
     def left(self, now: float) -> None:
         """The client has gone; nothing more is owed."""
@@ -231,7 +242,11 @@
         shot.ran = ending not in NEVER_RAN
         self.out -= 1
         to = self._to
-        to.landed(now, self, shot, ending, latency, load)
+        if not shot.passing:
+            to.landed(now, self, shot, ending, latency, load)
+        elif ending is not Ending.FULFILLED and ending is not Ending.CANCELLED:
+            # What broke under way may be any backend's; it ejects like a break, and narrows no bound.
+            to.broke(now, self, shot)
         if complete:
             to.finish(self, now)
         elif not self.done and not self.out and not self.streaming:
@@ -453,9 +468,14 @@
         if call.waiting:
             call.waiting = False
             self._line.remove(call)
-        if self._may_cancel and not call.streaming:
+        if not call.streaming:
+            self.call_off(call)
+
+    def call_off(self, call: Call, but: Shot | None = None) -> None:
+        """Call off what is still out."""
+        if self._may_cancel:
             for s in call.shots:
-                if s.out and not s.called_off:
+                if s.out and not s.called_off and s is not but:
                     s.called_off = True
                     self._port.cancel(call.token, s.number)
 
@@ -685,6 +705,11 @@
             b.rest_until = now + min(self._hold, target.typical * 2**b.refusals)
             b.refusals += 1
 
+    def broke(self, now: float, call: Call, shot: Shot) -> None:
+        """A shot broke whose answer had begun and was booked."""
+        shot.backend.ill += TYPICAL * (1 - shot.backend.ill)
+        self._sample(now, call, shot, Ending.RESET, 0.0)
+
     def _sample(self, now: float, call: Call, shot: Shot, ending: Ending, latency: float) -> None:
         """One sample for the backend's figure of every SLO, scaled to what each SLO's API calls usually take.
 
@@ -807,7 +832,7 @@
     def _second(self, now: float, call: Call) -> None:
         """Send a copy beside a late shot, or call the shot off to send another."""
         last = call.shots[-1]
-        if last.called_off or call.offer.kind is Kind.NON_IDEMPOTENT:
+        if last.called_off or call.streaming or call.offer.kind is Kind.NON_IDEMPOTENT:
             return
         if now < last.sent + LATE_AT * call.target.slo:
             return
--- a/lupinreach/net/agent.py
+++ b/lupinreach/net/agent.py
@@ -16,6 +16,7 @@
 from lupinreach.net.clock import Clock
 from lupinreach.net.counters import Counters
 from lupinreach.net.directory import Directory
+from lupinreach.net.kept import Kept
 from lupinreach.net.listener import Listener
 from lupinreach.net.log import Log
 from lupinreach.net.peers import Peers
@@ -28,7 +29,7 @@
 from lupinreach.net.tasks import Tasks
 
 OWN_DESCRIPTORS = 12  # standard streams, event loop, listener, directory, datagrams, and a few spare
-ANSWER_SHARE = 1 / 64  # of the memory that it may hold: the longest answer that is passed on
+KEPT_EACH, KEPT_ALL = 1 / 32, 1 / 4  # of the memory that it may hold: long requests, each and together
 COUNTED_EVERY = 10.0  # s between two lines of counters, so that one that is killed leaves some
 GOES_ON = 0.5  # s for which a stopping agent goes on accepting
 OPEN_AGAIN = 0.5  # s until an address that another process holds is asked for again
@@ -56,10 +57,9 @@
         self.standing = Standing()
         self._sockets = sockets or Sockets()
         room = _descriptors(config.sockets) - OWN_DESCRIPTORS - reserved
-        most_answer = max(protocol.MOST_BODY, int(ANSWER_SHARE * config.memory))
         # One for each side of an API call: with fewer to backends, a shot would fail for want of one.
         self.pool = Pool(room // 2, settings.limits.connect_timeout, settings.limits.connection_idle,
-                         self.counters, most_answer, self._sockets)
+                         self.counters, protocol.MOST_BODY, self._sockets)
         self.peers = Peers(config.peers, config.peers_all, self.counters, self._heard)
         self.directory = Directory(config, self.clock, self.log, self.counters, self.tasks, self._sockets,
                                    self.pool, self._listed)
@@ -67,7 +67,8 @@
                          self.peers.tell)
         self.balancer = decide(settings, config.seed, port)
         self.serving = Serving(settings, self.clock, self.counters, self.tasks, self.standing, self.pool,
-                               self.directory, self.balancer)
+                               self.directory, self.balancer,
+                               Kept(int(KEPT_EACH * config.memory), int(KEPT_ALL * config.memory)))
         self.listener = Listener(self.serving, self._sockets, config.listen, self.log, room // 2, config.inherited)
 
     # From start to stop.
--- a/lupinreach/net/call.py
+++ b/lupinreach/net/call.py
@@ -6,12 +6,14 @@
 import re
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
+from typing import Protocol
 from zlib import crc32
 
 from lupinreach.balance import Call
 from lupinreach.model import Ask, Kind
 from lupinreach.net import http, protocol
 from lupinreach.net.ends import ENDINGS, End
+from lupinreach.net.reply import Reply
 from lupinreach.net.serving import Serving
 from lupinreach.net.shot import Shot, read_load
 
@@ -46,6 +48,13 @@
     number: int
 
 
+@dataclass(slots=True)
+class Began(Order):
+    """A long answer has begun to come."""
+
+    number: int
+
+
 @dataclass(slots=True)
 class Landed(Order):
     number: int
@@ -80,16 +89,26 @@
     sent: float
 
 
+class Answers(Protocol):
+    """The client's side of one API call: one whole answer, or one that is passed on."""
+
+    def whole(self, status: int, lines: Sequence[http.Slice | bytes] = (), body: http.Slice | bytes = b"") -> None: ...
+
+    def begin(self, status: int, lines: Sequence[http.Slice | bytes], length: int | None) -> Reply: ...
+
+    def cut(self) -> None:
+        """End the connection so that the client can tell that its answer is not whole."""
+
+
 class ApiCall:
     """One API call. It is the token that the module names it by; the port puts the module's orders here."""
 
-    def __init__(self, serving: Serving, request: http.Message, arrived: float,
-                 reply: Callable[[bytes], None], keeps: Callable[[], bool]) -> None:
+    def __init__(self, serving: Serving, request: http.Message, arrived: float, answers: Answers) -> None:
         """Raises BadRequest where the request is none of the protocol's."""
         self._serving = serving
         self._request = request
-        self._reply = reply
-        self._keeps = keeps
+        self._answers = answers
+        self._passing: int | None = None  # the shot whose answer goes on while it comes
         self.orders: asyncio.Queue[Order] = asyncio.Queue()  # a few for each shot; dies with the API call
         self.answered = asyncio.get_running_loop().create_future()
         self.ask, until = read_ask(self, request, arrived, serving)
@@ -101,7 +120,7 @@
 
     async def run(self) -> None:
         """From top to bottom: taken, shots out as the module orders them, one final answer."""
-        serving = self._serving
+        serving, request = self._serving, self._request
         now, counters = serving.clock.now, serving.counters
         counters.taken[self._product] += 1
         call, shots = None, list[Out]()
@@ -115,6 +134,15 @@
                         shots.append(self._shoot(len(shots), backend, until))
                     case CallOff(number):
                         shots[number].task.cancel()
+                    case Began(number):
+                        if not shots[number].task.done():
+                            overdue.cancel()
+                            self._pass_on(call, number, shots[number])
+                    case Landed(number) if number == self._passing:
+                        end = shots[number].shot.end
+                        counters.shots[end.value] += 1
+                        call.ended(now(), number, ENDINGS[end], now() - shots[number].sent, True)
+                        self._passed_on(end)
                     case Landed(number):
                         shot = shots[number].shot
                         counters.shots[shot.end.value] += 1
@@ -134,20 +162,28 @@
                     case Left():
                         call.left(now())
                         self._close("left")
-                    case Overdue() if not self.answered.done():
+                        if self._passing is not None:
+                            shots[self._passing].task.cancel()
+                    case Overdue() if not self.answered.done() and self._passing is None:
                         # Guards against an order that comes too late for the client's deadline.
                         call.left(now())
                         self._answer("errored", ERRORED)
         except Exception as fault:
             # Guards against a fault of our own that would leave a client without an answer: a 500.
             serving.tasks.fault("api call", fault)
-            self._answer("fault", FAULT)
+            if self._passing is None:
+                self._answer("fault", FAULT)
+            elif not self.answered.done():
+                self._answers.cut()
+                self._close("fault")
             if call is not None:
                 call.left(now())
                 await self._settle(call, shots)
         finally:
             overdue.cancel()
             serving.ids.end(self._id)
+            serving.kept.give(len(request.body))
+            request.body = b""  # guards against a long one that lives until the collector comes by
 
     async def _settle(self, call: Call, shots: list[Out]) -> None:
         """After a fault: end what is out, so that the module's books stay right."""
@@ -171,17 +207,39 @@
         left = protocol.DEADLINE_LINE % max(0.001, (until - sent) / 1000)
         headers = http.passed_on(request, protocol.BETWEEN_CLIENT_AND_AGENT)
         message = http.request(request.method, request.target, [*headers, left],
-                               request.headers.get(b"host", b""), request.body)
+                               request.headers.get(b"host", b""), len(request.body))
         place = serving.directory.place(backend)
-        shot = Shot(serving.pool, place, message, serving.clock.on_loop(until))
+        shot = Shot(serving.pool, place, message, serving.clock.on_loop(until), request.body,
+                    lambda: self.orders.put_nowait(Began(number)))
         task = serving.tasks.spawn("shot", shot.run())
         task.add_done_callback(lambda _: self.orders.put_nowait(Landed(number)))
         return Out(shot, task, sent)
 
+    def _pass_on(self, call: Call, number: int, out: Out) -> None:
+        """A long answer has begun: it is the client's from here on, and no other shot's can be."""
+        shot, serving = out.shot, self._serving
+        if self.answered.done() or self._passing is not None or shot.answer is None:
+            out.task.cancel()
+            return
+        self._passing = number
+        load = read_load(shot.answer.header(protocol.LOAD))
+        serving.counters.others["load reports"] += load is not None
+        call.began(serving.clock.now(), number, max(0.0, serving.clock.of_loop(shot.first) - out.sent), load)
+        lines = http.passed_on(shot.answer, protocol.BETWEEN_BACKEND_AND_AGENT)
+        shot.pass_on(self._answers.begin(protocol.SERVED, lines, shot.length))
+
+    def _passed_on(self, end: End) -> None:
+        if end is End.SERVED:
+            self._close("fulfilled")
+        elif not self.answered.done():
+            # Guards against a client that would take for whole what is not.
+            self._answers.cut()
+            self._close("left" if end is End.CALLED_OFF else "errored")
+
     def _answer(self, what: str, status: int, body: http.Slice | bytes = b"",
                 headers: Sequence[http.Slice | bytes] = ()) -> None:
         if not self.answered.done():
-            self._reply(http.answer(status, headers, body, self._keeps()))
+            self._answers.whole(status, headers, body)
             self._close(what)
 
     def _close(self, what: str) -> None:
--- a/lupinreach/net/channel.py
+++ b/lupinreach/net/channel.py
@@ -14,6 +14,7 @@
 
 FIRST_BUFFER = 4096
 LEAST_ROOM = 512  # bytes of free buffer below which a read gets a larger or a fresh one
+RESET = struct.pack("ii", 1, 0)  # SO_LINGER: a close that drops what is unsent and resets
 LAST_RECEIVED = slice(52, 56)  # where Linux's tcp_info says how long ago data last came
 
 
@@ -28,7 +29,8 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.stream = IOStream(sock, max_buffer_size=2 * most)
         self._most = most  # bytes that may stand unread
-        self._patience = patience  # s for which a message that has begun may stand still
+        self.patience = patience  # s for which a message that has begun may stand still
+        self.least = FIRST_BUFFER  # bytes of a fresh buffer
         self.buffer = bytearray(FIRST_BUFFER)
         self.start = self.end = 0
         self._reading: asyncio.Future[int] | None = None
@@ -47,8 +49,8 @@
     async def fill(self, begun: bool = False) -> None:
         """Wait until more has been read; not for long where a message has begun."""
         reading = self.listen()
-        while begun and self._patience < inf and not reading.done():
-            await asyncio.wait([reading], timeout=self._patience)
+        while begun and self.patience < inf and not reading.done():
+            await asyncio.wait([reading], timeout=self.patience)
             if not reading.done() and not self._pending():
                 raise Ended(End.STOOD_STILL)
         try:
@@ -68,9 +70,9 @@
         unread = self.end - self.start
         if unread >= self._most:
             raise Ended(End.TOO_LARGE)
-        if len(self.buffer) - self.end < LEAST_ROOM or (not unread and len(self.buffer) > FIRST_BUFFER):
+        if len(self.buffer) - self.end < LEAST_ROOM or (not unread and len(self.buffer) > self.least):
             # Guards against idle connections that keep the large buffer of one large message.
-            self._renew(max(FIRST_BUFFER, 2 * unread))
+            self._renew(max(self.least, 2 * unread))
 
     def _renew(self, size: int) -> None:
         old, self.buffer = self.buffer, bytearray(min(size, self._most))
@@ -109,7 +111,7 @@
         info = self.stream.socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, LAST_RECEIVED.stop)
         return float(struct.unpack("=I", info[LAST_RECEIVED])[0]) if len(info) >= LAST_RECEIVED.stop else 0.0
 
-    def write(self, data: bytes) -> asyncio.Future[None]:
+    def write(self, data: bytes | memoryview) -> asyncio.Future[None]:
         """Hand all of it to the kernel, in one write if it takes it; the future is done once it has."""
         try:
             return self.stream.write(data)
@@ -134,6 +136,12 @@
     def close(self) -> None:
         self.stream.close()
 
+    def abort(self) -> None:
+        """End it so that the other side can tell that what came is not whole."""
+        if not self.stream.closed():
+            self.stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+        self.stream.close()
+
 
 def _failed(why: Exception) -> asyncio.Future[Any]:
     future: asyncio.Future[Any] = asyncio.get_running_loop().create_future()
--- a/lupinreach/net/http.py
+++ b/lupinreach/net/http.py
@@ -3,14 +3,17 @@
 from __future__ import annotations
 
 import re
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
+from math import inf
 
 from lupinreach.net.channel import Channel
 from lupinreach.net.ends import End, Ended
 
 MOST_HEAD = 16 << 10
 MOST_CHUNK_LINE = 128
+FRAMED = 8  # bytes of chunked framing for each of the body, beside what a head may hold
+IN_PLACE = 64 << 10  # bytes of a body that is read into one buffer and is a slice of it
 MOST_INTERIM = 8  # 1xx answers ahead of one
 REQUEST = re.compile(rb"([A-Z]{1,16}) (/[\x21-\x7e]*) HTTP/1\.([01])\r\n")
 ANSWER = re.compile(rb"HTTP/1\.([01]) ([1-9][0-9]{2})(?: [^\x00-\x08\x0a-\x1f\x7f]*)?\r\n")
@@ -30,6 +33,7 @@
            502: b"Bad Gateway", 503: b"Service Unavailable"}
 
 Slice = memoryview
+Came = Callable[[int], None]
 
 
 @dataclass(slots=True)
@@ -44,6 +48,7 @@
     body: Slice | bytes
     options: frozenset[bytes]  # what its Connection header names
     keeps: bool  # the connection may carry another message
+    old: bool = False  # HTTP/1.0: knows no chunks
 
     def header(self, name: bytes) -> bytes | None:
         return self.headers.get(name)
@@ -59,6 +64,7 @@
     length: int | None  # None: not given
     chunked: bool
     size: int  # of the head itself
+    old: bool = False
 
 
 def parse_head(buffer: bytearray, start: int, end: int, answer: bool) -> Head | None:
@@ -109,6 +115,7 @@
         length=int(lengths[0]) if lengths else None,
         chunked=bool(codings),
         size=stop + 4 - start,
+        old=minor == b"0",
     )
 
 
@@ -121,7 +128,7 @@
         self._left = 0  # bytes of the present chunk still to come
         self._ends = False  # the line break after a chunk is still to come
         self._trailer = False
-        self._framing = 0  # bytes that are none of the body
+        self._framing = 0  # bytes that are none of the body, less what its bytes allow
 
     def feed(self, area: Slice) -> tuple[list[Slice], int]:
         """The pieces of the body in this area, and how much of it has been used up."""
@@ -132,6 +139,7 @@
                 piece = area[at:at + self._left]
                 pieces.append(piece)
                 at += len(piece)
+                self._framing -= FRAMED * len(piece)
                 self._left -= len(piece)
                 self._ends = not self._left
                 continue
@@ -144,7 +152,7 @@
             at += size
             self._framing += size
             if self._bound and self._framing > MOST_HEAD:
-                # Guards against trailers without end, and bodies in pieces of a byte or two.
+                # Guards against trailers and extensions without end.
                 raise Ended(End.TOO_LARGE)
             self._line(line[:size])
         return pieces, at
@@ -164,6 +172,8 @@
                 raise Ended(End.MALFORMED)
             self._left = int(chunk[1], 16)
             self._trailer = not self._left
+            if self._trailer:
+                self._framing = max(0, self._framing)
 
 
 async def read_head(channel: Channel, answer: bool) -> Head:
@@ -178,51 +188,103 @@
         await channel.fill(begun=channel.end > channel.start)
 
 
-async def read_body(channel: Channel, head: Head, most: int) -> Slice | bytes:
-    if head.chunked:
-        chunks, pieces, size = Chunks(), [], 0
-        while True:
-            more, used = chunks.feed(memoryview(channel.buffer)[channel.start:channel.end])
-            channel.start += used
-            pieces += more
-            size += sum(map(len, more))
-            if size > most:
-                raise Ended(End.TOO_LARGE)
-            if chunks.done:
-                return pieces[0] if len(pieces) == 1 else b"".join(pieces)
-            await channel.fill(begun=True)
-    length = head.length or 0
-    if length > most:
-        raise Ended(End.TOO_LARGE)
-    channel.need(length)
-    while channel.end - channel.start < length:
+class Body:
+    """The body of one message as it comes, its framing taken off.
+
+    `until_close` is for an answer whose end is that of its connection.
+    """
+
+    def __init__(self, channel: Channel, head: Head, most: int, until_close: bool = False) -> None:
+        self.length = None if head.chunked else head.length if until_close else head.length or 0
+        if (self.length or 0) > most:
+            raise Ended(End.TOO_LARGE)
+        self.size = 0  # bytes that were taken
+        self.done = self.length == 0
+        self._channel = channel
+        self._most = most
+        self._chunks = Chunks() if head.chunked else None
+
+    def here(self) -> list[Slice]:
+        """What has come and was not taken yet."""
+        channel = self._channel
+        area = memoryview(channel.buffer)[channel.start:channel.end]
+        if self._chunks is not None:
+            pieces, used = self._chunks.feed(area)
+            self.size += sum(map(len, pieces))
+            self.done = self._chunks.done
+        else:
+            piece = area if self.length is None else area[:self.length - self.size]
+            pieces, used = [piece] if len(piece) else [], len(piece)
+            self.size += used
+            self.done = self.done or self.size == self.length
+        channel.start += used
+        if self.size > self._most:
+            raise Ended(End.TOO_LARGE)
+        return pieces
+
+    async def more(self) -> None:
+        """Wait until more has come; at the end of the connection, if that is the body's, it is done."""
+        try:
+            await self._channel.fill(begun=True)
+        except Ended as ended:
+            if self.length is not None or self._chunks is not None or ended.end is not End.CUT_SHORT:
+                raise
+            self.done = True
+
+    async def whole(self, came: Came = lambda size: None, at_most: float = inf) -> Slice | bytes:
+        """All of it, or as much as is there once it is more than that."""
+        pieces = self.here()
+        came(self.size)
+        if self.done or self.size > at_most:
+            return pieces[0] if len(pieces) == 1 else b"".join(pieces)
+        kept = bytearray().join(pieces)
+        while not self.done and self.size <= at_most:
+            await self.more()
+            for piece in self.here():
+                kept += piece
+            came(self.size)
+        return memoryview(kept)
+
+
+async def read_body(channel: Channel, head: Head, most: int, came: Came = lambda size: None) -> Slice | bytes:
+    """A whole body; `came` hears how much of it there is, and may raise."""
+    body = Body(channel, head, most)
+    if body.length is None or body.length > IN_PLACE:
+        return await body.whole(came)
+    channel.need(body.length)
+    while channel.end - channel.start < body.length:
         await channel.fill(begun=True)
-    begin = channel.start
-    channel.start += length
-    return memoryview(channel.buffer)[begin:begin + length]
+        came(channel.end - channel.start)
+    return body.here()[0] if body.length else b""
 
 
-async def read_answer(channel: Channel, most: int) -> Message:
-    """One whole answer; interim ones are skipped, as far as there are few."""
+async def read_answer_head(channel: Channel) -> Head:
+    """The head of one answer; interim ones are skipped, as far as there are few."""
     for _ in range(MOST_INTERIM + 1):
         head = await read_head(channel, answer=True)
-        status = head.first[2]
-        if status >= 200:
-            break
-    else:
-        raise Ended(End.TOO_LARGE)
-    if status in (204, 304):
-        body: Slice | bytes = b""
-    elif head.length is None and not head.chunked:
-        # Its end would be the connection's, and nobody could tell whether it came whole.
+        if head.first[2] >= 200:
+            return head
+    raise Ended(End.TOO_LARGE)
+
+
+def answer_body(channel: Channel, head: Head, most: int) -> Body:
+    if head.first[2] in (204, 304):
+        head.length, head.chunked = 0, False
+    until_close = head.length is None and not head.chunked
+    if until_close and head.keeps:
+        # Its end would be the connection's, which was to stay: nobody could tell whether it came whole.
         raise Ended(End.CUT_SHORT)
-    else:
-        body = await read_body(channel, head, most)
-    return message(head, body)
+    return Body(channel, head, most, until_close)
+
+
+async def read_answer(channel: Channel, most: int) -> Message:
+    """One whole answer."""
+    head = await read_answer_head(channel)
+    return message(head, await answer_body(channel, head, most).whole())
 
 
 def message(head: Head, body: Slice | bytes) -> Message:
-    return Message(*head.first, head.headers, head.lines, body, head.options, head.keeps)
+    return Message(*head.first, head.headers, head.lines, body, head.options, head.keeps, head.old)
 
 
 def passed_on(message: Message, but: frozenset[bytes]) -> list[Slice]:
@@ -232,16 +294,19 @@
 
 
 def request(method: bytes, target: bytes, headers: Iterable[bytes | Slice], host: bytes | Slice,
-            body: Slice | bytes = b"") -> bytes:
-    """A request as one piece; the only copy made of what goes on, since a write may outlive the buffer."""
-    framing = b"Content-Length: %d\r\n" % len(body) if body or method == b"POST" else b""
-    return b"".join((method, b" ", target, b" HTTP/1.1\r\nHost: ", host, b"\r\n", *headers, framing,
-                     b"\r\n", body))
+            length: int = 0) -> bytes:
+    """The head of a request, copied since a write may outlive the buffer."""
+    framing = b"Content-Length: %d\r\n" % length if length or method == b"POST" else b""
+    return b"".join((method, b" ", target, b" HTTP/1.1\r\nHost: ", host, b"\r\n", *headers, framing, b"\r\n"))
+
+
+def answer_head(status: int, headers: Iterable[bytes | Slice], keeps: bool, framing: bytes) -> bytes:
+    closing = b"" if keeps else b"Connection: close\r\n"
+    return b"".join((b"HTTP/1.1 %d " % status, REASONS.get(status, b"Error"), b"\r\n", *headers, closing,
+                     framing, b"\r\n"))
 
 
 def answer(status: int, headers: Iterable[bytes | Slice] = (), body: Slice | bytes = b"",
            keeps: bool = True) -> bytes:
     """An answer as one piece, copied once as a request is."""
-    closing = b"" if keeps else b"Connection: close\r\n"
-    return b"".join((b"HTTP/1.1 %d " % status, REASONS.get(status, b"Error"), b"\r\n", *headers, closing,
-                     b"Content-Length: %d\r\n\r\n" % len(body), body))
+    return answer_head(status, headers, keeps, b"Content-Length: %d\r\n" % len(body)) + body
--- a/lupinreach/net/listener.py
+++ b/lupinreach/net/listener.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import socket
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Sequence
 from contextlib import asynccontextmanager
 from itertools import chain, takewhile
 
@@ -14,6 +14,7 @@
 from lupinreach.net.channel import Channel
 from lupinreach.net.ends import End, Ended
 from lupinreach.net.log import Log
+from lupinreach.net.reply import Reply
 from lupinreach.net.serving import Serving
 from lupinreach.net.sockets import Sockets
 
@@ -26,6 +27,7 @@
 ON_ITS_WAY = 0.25  # s for which the first request on a new connection may be on its way
 SILENT_FIRST = 2.0  # s from connecting for the first byte to come
 WHOLE = 2.5  # s from there, or from the first byte of a later request, for all of it
+PACE = 32.0  # bytes a ms beside that: half of what a client is promised
 MAY_CLOSE = 2.0  # s after which a connection between two requests may be closed,
 CROWDED = 1 / 2  # of those that are served: from there on it is
 SHORT = 0.6  # of those that are served: from there on an answer ends its connection
@@ -43,11 +45,14 @@
     def __init__(self, serving: Serving, listener: Listener, sock: socket.socket) -> None:
         self._serving = serving
         self._listener = listener
-        self.channel = Channel(sock, http.MOST_HEAD + protocol.MOST_BODY)
+        self.channel = Channel(sock, http.MOST_HEAD + http.IN_PLACE)
         self.since = serving.clock.now()  # accepted, or free for the next request
         self.fresh = True  # nothing has come yet
         self._keeps = True  # as the last request said
         self._writing: asyncio.Future[None] | None = None
+        self._held = 0  # bytes of a long body that is being read
+        self._body_since = 0.0
+        self._old = False  # what is being answered is HTTP/1.0
 
     async def serve(self) -> None:
         end = End.LEFT
@@ -77,22 +82,29 @@
             finally:
                 listener.stirs(self)
         now = self._serving.clock.now()
-        arrived = now - channel.quiet
         listener.reading[self] = (self.since if self.fresh else now) + WHOLE * 1000
         self.fresh = False
         try:
             head = await http.read_head(channel, answer=False)
             if b"expect" in head.headers and channel.start == channel.end:  # its body may wait for a word
                 channel.write(http.CONTINUE)
-            request = http.message(head, await http.read_body(channel, head, protocol.MOST_BODY))
+            self._old = head.old
+            self._body_since = self._serving.clock.now()
+            request = http.message(head, await http.read_body(channel, head, protocol.MOST_BODY, self._came))
+        except BaseException:
+            self._let_go()
+            raise
         finally:
             del listener.reading[self]
         if channel.end > channel.start:
+            self._let_go()
             # Guards against requests by the hundred on one connection: the protocol has one at a time.
             raise BadRequest("more has come than one request")
         self._keeps = request.keeps
+        arrived = self._serving.clock.now() - channel.quiet  # of its last byte
         if request.target == protocol.READY_PATH:
-            self._reply(http.answer(200 if self._serving.standing.ready else 503, keeps=self._stays()))
+            self._let_go()
+            self.whole(200 if self._serving.standing.ready else 503)
             await self._written()
         else:
             self._serving.counters.open += 1
@@ -120,10 +132,16 @@
             kind = request.header(protocol.KIND)
             product = kind.decode() if kind in self._serving.products else None
             self._serving.counters.told("no room", product)
+            self._let_go()
             self._keeps = False
-            self._reply(http.answer(NO_ROOM, keeps=False))
+            self.whole(NO_ROOM)
             return
-        call = ApiCall(self._serving, request, arrived, self._reply, self._stays)
+        try:
+            call = ApiCall(self._serving, request, arrived, self)
+        except BadRequest:
+            self._let_go()
+            raise
+        self._held = 0  # the API call's now
         # To go on reading is how a client is seen to leave while its shot is out.
         reading = self.channel.listen()
         reading.add_done_callback(call.client_spoke)
@@ -137,8 +155,31 @@
             self._keeps = False
         return self._keeps
 
-    def _reply(self, answer: bytes) -> None:
-        self._writing = self.channel.write(answer)
+    def whole(self, status: int, lines: Sequence[http.Slice | bytes] = (), body: http.Slice | bytes = b"") -> None:
+        """Write an answer as one piece."""
+        self._writing = self.channel.write(http.answer(status, lines, body, self._stays()))
+
+    def begin(self, status: int, lines: Sequence[http.Slice | bytes], length: int | None) -> Reply:
+        """An answer that will be written as it comes."""
+        if length is None and self._old:
+            self._keeps = False
+        return Reply(self.channel, status, lines, length, self._stays(), self._old)
+
+    def cut(self) -> None:
+        self._keeps = False
+        self.channel.abort()
+
+    def _came(self, size: int) -> None:
+        """So much of a body has come: it is owed time for the rest, and room."""
+        self._listener.reading[self] = self._body_since + WHOLE * 1000 + size / PACE
+        if size > http.IN_PLACE:
+            if not self._serving.kept.take(size - self._held, size):
+                raise Ended(End.TOO_LARGE)
+            self._held = size
+
+    def _let_go(self) -> None:
+        self._serving.kept.give(self._held)
+        self._held = 0
 
     async def _refuse(self, status: int, why: str) -> None:
         """Answer what is no request, and end the connection: nobody knows what else is on it."""
--- a/lupinreach/net/pool.py
+++ b/lupinreach/net/pool.py
@@ -25,7 +25,7 @@
 OUT_OF_DESCRIPTORS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
 
-async def connect(sockets: Sockets, address: Address, within: float, most: int = http.MOST_HEAD + MOST_BODY,
+async def connect(sockets: Sockets, address: Address, within: float, most: int = http.MOST_HEAD + http.IN_PLACE,
                   patience: float = inf) -> Channel:
     """A new connection, in `within` ms."""
     try:
@@ -93,7 +93,7 @@
         self.open += 1
         try:
             channel = await connect(self._sockets, place.address, self._connect_timeout,
-                                    http.MOST_HEAD + self.most_answer,
+                                    http.MOST_HEAD + http.IN_PLACE,
                                     STANDS_STILL * self._connect_timeout / 1000)
         except BaseException:
             self.open -= 1
--- a/lupinreach/net/protocol.py
+++ b/lupinreach/net/protocol.py
@@ -36,7 +36,7 @@
 STATES = {"Ready": State.READY, "Terminating": State.DRAINING, "Gone": State.GONE}
 BEAT = 2000.0  # ms between two lines of a watch at most
 
-MOST_BODY = 64 << 10
+MOST_BODY = 40 << 20  # bytes of a body, either way
 MOST_DATAGRAM = 256
 
 # Headers that are not passed on: what they say is between the agent and one side.
--- a/lupinreach/net/serving.py
+++ b/lupinreach/net/serving.py
@@ -10,6 +10,7 @@
 from lupinreach.net.counters import Counters
 from lupinreach.net.directory import Directory
 from lupinreach.net.ids import Ids
+from lupinreach.net.kept import Kept
 from lupinreach.net.pool import Pool
 from lupinreach.net.standing import Standing
 from lupinreach.net.tasks import Tasks
@@ -27,6 +28,7 @@
     pool: Pool
     directory: Directory
     balancer: Balancer
+    kept: Kept
     ids: Ids = field(default_factory=Ids)
 
     def __post_init__(self) -> None:
--- a/lupinreach/net/shot.py
+++ b/lupinreach/net/shot.py
@@ -3,45 +3,67 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
+from math import inf
 
 from lupinreach.model import Load
 from lupinreach.net import http, protocol
-from lupinreach.net.channel import Channel
+from lupinreach.net.channel import FIRST_BUFFER, Channel
 from lupinreach.net.ends import End, Ended
 from lupinreach.net.pool import Place, Pool
+from lupinreach.net.reply import ClientGone, Reply
 
+JOINED = 16 << 10  # bytes of a body up to which it is written in one piece with its head
+KEPT = 64 << 10  # bytes of an answer that is passed on whole, so that a spoilt one can be told from a good one;
+KEPT_UNSAID = 16 << 10  # where it doesn't say how long it is
+MOVES = 10.0  # s in which a long answer must bring something
+BUFFER = 64 << 10  # bytes that are read of one at once
 MOST_REPORTED = 1e5  # of anything: more than one address has ports for
 
 
 class Shot:
     """An exchange as it goes. `run` is a task of its own; to cancel it closes the connection."""
 
-    def __init__(self, pool: Pool, place: Place, message: bytes, until: float) -> None:
+    def __init__(self, pool: Pool, place: Place, message: bytes, until: float, body: http.Slice | bytes = b"",
+                 began: Callable[[], None] | None = None) -> None:
+        """`began` is called when a long answer has begun, which then waits for `pass_on`."""
         self._pool = pool
         self._place = place
         self._message = message
+        self._body = body
         self._until = until  # on the event loop's clock
+        self._began = began
         self._writing: asyncio.Future[None] | None = None
+        self._whole = False  # nothing of the answer is left on the connection
+        self._reply: asyncio.Future[Reply] | None = None
         self.answer: http.Message | None = None
+        self.length: int | None = None  # of the body of a long answer, where it says so
+        self.first = 0.0  # when the answer's head had come, on the event loop's clock
         self.end = End.CALLED_OFF_SENDING  # what it stays if the task is cancelled before it begins
 
     async def run(self) -> None:
         channel: Channel | None = None
+        loop = asyncio.get_running_loop()
         try:
-            if asyncio.get_running_loop().time() >= self._until:
+            if loop.time() >= self._until:
                 raise TimeoutError  # an idle connection would take the message before any timer runs
-            async with asyncio.timeout_at(self._until):
+            async with asyncio.timeout_at(self._until) as limit:
                 channel = await self._pool.take(self._place)
-                self._writing = channel.write(self._message)
-                self._writing.add_done_callback(self._pool.wrote)
-                try:
-                    await self._writing
-                except OSError:  # what Tornado raises for a closed stream is one
-                    raise Ended(End.BROKE_SENDING) from None
-                self.answer = await http.read_answer(channel, self._pool.most_answer)
+                await self._write(channel)
+                head = await http.read_answer_head(channel)
+                self.first = loop.time()
+                body = http.answer_body(channel, head, self._pool.most_answer)
+                begun = await body.whole(at_most=_kept(body.length))
+                self._whole = body.done
+                self.answer = http.message(head, begun)
                 self.end = _meaning(self.answer)
+                if not body.done and self.end is End.SERVED:
+                    self.end, self.length = End.SILENT, body.length  # until it is whole
+                    await self._pass_on(channel, body, limit)
         except TimeoutError:
             self.end = End.SILENT if self._written else End.LATE_SENDING
+        except ClientGone:
+            self.end = End.CALLED_OFF
         except Ended as ended:
             self.end = ended.end
         except asyncio.CancelledError:
@@ -55,6 +77,49 @@
             if channel is not None:
                 self._release(channel)
 
+    async def _write(self, channel: Channel) -> None:
+        if len(self._body) > JOINED:
+            channel.write(self._message)
+            self._writing = channel.write(self._body)
+        else:
+            self._writing = channel.write(self._message + self._body)
+        self._writing.add_done_callback(self._pool.wrote)
+        try:
+            await self._writing
+        except OSError:  # what Tornado raises for a closed stream is one
+            raise Ended(End.BROKE_SENDING) from None
+        self._body = b""  # guards against a long one held for as long as its answer takes
+
+    def pass_on(self, reply: Reply) -> None:
+        """Where a long answer that has begun goes to."""
+        if self._reply is not None and not self._reply.done():
+            self._reply.set_result(reply)
+
+    async def _pass_on(self, channel: Channel, body: http.Body, limit: asyncio.Timeout) -> None:
+        """Hand an answer on as it comes; it belongs to the client now, and its time is that of its first bytes."""
+        assert self.answer is not None
+        if self._began is None:
+            raise Ended(End.TOO_LARGE)
+        self._reply = asyncio.get_running_loop().create_future()
+        self._began()
+        reply = await self._reply
+        limit.reschedule(None)
+        channel.patience, patience = MOVES, channel.patience
+        channel.least = BUFFER
+        pieces = [self.answer.body] if len(self.answer.body) else []
+        while True:
+            for piece in pieces:
+                await reply.write(piece)
+            if body.done:
+                break
+            # Guards against two fast sides that would hold up everybody else's API calls.
+            await asyncio.sleep(0)
+            await body.more()
+            pieces = body.here()
+        await reply.end()
+        channel.patience, channel.least = patience, FIRST_BUFFER
+        self._whole, self.end = True, End.SERVED
+
     @property
     def _written(self) -> bool:
         """If the last byte was written: from then on the shot may run.
@@ -66,12 +131,19 @@
 
     def _release(self, channel: Channel) -> None:
         # A connection with a half-read answer, or with more than one, is never used again.
-        if self.answer is not None and self.answer.keeps and not channel.spoke:
+        if self._whole and self.answer is not None and self.answer.keeps and not channel.spoke:
             self._pool.give_back(channel, self._place)
         else:
             self._pool.discard(channel, self.end)
 
 
+def _kept(length: int | None) -> float:
+    """How much of an answer is waited for before it is passed on."""
+    if length is None:
+        return KEPT_UNSAID
+    return inf if length <= KEPT else 0
+
+
 def _meaning(answer: http.Message) -> End:
     if answer.status == protocol.SERVED:
         return End.SERVED
