--- /dev/null
+++ b/tests/test_large.py
@@ -0,0 +1,318 @@
+"""Long messages and the forms of HTTP/1.1, on loopback with scripted peers."""
+
+import asyncio
+import random
+import socket
+
+import pytest
+
+from helpers import OK, Peer, Site, look, read_http, run, says, target
+from lupinreach.net import http, shot
+from lupinreach.net.channel import RESET
+from lupinreach.net.counters import Outcome
+from lupinreach.net.ends import End, Ended
+
+PAY = {"kind": b"pay", "method": b"POST"}
+
+
+def status(answer: bytes) -> int:
+    return int(answer.split()[1])
+
+
+def noise(size: int, seed: int = 7) -> bytes:
+    return random.Random(seed).randbytes(size)
+
+
+def chunked(body: bytes, size: int, extension=b"", trailer=b"") -> bytes:
+    pieces = [body[i:i + size] for i in range(0, len(body), size)]
+    return b"".join(b"%x%s\r\n%s\r\n" % (len(p), extension, p) for p in pieces) + b"0\r\n" + trailer + b"\r\n"
+
+
+async def read_any(reader) -> tuple[bytes, bytes, bool]:
+    """Head, body and if it came whole, of any framing."""
+    head = await reader.readuntil(b"\r\n\r\n")
+    low, body = head.lower(), bytearray()
+    try:
+        if b"transfer-encoding: chunked" in low:
+            while True:
+                size = int((await reader.readuntil(b"\r\n")).split(b";")[0], 16)
+                body += await reader.readexactly(size)
+                await reader.readexactly(2)
+                if not size:
+                    return head, bytes(body), True
+        if b"content-length:" in low:
+            body += await reader.readexactly(int(low.partition(b"content-length:")[2].split(b"\r\n")[0]))
+            return head, bytes(body), True
+        while piece := await reader.read(1 << 16):
+            body += piece
+        return head, bytes(body), True
+    except (asyncio.IncompleteReadError, ConnectionError) as broken:
+        return head, bytes(body) + getattr(broken, "partial", b""), False
+
+
+async def asked(site, raw):
+    reader, writer = await site.client()
+    writer.write(raw)
+    try:
+        return await asyncio.wait_for(read_any(reader), 10)
+    finally:
+        writer.close()
+
+
+# Answers.
+
+@pytest.mark.parametrize("size", [0, 1, 16_384, 16_385, 65_536, 65_537, 3_000_000])
+@pytest.mark.parametrize("form", ["length", "chunked", "extensions", "closes", "closes, HTTP/1.0"])
+def test_an_answer_of_any_size_and_form_comes_through_unchanged(size, form):
+    body = noise(size)
+    answer = {
+        "length": b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % size + body,
+        "chunked": b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunked(body, 1000),
+        "extensions": b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                      + chunked(body, 700, b';x="y"', b"Trailer: x\r\n"),
+        "closes": b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + body,
+        "closes, HTTP/1.0": b"HTTP/1.0 200 OK\r\n\r\n" + body,
+    }[form]
+
+    async def script(request, writer):
+        writer.write(answer)
+        await writer.drain()
+        if "closes" in form:
+            writer.close()
+
+    async def work():
+        async with Peer(script) as backend, Site(target("s-1", backend.address)) as site:
+            for old in (False, True):
+                raw = look(**PAY, body=b"x")
+                head, got, whole = await asked(site, raw.replace(b"HTTP/1.1", b"HTTP/1.0") if old else raw)
+                assert status(head) == 200 and got == body and whole
+                assert not (old and b"chunked" in head.lower())
+            await site.settled()
+            counters = site.agent.counters
+            assert counters.outcomes[Outcome.FULFILLED]["pay"] == 2 and counters.shots == {"served": 2}
+            assert backend.connections == (2 if "closes" in form else 1)  # a connection read to its end is kept
+    run(work())
+
+
+@pytest.mark.parametrize("form", ["length", "chunked", "closes"])
+@pytest.mark.parametrize("sent", [100_000, 2_000_000])
+def test_an_answer_that_breaks_under_way_shows_as_not_whole_and_nothing_follows(form, sent):
+    head = {"length": b"Content-Length: 4000000\r\n", "chunked": b"Transfer-Encoding: chunked\r\n",
+            "closes": b"Connection: close\r\n"}[form]
+
+    async def script(request, writer):
+        writer.write(b"HTTP/1.1 200 OK\r\n" + head + b"\r\n")
+        writer.write(chunked(noise(sent), 1000)[:-5] if form == "chunked" else noise(sent))
+        await writer.drain()
+        await asyncio.sleep(0.05)
+        sock = writer.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)  # a process that dies resets its connections
+        writer.transport.abort()
+
+    async def work():
+        async with Peer(script) as backend, Site(target("s-1", backend.address)) as site:
+            head, got, whole = await asked(site, look())
+            assert status(head) == 200 and not whole and noise(sent).startswith(got)
+            await site.settled()
+            assert len(backend.requests) == 1  # idempotent, and yet no other shot may follow
+            assert site.agent.counters.outcomes[Outcome.ERRORED]["look"] == 1
+            assert site.agent.counters.open == 0
+    run(work())
+
+
+def test_a_spoilt_small_answer_is_still_sent_again_and_a_too_long_one_is_errored():
+    async def work():
+        for answer in (b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nnoise",
+                       b"HTTP/1.1 200 OK\r\nContent-Length: 60000\r\n\r\nhalf"):
+            async with Peer(says(answer)) as backend, Site(target("s-1", backend.address)) as site:
+                assert status(await site.ask(look(**PAY, body=b"x"))) == 502
+    run(work())
+
+
+def test_a_client_that_stops_reading_holds_its_backend_back_and_little_memory():
+    written = 0
+
+    async def script(request, writer):
+        nonlocal written
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % (32 << 20))
+        while written < 32 << 20:
+            writer.write(bytes(1 << 16))
+            written += 1 << 16
+            await writer.drain()
+
+    async def work():
+        async with Peer(script) as backend, Site(target("s-1", backend.address)) as site:
+            reader, writer = await site.client()
+            reader._limit = 1 << 10
+            writer.write(look())
+            await reader.readuntil(b"\r\n\r\n")
+            before = -1
+            while before != written:  # until nothing moves
+                before = written
+                await asyncio.sleep(0.1)
+            assert written < 24 << 20  # the rest waits in the two kernels' buffers or was never made
+            (client,) = site.agent.listener.clients
+            held = len(client.channel.buffer) + len(client.channel.stream._write_buffer)
+            assert held <= 4 * shot.BUFFER
+            writer.transport.abort()
+            await site.settled()
+            assert site.agent.counters.open == 0 and site.agent.pool.open == 0
+    run(work())
+
+
+def test_the_first_bytes_are_the_latency_of_a_long_answer_and_its_transfer_ejects_nobody(monkeypatch):
+    async def script(request, writer):
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 400000\r\n\r\n")
+        for _ in range(8):
+            writer.write(bytes(50_000))
+            await writer.drain()
+            await asyncio.sleep(0.07)  # in all longer than the SLO of 400 ms
+
+    async def work():
+        async with Peer(script) as backend, Site(target("s-1", backend.address)) as site:
+            balancer = site.agent.balancer
+            reader, writer = await site.client()
+            writer.write(look())
+            await reader.readuntil(b"\r\n\r\n")
+            (b,) = balancer._backends.values()
+            assert b.flight == 0 and b.figure[0] is not None and b.figure[0] < 200  # booked, and still under way
+            assert site.agent.counters.open == 1
+            assert len(await reader.readexactly(400_000)) == 400_000
+            await site.settled()
+            assert b.figure[0] < 200 and not b.held[0] and not balancer._live
+            assert site.agent.counters.shots == {"served": 1}
+            writer.close()
+    run(work())
+
+
+# Requests.
+
+@pytest.mark.parametrize("size", [65_536, 65_537, 700_000])
+@pytest.mark.parametrize("form", ["length", "chunked", "pieces", "expect"])
+def test_a_long_request_goes_on_unchanged_and_can_be_sent_again(size, form):
+    body, seen = noise(size), []
+
+    async def script(request, writer):
+        seen.append(request.partition(b"\r\n\r\n")[2])
+        writer.write(OK if len(seen) > 1 else b"HTTP/1.1 503 No\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n")
+
+    async def work():
+        async with Peer(script) as one, Site(target("s-1", one.address), target("s-2", one.address)) as site:
+            reader, writer = await site.client()
+            if form == "chunked":
+                writer.write(look(**PAY, more=b"Transfer-Encoding: chunked\r\n") + chunked(body, 999, b";a=b"))
+            elif form == "expect":
+                writer.write(look(**PAY, more=b"Expect: 100-continue\r\nContent-Length: %d\r\n" % size))
+                assert b" 100 " in await reader.readuntil(b"\r\n\r\n")
+                writer.write(body)
+            else:
+                raw = look(**PAY, body=body)
+                step = len(raw) if form == "length" else 4097
+                for i in range(0, len(raw), step):
+                    writer.write(raw[i:i + step])
+                    await asyncio.sleep(0)
+            head, _, whole = await asyncio.wait_for(read_any(reader), 5)
+            assert status(head) == 200 and whole and seen == [body, body]  # never ran, so again
+            await site.settled()
+            assert site.agent.serving.kept.held == 0
+            writer.close()
+    run(work())
+
+
+def test_a_head_split_at_any_byte_and_a_body_at_any_byte_are_as_good_as_whole():
+    raw = look(**PAY, more=b"Transfer-Encoding: chunked\r\n", name=b"XX") + chunked(b"some body", 4, b";q")
+
+    async def work():
+        async with Peer(says(OK)) as backend, Site(target("s-1", backend.address)) as site:
+            connection = await site.client()
+            for at in range(1, len(raw)):
+                name = b"%02x" % at
+                now = raw.replace(b"XX", name)
+                connection[1].write(now[:at])
+                await asyncio.sleep(0)
+                await asyncio.sleep(0)
+                connection[1].write(now[at:])
+                assert status(await asyncio.wait_for(read_http(connection[0]), 5)) == 200
+            assert all(r.endswith(b"\r\n\r\nsome body") for r in backend.requests) and backend.connections == 1
+    run(work())
+
+
+def test_the_time_of_a_request_counts_from_its_last_byte():
+    async def work():
+        async with Peer(says(OK)) as backend, Site(target("s-1", backend.address)) as site:
+            reader, writer = await site.client()
+            raw = look(**PAY, deadline=b"0.3", body=b"x" * 1000)
+            writer.write(raw[:30])
+            await asyncio.sleep(0.2)
+            writer.write(raw[30:-10])
+            await asyncio.sleep(0.3)
+            writer.write(raw[-10:])
+            assert status(await asyncio.wait_for(read_http(reader), 2)) == 200
+            deadline = backend.requests[0].partition(b"Req-Deadline: ")[2].split(b"\r\n")[0]
+            assert 0.15 < float(deadline) <= 0.3
+    run(work())
+
+
+# Framing beside a plain model.
+
+class Feed:
+    """A channel that brings given pieces."""
+
+    def __init__(self, pieces) -> None:
+        self.pieces = list(pieces)
+        self.buffer, self.start, self.end = bytearray(), 0, 0
+
+    async def fill(self, begun=False):
+        if not self.pieces:
+            raise Ended(End.CUT_SHORT)
+        self.buffer = self.buffer[self.start:self.end] + self.pieces.pop(0)
+        self.start, self.end = 0, len(self.buffer)
+
+    def need(self, size):
+        pass
+
+
+def head_of(**more) -> http.Head:
+    given = {"first": (b"POST", b"/", 0), "headers": {}, "lines": [], "options": frozenset(), "keeps": True,
+             "length": None, "chunked": False, "size": 0}
+    return http.Head(**given | more)
+
+
+def test_any_body_in_any_chunks_and_any_pieces_reads_as_the_plain_model_says():
+    chance = random.Random(11)
+    for _ in range(400):
+        body = chance.randbytes(chance.choice((0, 1, 5, 300, 5000)))
+        text, at = bytearray(), 0
+        while at < len(body):
+            size = chance.randint(1, chance.choice((1, 7, 2000)))
+            piece = body[at:at + size]
+            extension = chance.choice((b"", b";a", b" ;b=c"))
+            digits = b"%x" % len(piece)
+            text += chance.choice((digits, digits.upper(), digits.zfill(4))) + extension + b"\r\n" + piece + b"\r\n"
+            at += size
+        text += b"0\r\n" + chance.choice((b"", b"T: x\r\n")) + b"\r\n"
+        rest = chance.choice((b"", b"GET / HTTP/1.1\r\n"))
+        whole, pieces, at = bytes(text) + rest, [], 0
+        while at < len(whole):
+            size = chance.randint(1, chance.choice((1, 50, 9000)))
+            pieces.append(whole[at:at + size])
+            at += size
+        feed = Feed(pieces)
+        got = run(http.read_body(feed, head_of(chunked=True), 10_000))
+        left = bytes(feed.buffer[feed.start:feed.end]) + b"".join(feed.pieces)
+        assert bytes(got) == body and left == rest
+        cut = chance.randrange(len(text))
+        with pytest.raises(Ended):
+            run(http.read_body(Feed([bytes(text[:cut])]), head_of(chunked=True), 10_000))
+
+
+def test_framing_without_end_is_refused_and_small_chunks_of_a_large_body_are_not():
+    many = chunked(bytes(100_000), 1)
+    assert len(run(http.read_body(Feed([many]), head_of(chunked=True), 1 << 20))) == 100_000
+    endless = b"1" + b";x=" + b"y" * 100 + b"\r\nx\r\n"
+    with pytest.raises(Ended) as refused:
+        run(http.read_body(Feed([endless] * 10_000), head_of(chunked=True), 1 << 20))
+    assert refused.value.end is End.TOO_LARGE
+    with pytest.raises(Ended) as refused:
+        run(http.read_body(Feed([b"0\r\n"] + [b"A: b\r\n"] * 10_000), head_of(chunked=True), 1 << 20))
+    assert refused.value.end is End.TOO_LARGE
