A shot's latency is between kernel and kernel, not what a late event loop makes of it

Seen, ruled out and cause: docs/design-operations.md, part 4; lines at fault: ApiCall.run took now() - sent at the handling of the end. Change: Shot.took, from the write to the kernel's receipt. The test holds the event loop up for 0.3 s with the answer in the kernel and fails without the change.

--- a/lupinreach/net/call.py
+++ b/lupinreach/net/call.py
@@ -149,7 +149,7 @@
                         answer, served = shot.answer, shot.end is End.SERVED
                         load = read_load(answer.header(protocol.LOAD)) if answer else None
                         counters.others["load reports"] += load is not None
-                        took = now() - shots[number].sent
+                        took = now() - shots[number].sent if shot.took is None else shot.took
                         call.ended(now(), number, ENDINGS[shot.end], took, served, load)
                         if served and answer:
                             lines = http.passed_on(answer, protocol.BETWEEN_BACKEND_AND_AGENT)
@@ -224,7 +224,7 @@
         self._passing = number
         load = read_load(shot.answer.header(protocol.LOAD))
         serving.counters.others["load reports"] += load is not None
-        call.began(serving.clock.now(), number, max(0.0, serving.clock.of_loop(shot.first) - out.sent), load)
+        call.began(serving.clock.now(), number, shot.took or 0.0, load)
         lines = http.passed_on(shot.answer, protocol.BETWEEN_BACKEND_AND_AGENT)
         shot.pass_on(self._answers.begin(protocol.SERVED, lines, shot.length))
 
--- a/lupinreach/net/clock.py
+++ b/lupinreach/net/clock.py
@@ -10,10 +10,6 @@
     def now(self) -> float:
         return self._anchor + time.monotonic() * 1000
 
-    def of_loop(self, at: float) -> float:
-        """This clock's time for one of the event loop's, in s."""
-        return at * 1000 + self._anchor
-
     def on_loop(self, at: float) -> float:
         """The event loop's time, in s, for a time of this clock."""
         return (at - self._anchor) / 1000
--- a/lupinreach/net/shot.py
+++ b/lupinreach/net/shot.py
@@ -38,7 +38,8 @@
         self._reply: asyncio.Future[Reply] | None = None
         self.answer: http.Message | None = None
         self.length: int | None = None  # of the body of a long answer, where it says so
-        self.first = 0.0  # when the answer's head had come, on the event loop's clock
+        self.written = 0.0  # when it was handed to the kernel, on the event loop's clock, and
+        self.came = 0.0  # when the kernel had the answer, of a long one its first bytes; 0 = it has none
         self.end = End.CALLED_OFF_SENDING  # what it stays if the task is cancelled before it begins
 
     async def run(self) -> None:
@@ -51,9 +52,9 @@
                 channel = await self._pool.take(self._place)
                 await self._write(channel)
                 head = await http.read_answer_head(channel)
-                self.first = loop.time()
                 body = http.answer_body(channel, head, self._pool.most_answer)
                 begun = await body.whole(at_most=_kept(body.length))
+                self.came = loop.time() - channel.quiet / 1000
                 self._whole = body.done
                 self.answer = http.message(head, begun)
                 self.end = _meaning(self.answer)
@@ -78,6 +79,7 @@
                 self._release(channel)
 
     async def _write(self, channel: Channel) -> None:
+        self.written = asyncio.get_running_loop().time()
         if len(self._body) > JOINED:
             channel.write(self._message)
             self._writing = channel.write(self._body)
@@ -90,6 +92,14 @@
             raise Ended(End.BROKE_SENDING) from None
         self._body = b""  # guards against a long one held for as long as its answer takes
 
+    @property
+    def took(self) -> float | None:
+        """Ms from handing the shot to the kernel until the kernel had its answer; None if there is none.
+
+        Guards against an event loop that runs late: what waits in our own kernel is no backend's slowness.
+        """
+        return max(0.0, self.came - self.written) * 1000 if self.came else None
+
     def pass_on(self, reply: Reply) -> None:
         """Where a long answer that has begun goes to."""
         if self._reply is not None and not self._reply.done():
--- a/tests/test_large.py
+++ b/tests/test_large.py
@@ -3,6 +3,8 @@
 import asyncio
 import random
 import socket
+import threading
+import time
 
 import pytest
 
@@ -316,3 +318,34 @@
     with pytest.raises(Ended) as refused:
         run(http.read_body(Feed([b"0\r\n"] + [b"A: b\r\n"] * 10_000), head_of(chunked=True), 1 << 20))
     assert refused.value.end is End.TOO_LARGE
+
+
+def test_a_late_event_loop_passes_for_no_backends_slowness():
+    listening = socket.create_server(("127.0.0.1", 0))
+    asked_for, go = threading.Event(), threading.Event()
+
+    def serve():
+        sock, _ = listening.accept()
+        with sock:
+            sock.recv(1 << 16)
+            asked_for.set()
+            go.wait(10)
+            sock.sendall(OK)
+
+    async def work():
+        host, port = listening.getsockname()
+        async with Site(target("s-1", f"{host}:{port}")) as site:
+            answer = asyncio.create_task(site.ask(look()))
+            while not asked_for.is_set():
+                await asyncio.sleep(0)
+            go.set()
+            time.sleep(0.3)  # the answer is there, and the event loop is not
+            assert status(await answer) == 200
+            (b,) = site.agent.balancer._backends.values()
+            assert b.figure[0] < 200
+
+    thread = threading.Thread(target=serve, daemon=True)
+    thread.start()
+    with listening:
+        run(work())
+    thread.join(5)
