Requests too long to be kept go ahead to one backend, all but the last bytes, which are the shot

Seen: 27 of 1,489 slow requests cut off, those over a 32nd of the memory and those that find the quarter for all full (20.8 of 20 MB held). Change: net/upload.py, Balancer.ahead, Ask.only: what goes ahead is no shot, has never run and is refused harmlessly if its backend breaks; with its last byte the module takes the API call, for one shot there.

--- a/lupinreach/balance.py
+++ b/lupinreach/balance.py
@@ -153,7 +153,7 @@
     """The handle of one API call."""
 
     __slots__ = ("_to", "token", "offer", "target", "until", "taken", "key", "work", "room", "shots", "out",
-                 "done", "streaming", "waiting")
+                 "done", "streaming", "waiting", "only")
 
     def __init__(self, to: Balancer, now: float, ask: Ask, work: float, room: float) -> None:
         self._to = to
@@ -170,6 +170,7 @@
         self.done = False
         self.streaming = False
         self.waiting = False
+        self.only = ask.only
 
     @property
     def closed(self) -> bool:
@@ -183,7 +184,7 @@
         to = self._to
         if self.done or self.streaming or now >= self.until or len(self.shots) >= to.max_shots:
             return False
-        if self.out and not to.copies:
+        if (self.out and not to.copies) or (self.only is not None and self.shots):
             return False
         if self.offer.kind is Kind.NON_IDEMPOTENT:
             return not any(s.ran for s in self.shots)
@@ -194,7 +195,7 @@
 
     def may_use(self, b: Backend) -> bool:
         """If a shot that `may_send` allows may go to this backend."""
-        if b.state is not State.READY:
+        if b.state is not State.READY or (self.only is not None and b.index != self.only):
             return False
         if self.offer.kind is Kind.DEDUPLICATED and self.offer.group is not Group.ALL:
             zone = self.offer.group is Group.ZONE
@@ -444,7 +445,7 @@
             return
         why = "empty list" if not self._ring else "bound full" if self._full(now, call) else "no turn"
         self.counts[why] += 1
-        if now < self._stands_until(call) and self._ring:
+        if now < self._stands_until(call) and self._ring and call.only is None:
             self._wait(now, call)
         else:
             self.give_up(now, call)
@@ -525,6 +526,9 @@
     def _choose(self, now: float, call: Call) -> Backend | None:
         """The next turn in the pool of the API call's SLO."""
         t = call.target.index
+        if call.only is not None:
+            # It was chosen when the first of it went ahead: no room is found for it elsewhere, nor asked for again.
+            return next((b for b in self._ring if call.may_use(b)), None)
         if self._full(now, call):
             return None
         tried = {s.backend for s in call.shots}
@@ -553,6 +557,17 @@
                 self._ring.append(worst)
         return self._turn(now, call, used)
 
+    def ahead(self, now: float, product: int) -> int | None:
+        """The backend that a request too long to be kept goes ahead to, before its last byte makes it a shot."""
+        call = Call(self, now, Ask(None, product, inf), 1.0, 1.0)
+        t = call.target.index
+        self._earn(now)
+        b = self._turn(now, call, [b for b in self._ring if not b.held[t]] or self._ring)
+        if b is None:
+            return None
+        b.turn = max(b.turn, self._clock) + self._usual(b, call.target) / b.size
+        return b.index
+
     def _full(self, now: float, call: Call) -> bool:
         """If the bound in flight leaves no room for a shot of this API call now."""
         # Room is kept for the dearest only as far as shots are slow: with all in time, all may fill it.
--- a/lupinreach/model.py
+++ b/lupinreach/model.py
@@ -152,6 +152,7 @@
     cost: float | None = None  # ms of work on a standard core, roughly
     again: bool = False  # the client says that this is a repeat
     write: bool = False
+    only: int | None = None  # it went ahead to this backend, and can have one shot, there
 
 
 @dataclass(frozen=True)
--- a/lupinreach/net/call.py
+++ b/lupinreach/net/call.py
@@ -5,7 +5,7 @@
 import asyncio
 import re
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Protocol
 from zlib import crc32
 
@@ -16,6 +16,7 @@
 from lupinreach.net.reply import Reply
 from lupinreach.net.serving import Serving
 from lupinreach.net.shot import Shot, read_load
+from lupinreach.net.upload import Upload
 
 RATE_LIMITED, ERRORED, FAULT, COPY = 429, 502, 500, 409
 MOST_ID = 128
@@ -103,15 +104,19 @@
 class ApiCall:
     """One API call. It is the token that the module names it by; the port puts the module's orders here."""
 
-    def __init__(self, serving: Serving, request: http.Message, arrived: float, answers: Answers) -> None:
+    def __init__(self, serving: Serving, request: http.Message, arrived: float, answers: Answers,
+                 upload: Upload | None = None) -> None:
         """Raises BadRequest where the request is none of the protocol's."""
         self._serving = serving
         self._request = request
         self._answers = answers
+        self._upload = upload  # the request went ahead
         self._passing: int | None = None  # the shot whose answer goes on while it comes
         self.orders: asyncio.Queue[Order] = asyncio.Queue()  # a few for each shot; dies with the API call
         self.answered = asyncio.get_running_loop().create_future()
         self.ask, until = read_ask(self, request, arrived, serving)
+        if upload is not None:
+            self.ask = replace(self.ask, only=upload.place.backend)
         self._product = serving.settings.products[self.ask.product].name
         self._overdue = (self.ask.until + until) / 2
         self._id = request.headers[protocol.ID]
@@ -183,6 +188,8 @@
             overdue.cancel()
             serving.ids.end(self._id)
             serving.kept.give(len(request.body))
+            if self._upload is not None:
+                self._upload.let_go()
             request.body = b""  # guards against a long one that lives until the collector comes by
 
     async def _settle(self, call: Call, shots: list[Out]) -> None:
@@ -202,15 +209,12 @@
 
     def _shoot(self, number: int, backend: int, until: float) -> Out:
         """Begin a shot; its end comes back as an order."""
-        serving, request = self._serving, self._request
+        serving, request, upload = self._serving, self._request, self._upload
         sent = serving.clock.now()
-        left = protocol.DEADLINE_LINE % max(0.001, (until - sent) / 1000)
-        headers = http.passed_on(request, protocol.BETWEEN_CLIENT_AND_AGENT)
-        message = http.request(request.method, request.target, [*headers, left],
-                               request.headers.get(b"host", b""), len(request.body))
+        message = upload.tail if upload else compose(request, (until - sent) / 1000, len(request.body))
         place = serving.directory.place(backend)
         shot = Shot(serving.pool, place, message, serving.clock.on_loop(until), request.body,
-                    lambda: self.orders.put_nowait(Began(number)))
+                    lambda: self.orders.put_nowait(Began(number)), upload)
         task = serving.tasks.spawn("shot", shot.run())
         task.add_done_callback(lambda _: self.orders.put_nowait(Landed(number)))
         return Out(shot, task, sent)
@@ -248,7 +252,14 @@
             self.answered.set_result(None)
 
 
-def read_ask(token: ApiCall, request: http.Message, arrived: float, serving: Serving) -> tuple[Ask, float]:
+def compose(request: http.Message, left: float, length: int | None) -> bytes:
+    """The head of a shot, with so many s left; `length` of the body, None where it comes in chunks."""
+    headers = http.passed_on(request, protocol.BETWEEN_CLIENT_AND_AGENT)
+    headers.append(memoryview(protocol.DEADLINE_LINE % max(0.001, left)))
+    return http.request(request.method, request.target, headers, request.headers.get(b"host", b""), length)
+
+
+def read_ask(token: ApiCall | None, request: http.Message, arrived: float, serving: Serving) -> tuple[Ask, float]:
     """A request in our words, and when its client stops waiting."""
     if request.method not in (b"GET", b"POST"):
         raise BadRequest("the method must be GET or POST")
--- a/lupinreach/net/http.py
+++ b/lupinreach/net/http.py
@@ -294,9 +294,10 @@
 
 
 def request(method: bytes, target: bytes, headers: Iterable[bytes | Slice], host: bytes | Slice,
-            length: int = 0) -> bytes:
-    """The head of a request, copied since a write may outlive the buffer."""
-    framing = b"Content-Length: %d\r\n" % length if length or method == b"POST" else b""
+            length: int | None = 0) -> bytes:
+    """The head of a request, copied since a write may outlive the buffer; no length: its body comes in chunks."""
+    framing = b"Transfer-Encoding: chunked\r\n" if length is None else (
+        b"Content-Length: %d\r\n" % length if length or method == b"POST" else b"")
     return b"".join((method, b" ", target, b" HTTP/1.1\r\nHost: ", host, b"\r\n", *headers, framing, b"\r\n"))
 
 
--- a/lupinreach/net/listener.py
+++ b/lupinreach/net/listener.py
@@ -10,13 +10,14 @@
 
 from lupinreach.config import Address
 from lupinreach.net import http, protocol
-from lupinreach.net.call import ApiCall, BadRequest
+from lupinreach.net.call import ApiCall, BadRequest, compose, read_ask
 from lupinreach.net.channel import Channel
 from lupinreach.net.ends import End, Ended
 from lupinreach.net.log import Log
 from lupinreach.net.reply import Reply
 from lupinreach.net.serving import Serving
 from lupinreach.net.sockets import Sockets
+from lupinreach.net.upload import Stopped, Upload
 
 BACKLOG = 512
 AT_ONCE = 64  # connections accepted in one turn of the event loop
@@ -90,26 +91,31 @@
                 channel.write(http.CONTINUE)
             self._old = head.old
             self._body_since = self._serving.clock.now()
-            request = http.message(head, await http.read_body(channel, head, protocol.MOST_BODY, self._came))
+            request = http.message(head, b"")
+            upload = await self._read_body(head, request)
+        except Stopped:
+            # Nothing ran, so trying again is harmless; what still comes of the request is dropped.
+            await self._turn_back(head)
+            return
         except BaseException:
             self._let_go()
             raise
         finally:
             del listener.reading[self]
         if channel.end > channel.start:
-            self._let_go()
+            self._let_go(upload)
             # Guards against requests by the hundred on one connection: the protocol has one at a time.
             raise BadRequest("more has come than one request")
         self._keeps = request.keeps
         arrived = self._serving.clock.now() - channel.quiet  # of its last byte
         if request.target == protocol.READY_PATH:
-            self._let_go()
+            self._let_go(upload)
             self.whole(200 if self._serving.standing.ready else 503)
             await self._written()
         else:
             self._serving.counters.open += 1
             try:
-                await self._api_call(request, arrived)
+                await self._api_call(request, arrived, upload)
                 await self._written()
             finally:
                 self._serving.counters.open -= 1
@@ -125,21 +131,21 @@
             except (OSError, TimeoutError):
                 raise Ended(End.LEFT) from None
 
-    async def _api_call(self, request: http.Message, arrived: float) -> None:
+    async def _api_call(self, request: http.Message, arrived: float, upload: Upload | None) -> None:
         if self._listener.full:
             # Turned away before it reaches the module, and harmless to repeat: nothing was sent for it.
             # Guards against requests that the kernel has taken in and that nobody has a descriptor to read.
             kind = request.header(protocol.KIND)
             product = kind.decode() if kind in self._serving.products else None
             self._serving.counters.told("no room", product)
-            self._let_go()
+            self._let_go(upload)
             self._keeps = False
             self.whole(NO_ROOM)
             return
         try:
-            call = ApiCall(self._serving, request, arrived, self)
+            call = ApiCall(self._serving, request, arrived, self, upload)
         except BadRequest:
-            self._let_go()
+            self._let_go(upload)
             raise
         self._held = 0  # the API call's now
         # To go on reading is how a client is seen to leave while its shot is out.
@@ -169,17 +175,63 @@
         self._keeps = False
         self.channel.abort()
 
+    async def _read_body(self, head: http.Head, request: http.Message) -> Upload | None:
+        """Read the body, whole if there is room to keep it; else it goes ahead to a backend."""
+        if not head.chunked and (head.length or 0) <= http.IN_PLACE:
+            request.body = await http.read_body(self.channel, head, http.IN_PLACE, self._came)
+            return None
+        body, kept = http.Body(self.channel, head, protocol.MOST_BODY), bytearray()
+        while True:
+            for piece in body.here():
+                kept += piece
+            self._came(body.size)
+            if body.size > http.IN_PLACE:
+                if not self._serving.kept.take(body.size - self._held, body.size):
+                    return await self._send_ahead(request, kept, body)
+                self._held = body.size
+            if body.done:
+                request.body = memoryview(kept)
+                return None
+            await body.more()
+
+    async def _send_ahead(self, request: http.Message, kept: bytearray, body: http.Body) -> Upload:
+        """Guards against long requests that together don't fit: this one can have one shot only."""
+        serving = self._serving
+        ask, _ = read_ask(None, request, serving.clock.now(), serving)
+        if request.method == b"GET":
+            raise BadRequest("GET is for what may run again, and has no body")
+        backend = None if self._listener.full else serving.balancer.ahead(serving.clock.now(), ask.product)
+        if backend is None:
+            raise Stopped
+        upload = Upload(serving.pool, serving.directory.place(backend), body.length is None)
+        serving.counters.others["requests sent ahead"] += 1
+        left = (ask.until - serving.clock.now()) / 1000  # counts from the last byte
+        try:
+            await upload.run(compose(request, left, body.length), kept, body, self._came,
+                             serving.longest_wait / 1000)
+        except BaseException:
+            upload.let_go()
+            raise
+        self._let_go()
+        return upload
+
+    async def _turn_back(self, head: http.Head) -> None:
+        self._let_go()
+        kind = head.headers.get(protocol.KIND)
+        self._serving.counters.told("no room", kind.decode() if kind in self._serving.products else None)
+        self._keeps = False
+        self.whole(NO_ROOM)
+        await self.channel.drain(MOST_DROPPED, LINGER)
+
     def _came(self, size: int) -> None:
-        """So much of a body has come: it is owed time for the rest, and room."""
+        """So much of a body has come: it is owed time for the rest."""
         self._listener.reading[self] = self._body_since + WHOLE * 1000 + size / PACE
-        if size > http.IN_PLACE:
-            if not self._serving.kept.take(size - self._held, size):
-                raise Ended(End.TOO_LARGE)
-            self._held = size
 
-    def _let_go(self) -> None:
+    def _let_go(self, upload: Upload | None = None) -> None:
         self._serving.kept.give(self._held)
         self._held = 0
+        if upload is not None:
+            upload.let_go()
 
     async def _refuse(self, status: int, why: str) -> None:
         """Answer what is no request, and end the connection: nobody knows what else is on it."""
--- a/lupinreach/net/shot.py
+++ b/lupinreach/net/shot.py
@@ -12,6 +12,7 @@
 from lupinreach.net.ends import End, Ended
 from lupinreach.net.pool import Place, Pool
 from lupinreach.net.reply import ClientGone, Reply
+from lupinreach.net.upload import Upload
 
 JOINED = 16 << 10  # bytes of a body up to which it is written in one piece with its head
 KEPT = 64 << 10  # bytes of an answer that is passed on whole, so that a spoilt one can be told from a good one;
@@ -25,14 +26,15 @@
     """An exchange as it goes. `run` is a task of its own; to cancel it closes the connection."""
 
     def __init__(self, pool: Pool, place: Place, message: bytes, until: float, body: http.Slice | bytes = b"",
-                 began: Callable[[], None] | None = None) -> None:
-        """`began` is called when a long answer has begun, which then waits for `pass_on`."""
+                 began: Callable[[], None] | None = None, upload: Upload | None = None) -> None:
+        """`began` is called when a long answer has begun, which then waits for `pass_on`; `upload` went ahead."""
         self._pool = pool
         self._place = place
         self._message = message
         self._body = body
         self._until = until  # on the event loop's clock
         self._began = began
+        self._upload = upload
         self._writing: asyncio.Future[None] | None = None
         self._whole = False  # nothing of the answer is left on the connection
         self._reply: asyncio.Future[Reply] | None = None
@@ -49,7 +51,9 @@
             if loop.time() >= self._until:
                 raise TimeoutError  # an idle connection would take the message before any timer runs
             async with asyncio.timeout_at(self._until) as limit:
-                channel = await self._pool.take(self._place)
+                channel = self._upload.take() if self._upload else await self._pool.take(self._place)
+                if channel is None:
+                    raise Ended(End.BROKE_SENDING)
                 await self._write(channel)
                 head = await http.read_answer_head(channel)
                 body = http.answer_body(channel, head, self._pool.most_answer)
--- a/tests/test_large.py
+++ b/tests/test_large.py
@@ -255,6 +255,101 @@
     run(work())
 
 
+SMALL = {"limits": {"memory_mb": 32, "sockets": 256}}  # keeps 1 MB of a request, and 8 MB in all
+
+
+@pytest.mark.parametrize("form", ["length", "chunked"])
+@pytest.mark.parametrize("size", [1_200_000, 6_000_000])
+def test_a_request_too_long_to_be_kept_goes_ahead_and_is_one_shot(size, form):
+    body, seen = noise(size), []
+
+    async def script(reader, writer):
+        head, got, whole = await read_any(reader)
+        seen.append((head, got, whole))
+        writer.write(OK)
+
+    async def work():
+        server = await asyncio.start_server(script, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        async with server, Site(target("s-1", f"{host}:{port}"), **SMALL) as site:
+            more = b"Content-Length: %d\r\n" % size if form == "length" else b"Transfer-Encoding: chunked\r\n"
+            raw = look(**PAY, more=more) + (body if form == "length" else chunked(body, 4000))
+            head, _, whole = await asked(site, raw)
+            assert status(head) == 200 and whole
+            await site.settled()
+            ((head, got, whole),) = seen
+            assert got == body and whole and (b"chunked" in head) == (form == "chunked")
+            counters = site.agent.counters
+            assert counters.others["requests sent ahead"] == 1 and counters.written == 1
+            assert counters.outcomes[Outcome.FULFILLED]["pay"] == 1 and site.agent.serving.kept.held == 0
+            assert site.agent.pool.open <= 1 and not site.agent.balancer._live
+    run(work())
+
+
+@pytest.mark.parametrize("how, code", [("breaks", 503), ("declines", 429), ("fails", 502)])
+def test_what_went_ahead_and_never_ran_is_a_refusal_and_what_may_have_run_is_not_sent_again(how, code):
+    bodies, broken = 0, asyncio.Event()
+
+    async def script(reader, writer):
+        nonlocal bodies
+        if how == "breaks":
+            await reader.readexactly(500_000)
+            writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+            writer.transport.abort()
+            broken.set()
+            return
+        await read_any(reader)
+        bodies += 1
+        writer.write(b"HTTP/1.1 503 No\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n" if how == "declines"
+                     else b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n")
+
+    async def work():
+        server = await asyncio.start_server(script, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        async with server, Site(target("s-1", f"{host}:{port}"), target("s-2", f"{host}:{port}"), **SMALL) as site:
+            reader, writer = await site.client()
+            raw = look(**PAY, body=noise(3_000_000))
+            writer.write(raw[:-100_000])
+            if how == "breaks":
+                await asyncio.wait_for(broken.wait(), 5)
+            writer.write(raw[-100_000:])
+            head, _, _ = await asyncio.wait_for(read_any(reader), 5)
+            assert status(head) == code and bodies == (how != "breaks")
+            writer.close()
+            await site.settled()
+            while site.agent.listener.clients:
+                await asyncio.sleep(0)
+            assert site.agent.serving.kept.held == 0 and site.agent.counters.open == 0
+    run(work())
+
+
+def test_a_client_that_leaves_while_its_request_goes_ahead_leaves_nothing_behind():
+    ended = asyncio.Event()
+
+    async def script(reader, writer):
+        try:
+            await read_any(reader)
+        finally:
+            ended.set()
+
+    async def work():
+        server = await asyncio.start_server(script, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        async with server, Site(target("s-1", f"{host}:{port}"), **SMALL) as site:
+            _, writer = await site.client()
+            writer.write(look(**PAY, body=noise(3_000_000))[:2_000_000])
+            await writer.drain()
+            while not site.agent.counters.others["requests sent ahead"]:
+                await asyncio.sleep(0)
+            writer.transport.abort()
+            await asyncio.wait_for(ended.wait(), 5)
+            while site.agent.listener.clients:
+                await asyncio.sleep(0)
+            assert site.agent.serving.kept.held == 0 and site.agent.pool.open == 0
+            assert site.agent.counters.written == 0 and not site.agent.counters.taken
+    run(work())
+
+
 # Framing beside a plain model.
 
 class Feed:
