--- a/lupinreach/net/agent.py
+++ b/lupinreach/net/agent.py
@@ -29,6 +29,7 @@
 from lupinreach.net.tasks import Tasks
 
 OWN_DESCRIPTORS = 12  # standard streams, event loop, listener, directory, datagrams, and a few spare
+OWN_MEMORY = 40 << 20  # bytes that the process needs with nothing kept, its buffers among them
 KEPT_EACH, KEPT_ALL = 1 / 32, 1 / 4  # of the memory that it may hold: long requests, each and together
 COUNTED_EVERY = 10.0  # s between two lines of counters, so that one that is killed leaves some
 GOES_ON = 0.5  # s for which a stopping agent goes on accepting
@@ -68,7 +69,8 @@
         self.balancer = decide(settings, config.seed, port)
         self.serving = Serving(settings, self.clock, self.counters, self.tasks, self.standing, self.pool,
                                self.directory, self.balancer,
-                               Kept(int(KEPT_EACH * config.memory), int(KEPT_ALL * config.memory)))
+                               Kept(int(KEPT_EACH * config.memory),
+                                    max(0, min(int(KEPT_ALL * config.memory), config.memory - OWN_MEMORY))))
         self.listener = Listener(self.serving, self._sockets, config.listen, self.log, room // 2, config.inherited)
 
     # From start to stop.
--- a/lupinreach/net/listener.py
+++ b/lupinreach/net/listener.py
@@ -11,7 +11,7 @@
 from lupinreach.config import Address
 from lupinreach.net import http, protocol
 from lupinreach.net.call import ApiCall, BadRequest, compose, read_ask
-from lupinreach.net.channel import Channel
+from lupinreach.net.channel import FIRST_BUFFER, Channel
 from lupinreach.net.ends import End, Ended
 from lupinreach.net.log import Log
 from lupinreach.net.reply import Reply
@@ -205,6 +205,7 @@
             raise Stopped
         upload = Upload(serving.pool, serving.directory.place(backend), body.length is None)
         serving.counters.others["requests sent ahead"] += 1
+        self.channel.least = http.IN_PLACE  # guards against a long request that is read in thousands of pieces
         left = (ask.until - serving.clock.now()) / 1000  # counts from the last byte
         try:
             await upload.run(compose(request, left, body.length), kept, body, self._came,
@@ -212,6 +213,8 @@
         except BaseException:
             upload.let_go()
             raise
+        finally:
+            self.channel.least = FIRST_BUFFER
         self._let_go()
         return upload
 
