One place turns requests back for want of room; unused imports are gone

Client._api_call and Client._turn_back counted and answered the same refusal in two copies. Behaviour as before. Looked at and left: the door's and the listener's accept loops share their error handling but neither their limits nor what makes room.

--- a/lupinreach/net/call.py
+++ b/lupinreach/net/call.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import re
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 from dataclasses import dataclass, replace
 from typing import Protocol
 from zlib import crc32
--- a/lupinreach/net/listener.py
+++ b/lupinreach/net/listener.py
@@ -95,7 +95,9 @@
             upload = await self._read_body(head, request)
         except Stopped:
             # Nothing ran, so trying again is harmless; what still comes of the request is dropped.
-            await self._turn_back(head)
+            self._let_go()
+            self._turn_back(head.headers)
+            await channel.drain(MOST_DROPPED, LINGER)
             return
         except BaseException:
             self._let_go()
@@ -135,12 +137,8 @@
         if self._listener.full:
             # Turned away before it reaches the module, and harmless to repeat: nothing was sent for it.
             # Guards against requests that the kernel has taken in and that nobody has a descriptor to read.
-            kind = request.header(protocol.KIND)
-            product = kind.decode() if kind in self._serving.products else None
-            self._serving.counters.told("no room", product)
             self._let_go(upload)
-            self._keeps = False
-            self.whole(NO_ROOM)
+            self._turn_back(request.headers)
             return
         try:
             call = ApiCall(self._serving, request, arrived, self, upload)
@@ -218,13 +216,12 @@
         self._let_go()
         return upload
 
-    async def _turn_back(self, head: http.Head) -> None:
-        self._let_go()
-        kind = head.headers.get(protocol.KIND)
+    def _turn_back(self, headers: dict[bytes, bytes]) -> None:
+        """Refuse what no shot was sent for, and end the connection."""
+        kind = headers.get(protocol.KIND)
         self._serving.counters.told("no room", kind.decode() if kind in self._serving.products else None)
         self._keeps = False
         self.whole(NO_ROOM)
-        await self.channel.drain(MOST_DROPPED, LINGER)
 
     def _came(self, size: int) -> None:
         """So much of a body has come: it is owed time for the rest."""
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from helpers import OK, Peer, Site, look, read_http, run, says, target
+from helpers import OK, Peer, Site, look, run, says, target
 from lupinreach.net.agent import Agent
 from lupinreach.net.counters import Counters, Outcome
 from lupinreach.net.standing import SETTLES, Standing, State
