A live weight is a size and a load: turns and what is full go by the load in the list

Now the highest weight is the size, the rest the load; a turn's cost follows the load by its age, and an API call is refused by what the fleet holds.

--- a/lupinreach/balance.py
+++ b/lupinreach/balance.py
@@ -76,7 +76,7 @@
 class Target:
     """One latency SLO and what its API calls usually take."""
 
-    __slots__ = ("index", "slo", "given", "typical", "recent", "ease")
+    __slots__ = ("index", "slo", "given", "typical", "recent", "ease", "base")
 
     def __init__(self, index: int, slo: float) -> None:
         self.index = index
@@ -84,6 +84,7 @@
         self.given = slo > 0
         self.typical = 0.0  # ms from send to answer; 0 = none seen
         self.recent = self.ease = 0.0  # smoothed latency, and its lowest of late
+        self.base = 0.0  # smoothed latency for each 1 + API calls held a core, where the list tells those; 0 = none
 
     def slow(self, latency: float) -> bool:
         """If a shot took so long that backends must be holding too many."""
@@ -108,14 +109,15 @@
 class Backend:
     """What this agent knows of one backend. Emptied when the directory drops it and nothing is out."""
 
-    __slots__ = ("index", "name", "zone", "cell", "listed", "size", "state", "boot_time", "figure", "held",
+    __slots__ = ("index", "name", "zone", "cell", "listed", "size", "load", "state", "boot_time", "figure", "held",
                  "trial", "silent_since", "flight", "rest_until", "refusals", "turn", "credit", "back_at",
                  "sent", "ill")
 
     def __init__(self, index: int, targets: int) -> None:
         self.index = index
         self.name = self.zone = self.cell = 0
-        self.listed = self.size = 1.0  # as the directory gives it, and as a share of the mean
+        self.listed, self.size = 0.0, 1.0  # as the directory gives it (live: at its highest), and as a share of the mean
+        self.load = 0.0  # API calls that it holds a core, by all agents, where the list's weights fall with them
         self.state = State.GONE
         self.boot_time = 0.0
         self.figure: list[float | None] = [None] * targets  # smoothed latency per SLO, None = unsampled
@@ -135,12 +137,13 @@
 class Shot:
     """One shot of an API call; lives as long as its API call."""
 
-    __slots__ = ("number", "backend", "sent", "out", "ran", "overdue", "trial", "called_off", "passing")
+    __slots__ = ("number", "backend", "sent", "load", "out", "ran", "overdue", "trial", "called_off", "passing")
 
     def __init__(self, number: int, backend: Backend, sent: float) -> None:
         self.number = number
         self.backend = backend
         self.sent = sent
+        self.load = backend.load  # at sending
         self.out = True
         self.ran = True  # may have run, until its ending proves that it didn't
         self.overdue = False
@@ -273,6 +276,7 @@
         given = [s for s in slos if s > 0] or [min(p.timeout for p in settings.products) / MISS]
         for t in self._targets:
             t.slo = t.slo or given[0]
+            t.base = t.slo * FULL_AT / EASE
             t.recent = t.ease = t.slo * FULL_AT / EASE
         self._by_work = settings.value_by_work
         limits, rules = settings.limits, settings.rules
@@ -304,6 +308,10 @@
         self._span = SPAN * given[-1]
         self._agents = settings.agents
         self._least_used, self._exchange_at = 2, 0.0
+        self._tells = settings.live_weights
+        self._gap = self._listed_at = 0.0  # between two lists, smoothed
+        self._level = 0.0
+        self._load = 0.0  # median load of the ready backends
         self._crowd = 0.0  # mean reported in flight for a backend's size
         self._peak = 0  # most shots out since the bound was last narrowed
         self._live: dict[Call, None] = {}  # API calls with shots out; each leaves when its last shot ended
@@ -368,6 +376,8 @@
             if b is None:
                 b = self._backends[e.backend] = Backend(e.backend, len(self._targets))
                 b.turn = self._clock
+                if self._tells:
+                    b.turn -= self._chance() * min(t.slo for t in self._targets) * FULL_AT
                 b.credit = self._first_credit() if e.boot_time else 0.0
             elif e.boot_time > b.boot_time:
                 # A restart: what was known of the old process says nothing of the new one.
@@ -375,7 +385,11 @@
                 b.held = [0.0] * len(self._targets)
                 b.rest_until, b.refusals = 0.0, 0
                 b.credit = self._first_credit()
-            b.name, b.zone, b.cell, b.listed = e.name, e.zone, e.cell, e.size or 1.0
+            b.name, b.zone, b.cell = e.name, e.zone, e.cell
+            weight = e.size or 1.0
+            # Guards against a load that is taken for a size: homes and credit would wander with it.
+            b.listed = max(b.listed, weight) if self._tells else weight
+            b.load = b.listed / weight - 1
             b.state, b.boot_time = e.state, max(b.boot_time, e.boot_time)
         if news is not News.CHANGES:
             named = {e.backend for e in entries}
@@ -393,6 +407,15 @@
         for b in self._ring:
             # Guards against a list of changes, whose few raw sizes would mix with shares of the mean.
             b.size = b.listed / mean
+        if self._tells and self._ring:
+            loads = sorted(b.load for b in self._ring)
+            middle = loads[len(loads) // 4:-(len(loads) // 4) or None]
+            self._load = sum(middle) / len(middle)
+            if news is News.CHANGES and self._listed_at:
+                gap = now - self._listed_at
+                self._gap += SOON * (gap - self._gap) if self._gap else gap
+            self._listed_at = now
+            self._level = self._load * (1 + self._gap / (self._pace() or max(self._gap, 1.0)))
         for t in self._targets:
             held = sorted((b for b in self._ring if b.held[t.index]), key=lambda b: b.figure[t.index] or 0.0)
             for b in held[:max(0, len(held) - int((1 - KEEP) * len(self._ring)))]:
@@ -401,7 +424,7 @@
         # Guards against agents that stay narrow on a fleet that grows: two shots for each ready backend,
         # shared among the agents, are not what chokes it.
         # Guards against a backend whose load is up to one or two agents.
-        self._least_used = max(2, ceil(SHARED_BY * len(self._ring) / self._agents))
+        self._least_used = max(5 if self._tells else 2, ceil(SHARED_BY * len(self._ring) / self._agents))
         self._least = FIRST_BOUND * max(1, len(self._ring)) / self._agents
         self._bound = max(self._least, self._bound)
         self.pump(now)
@@ -445,7 +468,7 @@
             return
         why = "empty list" if not self._ring else "bound full" if self._full(now, call) else "no turn"
         self.counts[why] += 1
-        if now < self._stands_until(call) and self._ring and call.only is None:
+        if now < self._stands_until(call) and self._ring and call.only is None and not (self._tells and why == "bound full"):
             self._wait(now, call)
         else:
             self.give_up(now, call)
@@ -547,7 +570,12 @@
             if b is not None:
                 return b
         awake = [b for b in pool if now >= b.rest_until]
-        used = awake[:max(self._least_used, int(FRESH * self._taken))]
+        if self._tells:
+            used = [b for b in self._ring[:max(self._least_used, int(FRESH * self._taken))] if b in awake]
+            if len(used) < 2:
+                used = awake[:self._least_used]
+        else:
+            used = awake[:max(self._least_used, int(FRESH * self._taken))]
         if len(used) < len(awake) and now >= self._exchange_at:
             self._exchange_at = now + self._hold * EXCHANGE
             worst = max(used, key=lambda b: b.figure[t] or 0.0)
@@ -570,6 +598,8 @@
 
     def _full(self, now: float, call: Call) -> bool:
         """If the bound in flight leaves no room for a shot of this API call now."""
+        if self._tells:
+            return call.target.base * (1 + self._load) > call.target.slo * (0.5 + 0.8 * call.room * self._chance())
         # Room is kept for the dearest only as far as shots are slow: with all in time, all may fill it.
         kept = (1 - call.room) * min(1.0, self._fullness / FULL_SHARE)
         bound = self._bound * (1 - kept)
@@ -592,7 +622,7 @@
             if b.flight > crowd * b.size:
                 rank = (1, b.flight / b.size)
             else:
-                rank = (0, b.turn)
+                rank = (0, self._due(now, b, call))
             if best is None or rank < best[0]:
                 best = (rank, b)
         return best[1] if best else None
@@ -612,9 +642,12 @@
         self._flight += 1
         self._sent_at = now
         self._peak = max(self._peak, self._flight)
-        use = call.work * self._usual(b, call.target) / (b.size * self._ramp(now, b))
-        self._clock = max(self._clock, min(b.turn, self._clock + use))
-        b.turn = max(b.turn, self._clock) + use
+        if self._tells:
+            self._clock = b.turn = self._due(now, b, call)
+        else:
+            use = self._use(now, b, call)
+            self._clock = max(self._clock, min(b.turn, self._clock + use))
+            b.turn = max(b.turn, self._clock) + use
         if self._is_cold(now, b):
             self.counts["cold shots"] += 1
             b.credit -= call.work
@@ -624,6 +657,18 @@
         self._watch(now, now + LATE_AT * call.target.slo)
         self._port.send(call.token, b.index, call.until)
 
+    def _use(self, now: float, b: Backend, call: Call) -> float:
+        """What a turn there costs."""
+        if self._tells:
+            usual = call.target.base / max(0.05, 1 - b.load / self._level if self._level else 1.0)
+        else:
+            usual = self._usual(b, call.target)
+        return call.work * usual / (b.size * self._ramp(now, b))
+
+    def _due(self, now: float, b: Backend, call: Call) -> float:
+        """When its turn is due. Where the load is told, that follows what a turn costs by now."""
+        return max(self._clock, b.turn + self._use(now, b, call)) if self._tells else b.turn
+
     def _usual(self, b: Backend, target: Target) -> float:
         """How long a shot takes there, in ms: what its turn costs, so that time in use rotates evenly.
 
@@ -700,6 +745,9 @@
         if not failed:
             target.typical += TYPICAL * (latency - target.typical) if target.typical else latency
             target.recent += SOON * (latency - target.recent)
+            if shot.load < 1 and self._tells:
+                alone = latency / (1 + shot.load)
+                target.base += SOON * (alone - target.base)
             target.ease = min(target.ease * (1 + TYPICAL**2), target.recent)
         if not shot.overdue:
             self._sample(now, call, shot, ending, latency)
--- a/lupinreach/config.py
+++ b/lupinreach/config.py
@@ -20,6 +20,7 @@
     "outstanding": "in_flight", "backlog": "waiting", "utilization": "busy", "recent_ms": "latency",
     "throughput": "calls_per_s", "errors_per_s": "errors_per_s",
 }
+WEIGHTS = {"off": False, "nominal": False, "rough": False, "live": True}  # if they move with what is held
 MOST_CONFIG_BYTES = 16 << 20
 LEAST_MEMORY = 32  # MB
 FEWEST_SOCKETS = 32  # below it there is no room for a client, a backend and the agent's own
@@ -171,6 +172,7 @@
         must_ask=top.text("discovery", "pushed") == "on_request",
         over_share_value=top.number("over_share_worth", 1.0),
         value_by_work=top.text("counted_by", "request") == "work",
+        live_weights=top.choice("weight_kind", WEIGHTS, "nominal"),
         load_fields=tuple(LOADS.get(f, f) for f in report.texts("fields")),
         load_on_answers=report.text("how", "off") == "inline",
         warm_keys=top.section("family_info").flag("warm_keys"),
--- a/lupinreach/model.py
+++ b/lupinreach/model.py
@@ -116,6 +116,7 @@
     must_ask: bool = True  # the directory speaks only when asked
     over_share_value: float = 1.0
     value_by_work: bool = False
+    live_weights: bool = False  # the list's sizes fall with what each backend holds: size / (1 + held a core)
     load_fields: tuple[str, ...] = ()
     load_on_answers: bool = False
     warm_keys: bool = False  # a backend does less work for a key that its cell met lately
