--- a/lupinreach/balance.py
+++ b/lupinreach/balance.py
@@ -659,10 +659,9 @@
 
     def _use(self, now: float, b: Backend, call: Call) -> float:
         """What a turn there costs."""
-        if self._tells:
-            usual = call.target.base / max(0.05, 1 - b.load / self._level if self._level else 1.0)
-        else:
-            usual = self._usual(b, call.target)
+        usual = self._usual(b, call.target)
+        if self._tells and self._level:
+            usual /= max(0.05, 1 - b.load / self._level)
         return call.work * usual / (b.size * self._ramp(now, b))
 
     def _due(self, now: float, b: Backend, call: Call) -> float:
