--- a/lupinreach/balance.py
+++ b/lupinreach/balance.py
@@ -311,6 +311,7 @@
         self._tells = settings.live_weights
         self._gap = self._listed_at = 0.0  # between two lists, smoothed
         self._level = 0.0
+        self._admit = 1.0
         self._load = 0.0  # median load of the ready backends
         self._crowd = 0.0  # mean reported in flight for a backend's size
         self._peak = 0  # most shots out since the bound was last narrowed
@@ -410,11 +411,16 @@
         if self._tells and self._ring:
             loads = sorted(b.load for b in self._ring)
             middle = loads[len(loads) // 4:-(len(loads) // 4) or None]
-            self._load = sum(middle) / len(middle)
+            load, self._load = self._load, sum(middle) / len(middle)
             if news is News.CHANGES and self._listed_at:
                 gap = now - self._listed_at
                 self._gap += SOON * (gap - self._gap) if self._gap else gap
             self._listed_at = now
+            if self._gap:
+                most = min(0.8 * t.slo / t.base for t in self._targets) - 1
+                answered = max(self._load, 1.0) * self._gap / (self._pace() or self._gap)
+                excess = (2 * self._load - load - most) / 2
+                self._admit = min(1.0, max(0.01, self._admit * min(2.0, max(0.5, 1 - excess / answered))))
             self._level = self._load * (1 + self._gap / (self._pace() or max(self._gap, 1.0)))
         for t in self._targets:
             held = sorted((b for b in self._ring if b.held[t.index]), key=lambda b: b.figure[t.index] or 0.0)
@@ -599,7 +605,7 @@
     def _full(self, now: float, call: Call) -> bool:
         """If the bound in flight leaves no room for a shot of this API call now."""
         if self._tells:
-            return call.target.base * (1 + self._load) > call.target.slo * (0.5 + 0.8 * call.room * self._chance())
+            return self._admit < 1 and self._chance() >= self._admit ** (1 / call.room)
         # Room is kept for the dearest only as far as shots are slow: with all in time, all may fill it.
         kept = (1 - call.room) * min(1.0, self._fullness / FULL_SHARE)
         bound = self._bound * (1 - kept)
@@ -745,8 +751,7 @@
             target.typical += TYPICAL * (latency - target.typical) if target.typical else latency
             target.recent += SOON * (latency - target.recent)
             if shot.load < 1 and self._tells:
-                alone = latency / (1 + shot.load)
-                target.base += SOON * (alone - target.base)
+                target.base += SOON * (latency - target.base)
             target.ease = min(target.ease * (1 + TYPICAL**2), target.recent)
         if not shot.overdue:
             self._sample(now, call, shot, ending, latency)
