--- a/lupinreach/balance.py
+++ b/lupinreach/balance.py
@@ -52,7 +52,7 @@
 FULL_AT = 0.4  # x SLO: a shot that takes longer is a slow one, and so is one that takes
 EASE = 3.0  # x what the SLO's API calls took when they last took least, but never one that takes under
 LEAST_SLOW = 0.2  # x SLO
-HOMES = 2  # backends that a key is at home at, where backends do less work for keys that they met
+HOMES = 3  # backends that a key is at home at, where backends do less work for keys that they met
 SOON = 0.05  # weight of the newest shot in the share of slow ones
 SPAN = 4.0  # x longest SLO: evidence of slow shots older than that counts for nothing, yet
 SUDDEN = 0.5  # one shot never weighs more than this
@@ -417,7 +417,7 @@
                 self._gap += SOON * (gap - self._gap) if self._gap else gap
             self._listed_at = now
             if self._gap:
-                most = min(0.8 * t.slo / t.base for t in self._targets) - 1
+                most = min(0.65 * t.slo / t.base for t in self._targets)
                 answered = max(self._load, 1.0) * self._gap / (self._pace() or self._gap)
                 excess = (2 * self._load - load - most) / 2
                 self._admit = min(1.0, max(0.01, self._admit * min(2.0, max(0.5, 1 - excess / answered))))
@@ -572,7 +572,9 @@
         self._earn(now)
         pool = pool or usable
         if self._warm_keys and call.key is not None:
-            b = self._turn(now, call, self._homes(pool, call.key))
+            homes = self._homes(pool, call.key)
+            calm = max(self._level, 1.5)
+            b = self._turn(now, call, homes[:1] if homes and homes[0].load <= calm else homes)
             if b is not None:
                 return b
         awake = [b for b in pool if now >= b.rest_until]
@@ -665,7 +667,7 @@
 
     def _use(self, now: float, b: Backend, call: Call) -> float:
         """What a turn there costs."""
-        usual = self._usual(b, call.target)
+        usual = call.target.base if self._warm_keys and self._tells else self._usual(b, call.target)
         if self._tells and self._level:
             usual /= max(0.05, 1 - b.load / self._level)
         return call.work * usual / (b.size * self._ramp(now, b))
