--- a/lupinreach/balance.py
+++ b/lupinreach/balance.py
@@ -52,7 +52,7 @@
 FULL_AT = 0.4  # x SLO: a shot that takes longer is a slow one, and so is one that takes
 EASE = 3.0  # x what the SLO's API calls took when they last took least, but never one that takes under
 LEAST_SLOW = 0.2  # x SLO
-HOMES = 3  # backends that a key is at home at, where backends do less work for keys that they met
+HOMES = 5  # backends that a key is at home at, where backends do less work for keys that they met
 SOON = 0.05  # weight of the newest shot in the share of slow ones
 SPAN = 4.0  # x longest SLO: evidence of slow shots older than that counts for nothing, yet
 SUDDEN = 0.5  # one shot never weighs more than this
@@ -753,7 +753,7 @@
             target.typical += TYPICAL * (latency - target.typical) if target.typical else latency
             target.recent += SOON * (latency - target.recent)
             if shot.load < 1 and self._tells:
-                target.base += SOON * (latency - target.base)
+                target.base += SOON * (min(latency, target.slo) - target.base)
             target.ease = min(target.ease * (1 + TYPICAL**2), target.recent)
         if not shot.overdue:
             self._sample(now, call, shot, ending, latency)
