--- a/lupinreach/balance.py
+++ b/lupinreach/balance.py
@@ -312,6 +312,7 @@
         self._gap = self._listed_at = 0.0  # between two lists, smoothed
         self._level = 0.0
         self._admit = 1.0
+        self._by_list = False
         self._load = 0.0  # median load of the ready backends
         self._crowd = 0.0  # mean reported in flight for a backend's size
         self._peak = 0  # most shots out since the bound was last narrowed
@@ -348,6 +349,9 @@
         room = LEAST_ROOM + (1 - LEAST_ROOM) * self._worth(offer) / max(map(self._worth, self.offers))
         if self._over_share(ask.customer):
             room *= LEAST_ROOM
+        if self._tells:
+            # Guards against clients that come again at once, many times, with little time: first tries go ahead.
+            room *= (LEAST_ROOM if ask.again else 1.0) * min(1.0, max(0.1, (ask.until - now) / offer.target.slo))
         call = Call(self, now, ask, work, room)
         self._budget = min(BUDGET_MAX, self._budget + BUDGET)
         self._trials = min(1.0, self._trials + TRIALS)
@@ -411,6 +415,7 @@
         if self._tells and self._ring:
             loads = sorted(b.load for b in self._ring)
             middle = loads[len(loads) // 4:-(len(loads) // 4) or None]
+            self._by_list = self._agents > len(self._ring)
             load, self._load = self._load, sum(middle) / len(middle)
             if news is News.CHANGES and self._listed_at:
                 gap = now - self._listed_at
@@ -420,7 +425,7 @@
                 most = min(0.65 * t.slo / t.base for t in self._targets)
                 answered = max(self._load, 1.0) * self._gap / (self._pace() or self._gap)
                 excess = (2 * self._load - load - most) / 2
-                self._admit = min(1.0, max(0.01, self._admit * min(2.0, max(0.5, 1 - excess / answered))))
+                self._admit = min(1.0, max(0.01, self._admit * min(1.2, max(0.5, 1 - excess / answered))))
             self._level = self._load * (1 + self._gap / (self._pace() or max(self._gap, 1.0)))
         for t in self._targets:
             held = sorted((b for b in self._ring if b.held[t.index]), key=lambda b: b.figure[t.index] or 0.0)
@@ -474,7 +479,7 @@
             return
         why = "empty list" if not self._ring else "bound full" if self._full(now, call) else "no turn"
         self.counts[why] += 1
-        if now < self._stands_until(call) and self._ring and call.only is None and not (self._tells and why == "bound full"):
+        if now < self._stands_until(call) and self._ring and call.only is None and not (self._by_list and why == "bound full"):
             self._wait(now, call)
         else:
             self.give_up(now, call)
@@ -606,8 +611,11 @@
 
     def _full(self, now: float, call: Call) -> bool:
         """If the bound in flight leaves no room for a shot of this API call now."""
-        if self._tells:
-            return self._admit < 1 and self._chance() >= self._admit ** (1 / call.room)
+        if self._tells and self._load < 1:
+            return False
+        if self._by_list:
+            felt = self._fullness > FULL_SHARE / 2  # guards against lists that run far behind
+            return felt and self._admit < 1 and self._chance() >= self._admit ** (1 / call.room)
         # Room is kept for the dearest only as far as shots are slow: with all in time, all may fill it.
         kept = (1 - call.room) * min(1.0, self._fullness / FULL_SHARE)
         bound = self._bound * (1 - kept)
@@ -831,6 +839,8 @@
                 excess = self._fullness - FULL_SHARE
                 self._bound = min(self._bound, self._peak) * (1 - NARROW * excess)
                 self._peak = self._flight
+        elif self._tells and self._flight > self._bound:
+            self._bound = self._flight
         elif self._flight + 1 >= self._bound * (1 - LEAST_ROOM):
             self._bound += min(self._bound, 1 / self._bound)
         self._bound = max(self._least, self._bound)
