--- a/lupinreach/balance.py
+++ b/lupinreach/balance.py
@@ -419,7 +419,7 @@
             load, self._load = self._load, sum(middle) / len(middle)
             if news is News.CHANGES and self._listed_at:
                 gap = now - self._listed_at
-                self._gap += SOON * (gap - self._gap) if self._gap else gap
+                self._gap += NEWEST * (gap - self._gap) if self._gap else gap
             self._listed_at = now
             if self._gap:
                 most = min(0.65 * t.slo / t.base for t in self._targets)
@@ -611,7 +611,7 @@
 
     def _full(self, now: float, call: Call) -> bool:
         """If the bound in flight leaves no room for a shot of this API call now."""
-        if self._tells and self._load < 1:
+        if self._tells and self._load < 1 and self._fullness <= FULL_SHARE:
             return False
         if self._by_list:
             felt = self._fullness > FULL_SHARE / 2  # guards against lists that run far behind
