--- a/lupinreach/balance.py
+++ b/lupinreach/balance.py
@@ -423,9 +423,9 @@
             self._listed_at = now
             if self._gap:
                 most = min(0.65 * t.slo / t.base for t in self._targets)
-                answered = max(self._load, 1.0) * self._gap / (self._pace() or self._gap)
+                answered = self._gap / max(t.base for t in self._targets)
                 excess = (2 * self._load - load - most) / 2
-                self._admit = min(1.0, max(0.01, self._admit * min(1.2, max(0.5, 1 - excess / answered))))
+                self._admit = min(1.0, max(0.01, self._admit * min(1.25, max(0.4, 1 - excess / answered))))
             self._level = self._load * (1 + self._gap / (self._pace() or max(self._gap, 1.0)))
         for t in self._targets:
             held = sorted((b for b in self._ring if b.held[t.index]), key=lambda b: b.figure[t.index] or 0.0)
