Four backends for each of many agents; the share grows by half at most

A fuller table of connections takes part of a backend's capacity, fewer backends give fewer to choose from.

--- a/lupinreach/balance.py
+++ b/lupinreach/balance.py
@@ -425,7 +425,7 @@
                 most = min(0.65 * t.slo / t.base for t in self._targets)
                 answered = self._gap / max(t.base for t in self._targets)
                 excess = (2 * self._load - load - most) / 2
-                self._admit = min(1.0, max(0.01, self._admit * min(1.25, max(0.4, 1 - excess / answered))))
+                self._admit = min(1.0, max(0.01, self._admit * min(1.5, max(0.4, 1 - excess / answered))))
             self._level = self._load * (1 + self._gap / (self._pace() or max(self._gap, 1.0)))
         for t in self._targets:
             held = sorted((b for b in self._ring if b.held[t.index]), key=lambda b: b.figure[t.index] or 0.0)
@@ -435,7 +435,7 @@
         # Guards against agents that stay narrow on a fleet that grows: two shots for each ready backend,
         # shared among the agents, are not what chokes it.
         # Guards against a backend whose load is up to one or two agents.
-        self._least_used = max(5 if self._tells else 2, ceil(SHARED_BY * len(self._ring) / self._agents))
+        self._least_used = max(4 if self._tells else 2, ceil(SHARED_BY * len(self._ring) / self._agents))
         self._least = FIRST_BOUND * max(1, len(self._ring)) / self._agents
         self._bound = max(self._least, self._bound)
         self.pump(now)
