--- a/lupinreach/balance.py
+++ b/lupinreach/balance.py
@@ -435,7 +435,7 @@
         # Guards against agents that stay narrow on a fleet that grows: two shots for each ready backend,
         # shared among the agents, are not what chokes it.
         # Guards against a backend whose load is up to one or two agents.
-        self._least_used = max(4 if self._tells else 2, ceil(SHARED_BY * len(self._ring) / self._agents))
+        self._least_used = max(3 if self._tells else 2, ceil(SHARED_BY * len(self._ring) / self._agents))
         self._least = FIRST_BOUND * max(1, len(self._ring)) / self._agents
         self._bound = max(self._least, self._bound)
         self.pump(now)
