What was learnt of backends goes from one process to the next by a file; assumptions, migration

Off unless carry.file is set. Tests on loopback: a switch to the new shape, a restart within it and back, under steady clients.

--- a/lupinreach/__main__.py
+++ b/lupinreach/__main__.py
@@ -42,6 +42,13 @@
         from lupinreach.ops.succession import Succession  # nor one that has its address to itself this
 
         succession = Succession(os.environ.get("TMPDIR"), agent.config.name)
+    carry = None
+    if agent.config.carry is not None:
+        from lupinreach.ops.carry import Carry  # nor one that hands nothing on
+
+        carry = Carry(agent, agent.config.carry, agent.config.carry_age)
+        carry.take()
+        agent.tasks.spawn("carry", carry.leave_on())
     await agent.start(HEAR_FIRST if succession and succession.other() else 0.0)
     if succession is not None and not succession.take_over():
         agent.log.event("no succession", why="TMPDIR can't be written")
@@ -50,7 +57,10 @@
     gc.freeze()
     gc.set_threshold(COLLECT_AFTER, 5, 5)
     await stop.wait()
-    await agent.stop(succeeded=succession is not None and succession.other() is not None)
+    succeeded = succession is not None and succession.other() is not None
+    if carry is not None and not succeeded:
+        carry.leave()  # with a successor the file is that one's
+    await agent.stop(succeeded)
     if door is not None:
         door.close()
 
--- a/lupinreach/balance.py
+++ b/lupinreach/balance.py
@@ -27,7 +27,7 @@
 from zlib import crc32
 
 from lupinreach.model import (
-    NEVER_RAN, Ask, Ending, Group, Kind, Listing, Load, News, Port, Product, Settings, State,
+    NEVER_RAN, Ask, Ending, Group, Kind, Learnt, Listing, Load, Met, News, Port, Product, Settings, State,
 )
 
 SPOILT = frozenset({Ending.ERRORED, Ending.RESET})  # something is wrong, but not that too much is out
@@ -52,7 +52,12 @@
 FULL_AT = 0.4  # x SLO: a shot that takes longer is a slow one, and so is one that takes
 EASE = 3.0  # x what the SLO's API calls took when they last took least, but never one that takes under
 LEAST_SLOW = 0.2  # x SLO
-HOMES = 5  # backends that a key is at home at, where backends do less work for keys that they met
+HOMES = 5  # backends that a key is at home at, where backends do less work for keys that they met: it
+CALM = 1.5  # stays at the first while that holds so many API calls a core, or the level; then all take turns
+FEW = 3  # backends that an agent uses where the list tells loads and agents outnumber backends
+AIM = 0.65  # x SLO over what a shot takes where there is room: API calls held a core that come back in time
+LEAST_ADMIT, CUT, GROW = 0.01, 0.4, 1.5  # the least share admitted, and how far one list moves it
+FLOOR = 0.05  # of a turn's pace, for a backend that holds more than the level
 SOON = 0.05  # weight of the newest shot in the share of slow ones
 SPAN = 4.0  # x longest SLO: evidence of slow shots older than that counts for nothing, yet
 SUDDEN = 0.5  # one shot never weighs more than this
@@ -67,6 +72,7 @@
 RETRY_AFTER = 0.25  # x SLO: when a rate-limited client is told to come back
 SILENT = 4.0  # x the backend's figure: a lone shot out for longer than that and its SLO ejects
 LEAST_ROOM = 0.5  # share of the bound that the API calls of least value may fill; the dearest fill it all
+LEAST_LEFT = 0.1  # x SLO: less time left narrows an API call's room no further
 LOOK = 0.05  # x shortest SLO: the time between two looks at the line
 FALL_USE = 0.5  # x fall_multiple: what cold backends earn while most are cold and can't be spared
 ASK_FIRST, ASK_MOST = 0.1, 0.4  # x ask_within: first and longest span in which the directory is asked again,
@@ -84,7 +90,7 @@
         self.given = slo > 0
         self.typical = 0.0  # ms from send to answer; 0 = none seen
         self.recent = self.ease = 0.0  # smoothed latency, and its lowest of late
-        self.base = 0.0  # smoothed latency for each 1 + API calls held a core, where the list tells those; 0 = none
+        self.base = 0.0  # smoothed latency at backends that the list says have room
 
     def slow(self, latency: float) -> bool:
         """If a shot took so long that backends must be holding too many."""
@@ -109,15 +115,16 @@
 class Backend:
     """What this agent knows of one backend. Emptied when the directory drops it and nothing is out."""
 
-    __slots__ = ("index", "name", "zone", "cell", "listed", "size", "load", "state", "boot_time", "figure", "held",
-                 "trial", "silent_since", "flight", "rest_until", "refusals", "turn", "credit", "back_at",
-                 "sent", "ill")
+    __slots__ = ("index", "name", "zone", "cell", "listed", "size", "load", "state", "boot_time", "figure",
+                 "held", "trial", "silent_since", "flight", "rest_until", "refusals", "turn", "credit",
+                 "back_at", "sent", "ill")
 
     def __init__(self, index: int, targets: int) -> None:
         self.index = index
         self.name = self.zone = self.cell = 0
-        self.listed, self.size = 0.0, 1.0  # as the directory gives it (live: at its highest), and as a share of the mean
-        self.load = 0.0  # API calls that it holds a core, by all agents, where the list's weights fall with them
+        self.listed = 0.0  # as the directory gives it, and where that moves with load, at its highest
+        self.size = 1.0  # that as a share of the mean
+        self.load = 0.0  # API calls of all agents that it holds a core, where the weights fall with them
         self.state = State.GONE
         self.boot_time = 0.0
         self.figure: list[float | None] = [None] * targets  # smoothed latency per SLO, None = unsampled
@@ -137,7 +144,8 @@
 class Shot:
     """One shot of an API call; lives as long as its API call."""
 
-    __slots__ = ("number", "backend", "sent", "load", "out", "ran", "overdue", "trial", "called_off", "passing")
+    __slots__ = ("number", "backend", "sent", "load", "out", "ran", "overdue", "trial", "called_off",
+                 "passing")
 
     def __init__(self, number: int, backend: Backend, sent: float) -> None:
         self.number = number
@@ -220,8 +228,8 @@
     def began(self, now: float, number: int, latency: float | None = None, load: Load | None = None) -> None:
         """The answer has begun to stream: this shot is now the client's.
 
-        With a latency, that is the shot's, to its first bytes: what comes after is transfer and says nothing of
-        how full the backend is. Without one, all of it is the shot's.
+        With a latency, that is the shot's, to its first bytes: what comes after is transfer and says nothing
+        of how full the backend is. Without one, all of it is the shot's.
         """
         shot, to = self.shots[number], self._to
         self.streaming = True
@@ -271,6 +279,7 @@
         self._seed = seed
         self._drawn = 0
         slos = sorted({p.slo for p in settings.products})
+        self._slos = slos
         self._targets = [Target(i, slo) for i, slo in enumerate(slos)]
         self.offers = [Offer(p, self._targets[slos.index(p.slo)]) for p in settings.products]
         given = [s for s in slos if s > 0] or [min(p.timeout for p in settings.products) / MISS]
@@ -325,9 +334,37 @@
         self._rate = 0.0  # work (API calls of mean cost) per ms to a warm backend, smoothed over `fall`
         self._earned_at = 0.0
         self._looks_at = inf  # when the next look is due
+        self._recalled: dict[int, Met] = {}  # by name; each leaves as it is listed, all as a list comes
         # For the operators, beside the front's own counters; grows with nothing.
         self.counts = {"cold shots": 0, "bound full": 0, "empty list": 0, "no turn": 0, "late or used up": 0}
 
+    # What another process may go on with.
+
+    def learnt(self) -> Learnt:
+        """What stays true for whoever asks next. Loads, bounds, credit, states and shots out don't."""
+        return Learnt(
+            tuple(self._slos), self._tells,
+            tuple((t.typical, t.recent, t.ease, t.base) for t in self._targets),
+            tuple(Met(b.name, b.boot_time, b.listed, tuple(b.figure), b.ill) for b in self._ring))
+
+    def recall(self, learnt: Learnt) -> bool:
+        """Begin with that, before the first list; false, with nothing taken, if it means something else."""
+        if learnt.slos != tuple(self._slos) or learnt.live_weights is not self._tells:
+            return False
+        for t, (typical, recent, ease, base) in zip(self._targets, learnt.usual, strict=True):
+            t.typical, t.recent, t.ease, t.base = typical, recent or t.recent, ease or t.ease, base or t.base
+        self._recalled = {met.name: met for met in learnt.backends}
+        return True
+
+    def _remember(self, now: float, b: Backend, e: Listing) -> None:
+        met = self._recalled.pop(e.name, None)
+        if met is None or met.boot_time != e.boot_time or e.state is not State.READY:
+            return
+        b.figure, b.ill = list(met.figures), met.ill
+        b.listed = met.listed if self._tells else 0.0
+        # What was too slow gets a trial, due at once, and no turn before it.
+        b.held = [now if (f or 0.0) > t.slo else 0.0 for f, t in zip(b.figure, self._targets, strict=True)]
+
     # Events that belong to no API call.
 
     def start(self, now: float) -> None:
@@ -350,8 +387,9 @@
         if self._over_share(ask.customer):
             room *= LEAST_ROOM
         if self._tells:
-            # Guards against clients that come again at once, many times, with little time: first tries go ahead.
-            room *= (LEAST_ROOM if ask.again else 1.0) * min(1.0, max(0.1, (ask.until - now) / offer.target.slo))
+            # Guards against clients that come again at once, many times, with little time left.
+            left = (ask.until - now) / offer.target.slo
+            room *= (LEAST_ROOM if ask.again else 1.0) * min(1.0, max(LEAST_LEFT, left))
         call = Call(self, now, ask, work, room)
         self._budget = min(BUDGET_MAX, self._budget + BUDGET)
         self._trials = min(1.0, self._trials + TRIALS)
@@ -380,6 +418,7 @@
             b = self._backends.get(e.backend)
             if b is None:
                 b = self._backends[e.backend] = Backend(e.backend, len(self._targets))
+                self._remember(now, b, e)
                 b.turn = self._clock
                 if self._tells:
                     b.turn -= self._chance() * min(t.slo for t in self._targets) * FULL_AT
@@ -391,7 +430,7 @@
                 b.rest_until, b.refusals = 0.0, 0
                 b.credit = self._first_credit()
             b.name, b.zone, b.cell = e.name, e.zone, e.cell
-            weight = e.size or 1.0
+            weight = e.size if 0 < e.size < inf else b.listed or 1.0
             # Guards against a load that is taken for a size: homes and credit would wander with it.
             b.listed = max(b.listed, weight) if self._tells else weight
             b.load = b.listed / weight - 1
@@ -403,6 +442,8 @@
                     b.state = State.GONE
         for b in [b for b in self._backends.values() if b.state is State.GONE and not b.flight]:
             del self._backends[b.index]
+        if news is not News.CACHED:
+            self._recalled.clear()
         known = {b.index for b in self._ring if b.state is State.READY}
         self._ring = [b for b in self._ring if b.state is State.READY]
         for b in self._backends.values():
@@ -413,20 +454,7 @@
             # Guards against a list of changes, whose few raw sizes would mix with shares of the mean.
             b.size = b.listed / mean
         if self._tells and self._ring:
-            loads = sorted(b.load for b in self._ring)
-            middle = loads[len(loads) // 4:-(len(loads) // 4) or None]
-            self._by_list = self._agents > len(self._ring)
-            load, self._load = self._load, sum(middle) / len(middle)
-            if news is News.CHANGES and self._listed_at:
-                gap = now - self._listed_at
-                self._gap += NEWEST * (gap - self._gap) if self._gap else gap
-            self._listed_at = now
-            if self._gap:
-                most = min(0.65 * t.slo / t.base for t in self._targets)
-                answered = self._gap / max(t.base for t in self._targets)
-                excess = (2 * self._load - load - most) / 2
-                self._admit = min(1.0, max(0.01, self._admit * min(1.5, max(0.4, 1 - excess / answered))))
-            self._level = self._load * (1 + self._gap / (self._pace() or max(self._gap, 1.0)))
+            self._weigh(now, news)
         for t in self._targets:
             held = sorted((b for b in self._ring if b.held[t.index]), key=lambda b: b.figure[t.index] or 0.0)
             for b in held[:max(0, len(held) - int((1 - KEEP) * len(self._ring)))]:
@@ -435,11 +463,35 @@
         # Guards against agents that stay narrow on a fleet that grows: two shots for each ready backend,
         # shared among the agents, are not what chokes it.
         # Guards against a backend whose load is up to one or two agents.
-        self._least_used = max(3 if self._tells else 2, ceil(SHARED_BY * len(self._ring) / self._agents))
+        self._least_used = max(FEW if self._tells else 2, ceil(SHARED_BY * len(self._ring) / self._agents))
         self._least = FIRST_BOUND * max(1, len(self._ring)) / self._agents
         self._bound = max(self._least, self._bound)
         self.pump(now)
 
+    def _weigh(self, now: float, news: News) -> None:
+        """What the list says of the fleet: how much it holds, how old that is, and the share to admit.
+
+        Guards against hundreds of agents with a shot or two a second, each of which sees the fleet fill up
+        only when it is full, while the list, late as it is, tells all of them.
+        """
+        loads = sorted(b.load for b in self._ring)
+        middle = loads[len(loads) // 4:-(len(loads) // 4) or None]  # a few that hang say nothing of the fleet
+        before, self._load = self._load, sum(middle) / len(middle)
+        if news is News.CHANGES and self._listed_at:
+            gap = now - self._listed_at
+            self._gap += NEWEST * (gap - self._gap) if self._gap else gap
+        self._listed_at = now
+        # What a backend would hold by the time the next list comes if all were sent alike (Little): one that
+        # holds less has room for the difference. Guards against all agents that rush to what was idle then.
+        self._level = self._load * (1 + self._gap / (self._pace() or max(self._gap, 1.0)))
+        self._by_list = self._agents > len(self._ring)
+        if self._gap:
+            # By the trend, half of the excess at a time: guards against a share that swings with late lists.
+            excess = (2 * self._load - before - min(AIM * t.slo / t.base for t in self._targets)) / 2
+            answered = self._gap / max(t.base for t in self._targets)  # by a core, alone, until the next list
+            step = min(GROW, max(CUT, 1 - excess / answered))
+            self._admit = min(1.0, max(LEAST_ADMIT, self._admit * step))
+
     def _first_credit(self) -> float:
         # Guards against agents that hear of a cold backend together, earn alike, and all send in one instant.
         return self._chance() - 0.5  # nothing in the mean
@@ -479,7 +531,8 @@
             return
         why = "empty list" if not self._ring else "bound full" if self._full(now, call) else "no turn"
         self.counts[why] += 1
-        if now < self._stands_until(call) and self._ring and call.only is None and not (self._by_list and why == "bound full"):
+        refused = why == "bound full" and self._by_list  # a share has no room that a line could wait for
+        if now < self._stands_until(call) and self._ring and call.only is None and not refused:
             self._wait(now, call)
         else:
             self.give_up(now, call)
@@ -561,7 +614,7 @@
         """The next turn in the pool of the API call's SLO."""
         t = call.target.index
         if call.only is not None:
-            # It was chosen when the first of it went ahead: no room is found for it elsewhere, nor asked for again.
+            # It was chosen when the first of it went ahead: no room is found elsewhere, nor asked for again.
             return next((b for b in self._ring if call.may_use(b)), None)
         if self._full(now, call):
             return None
@@ -578,17 +631,19 @@
         pool = pool or usable
         if self._warm_keys and call.key is not None:
             homes = self._homes(pool, call.key)
-            calm = max(self._level, 1.5)
+            calm = max(self._level, CALM)
             b = self._turn(now, call, homes[:1] if homes and homes[0].load <= calm else homes)
             if b is not None:
                 return b
         awake = [b for b in pool if now >= b.rest_until]
+        most = max(self._least_used, int(FRESH * self._taken))
+        used = awake[:most]
         if self._tells:
-            used = [b for b in self._ring[:max(self._least_used, int(FRESH * self._taken))] if b in awake]
-            if len(used) < 2:
-                used = awake[:self._least_used]
-        else:
-            used = awake[:max(self._least_used, int(FRESH * self._taken))]
+            first = set(self._ring[:most])
+            used = [b for b in awake if b in first]
+        if len(used) < 2:
+            # Guards against a set that ejection and rest empty; while two are left, no new connection.
+            used = awake[:self._least_used]
         if len(used) < len(awake) and now >= self._exchange_at:
             self._exchange_at = now + self._hold * EXCHANGE
             worst = max(used, key=lambda b: b.figure[t] or 0.0)
@@ -599,7 +654,7 @@
         return self._turn(now, call, used)
 
     def ahead(self, now: float, product: int) -> int | None:
-        """The backend that a request too long to be kept goes ahead to, before its last byte makes it a shot."""
+        """The backend that a request too long to be kept goes ahead to; its last byte makes it a shot."""
         call = Call(self, now, Ask(None, product, inf), 1.0, 1.0)
         t = call.target.index
         self._earn(now)
@@ -614,7 +669,8 @@
         if self._tells and self._load < 1 and self._fullness <= FULL_SHARE:
             return False
         if self._by_list:
-            felt = self._fullness > FULL_SHARE / 2  # guards against lists that run far behind
+            # Guards against lists that run far behind: what they say counts beside slow shots of its own.
+            felt = self._fullness > FULL_SHARE / 2
             return felt and self._admit < 1 and self._chance() >= self._admit ** (1 / call.room)
         # Room is kept for the dearest only as far as shots are slow: with all in time, all may fill it.
         kept = (1 - call.room) * min(1.0, self._fullness / FULL_SHARE)
@@ -677,7 +733,7 @@
         """What a turn there costs."""
         usual = call.target.base if self._warm_keys and self._tells else self._usual(b, call.target)
         if self._tells and self._level:
-            usual /= max(0.05, 1 - b.load / self._level)
+            usual /= max(FLOOR, 1 - b.load / self._level)
         return call.work * usual / (b.size * self._ramp(now, b))
 
     def _due(self, now: float, b: Backend, call: Call) -> float:
@@ -795,6 +851,8 @@
         b, own, failed = shot.backend, call.target, ending is not Ending.FULFILLED
         # Guards against a wave of cold backends, slow by their age, that would narrow what the warm ones get.
         tells = not self._is_cold(now, b) and ending is not Ending.UNREACHABLE and ending not in SPOILT
+        # Where the list tells what is held, silence says that a backend hangs, not that too much is out.
+        tells = tells and not (self._tells and shot.overdue and b.silent_since <= shot.sent)
         if tells and not b.held[own.index]:
             self._learn_bound(now, failed or own.slow(latency))
         latency /= max(1.0, call.work)  # guards against a long API call that ejects a sound backend
--- a/lupinreach/config.py
+++ b/lupinreach/config.py
@@ -23,6 +23,7 @@
 WEIGHTS = {"off": False, "nominal": False, "rough": False, "live": True}  # if they move with what is held
 MOST_CONFIG_BYTES = 16 << 20
 LEAST_MEMORY = 32  # MB
+CARRY_AGE = 60.0  # s
 FEWEST_SOCKETS = 32  # below it there is no room for a client, a backend and the agent's own
 
 NEEDED: Any = object()  # in place of a default: the key must be there
@@ -211,6 +212,8 @@
     known: dict[str, Any]  # the list of backends as this agent last had it, in the directory's form
     settings: Settings
     mgmt: Address | None = None  # where operators connect; None: nowhere
+    carry: str | None = None  # file by which what was learnt goes from one process to the next; None: by none
+    carry_age: float = 0.0  # ms; what is older starts nobody
     inherited: int | None = None  # the descriptor on which clients connect, already listening; None: `listen`
 
 
@@ -254,5 +257,7 @@
         peers=tuple(_address(text, f"peers[{i}]") for i, text in enumerate(top.texts("peers"))),
         peers_all=top.address("peers_all") if top.text("peers_all", "") else None,
         known=top.mapping("known"),
+        carry=top.section("carry").text("file") if top.mapping("carry") else None,
+        carry_age=1000 * top.section("carry").number("most_age_s", CARRY_AGE, low=1.0),
         settings=read_settings(top.mapping("settings", NEEDED), "settings"),
     )
--- a/lupinreach/model.py
+++ b/lupinreach/model.py
@@ -168,6 +168,27 @@
     errors_per_s: float | None = None
 
 
+@dataclass(frozen=True)
+class Met:
+    """What an agent has learnt of one backend process and another agent may start with."""
+
+    name: int  # as in `Listing`
+    boot_time: float
+    listed: float  # its size in the list, where weights move at their highest
+    figures: tuple[float | None, ...]  # smoothed latency per SLO; None = unsampled
+    ill: float  # smoothed share of spoilt shots
+
+
+@dataclass(frozen=True)
+class Learnt:
+    """What an agent may hand on to the one that takes its place. It says nothing of states, nor of what is out."""
+
+    slos: tuple[float, ...]  # ms, 0 = none given; figures for others mean nothing here
+    live_weights: bool  # sizes read in the one way mean nothing in the other
+    usual: tuple[tuple[float, float, float, float], ...]  # per SLO: typical, recent, ease and base, in ms
+    backends: tuple[Met, ...]
+
+
 class Port(Protocol):
     """What the module asks of the front that hosts it."""
 
--- /dev/null
+++ b/tests/test_carry.py
@@ -0,0 +1,188 @@
+"""What one process hands to the next: the file, what of it is believed, and the first seconds after a switch."""
+
+import asyncio
+import json
+import os
+import sys
+
+import pytest
+
+from helpers import DRAINING, READY, Bench, Site, run, settings, target
+from lupinreach.config import BadConfig
+from lupinreach.model import Learnt, Listing, Met, News
+from lupinreach.ops.carry import MOST_BACKENDS, Unfit, read, written
+from test_config import RAW
+from test_config import read as read_file
+from upgrading import PATIENT, WAITS, platform
+
+LIVE = settings(live_weights=True, agents=2, slo=400.0)
+
+
+def warmed(given=LIVE, loads=(0.0, 0.0, 0.0, 0.0)):
+    """An agent that has served for a while; backend 2 answers late."""
+    bench = Bench(given, entries=[Listing(i, READY, size=4.0, name=70 + i) for i in range(4)])
+    bench.move(100.0)
+    bench.list(News.CHANGES, [Listing(i, READY, size=4.0 / (1 + load), name=70 + i) for i, load in enumerate(loads)])
+    for n in range(80):
+        bench.take(n)
+        at = bench.sent_to(n)[0]
+        bench.move(20.0)
+        bench.answer(n, 300.0 if at == 2 else 40.0, number=0)
+    return bench
+
+
+def fresh(entries, given=LIVE, learnt=None):
+    bench = Bench(given, entries=[Listing(90, READY, name=1)])
+    taken = learnt is None or bench.agent.recall(learnt)
+    bench.list(News.FULL, entries)
+    return bench, taken
+
+
+def test_sizes_and_figures_of_the_same_process_are_kept_and_nothing_else():
+    old = warmed(loads=(3.0, 0.0, 0.0, 0.0))
+    learnt = old.agent.learnt()
+    # Listed under load, so that without what was carried its size would be read too low.
+    entries = [Listing(i, READY, size=1.0, name=70 + i) for i in range(4)]
+    new, taken = fresh(entries, learnt=learnt)
+    assert taken
+    before, after = ({b.name: b for b in x.agent._ring} for x in (old, new))
+    for name, b in after.items():
+        assert (b.listed, b.figure) == (before[name].listed, before[name].figure)
+        assert b.load == pytest.approx(3.0)
+        assert (b.flight, b.credit, b.sent, b.trial) == (0, 0.0, 0.0, None)
+    assert [t.typical for t in new.agent._targets] == [t.typical for t in old.agent._targets]
+    blank, _ = fresh(entries)
+    assert (new.agent._bound, new.agent._admit) == (blank.agent._bound, blank.agent._admit)
+    assert not new.agent._recalled
+
+
+def test_a_restarted_a_draining_and_an_unknown_backend_start_afresh():
+    learnt = warmed().agent.learnt()
+    entries = [Listing(0, READY, boot_time=5.0, size=1.0, name=70), Listing(1, DRAINING, size=1.0, name=71),
+               Listing(2, READY, size=1.0, name=72), Listing(3, READY, size=1.0, name=99)]
+    new, _ = fresh(entries, learnt=learnt)
+    known = {b.name: b for b in new.agent._backends.values()}
+    assert [known[n].figure for n in (70, 99)] == [[None]] * 2
+    assert known[72].figure[0] is not None
+    used = {new.serve(n, 30.0) for n in range(30)}
+    assert 1 not in used and len(used) > 1
+
+
+def test_an_ejected_backend_stays_ejected_until_a_trial_that_is_due_at_once():
+    ejected = Met(72, 0.0, 4.0, (800.0,), 0.0)
+    learnt = Learnt((400.0,), True, ((40.0, 40.0, 40.0, 40.0),), (ejected,))
+    new, taken = fresh([Listing(i, READY, size=4.0, name=70 + i) for i in range(4)], learnt=learnt)
+    assert taken
+    b = next(b for b in new.agent._ring if b.name == 72)
+    assert b.held[0] and not b.trial
+    first = new.serve("first", 30.0)
+    assert first == 2 and not b.held[0]
+
+
+@pytest.mark.parametrize("other", [settings(live_weights=False), settings(live_weights=True, slo=500.0)])
+def test_figures_for_other_slos_or_other_weights_are_not_taken(other):
+    new, taken = fresh([Listing(0, READY, name=70)], other, warmed().agent.learnt())
+    assert not taken and new.agent._ring[0].figure == [None]
+
+
+def test_the_file_reads_back_and_is_bounded():
+    learnt = warmed().agent.learnt()
+    assert read(written(learnt, 1234.5)) == (1234.5, learnt)
+    many = Learnt((400.0,), True, ((1.0, 1.0, 1.0, 1.0),),
+                  tuple(Met(i, 0.0, 1.0, (None,), 0.0) for i in range(2 * MOST_BACKENDS)))
+    assert len(read(written(many, 1.0))[1].backends) == MOST_BACKENDS
+
+
+def test_each_fault_of_a_file_is_named_and_nothing_of_it_taken():
+    good = json.loads(written(warmed().agent.learnt(), 1.0))
+    row = good["backends"][0]
+    for change in ({"form": 2}, {"slos": [400.0, 1.0]}, {"slos": None}, {"live_weights": 1}, {"usual": [[1.0]]},
+                   {"at": "soon"}, {"at": None}, {"backends": 3}, {"backends": [row[:-1]]},
+                   {"backends": [[*row[:2], -1.0, *row[3:]]]}, {"backends": [[*row[:2], 1e300, *row[3:]]]},
+                   {"backends": [["s-1", *row[1:]]]}, {"backends": [[*row[:4], 2.0]]},
+                   {"backends": [row] * (MOST_BACKENDS + 1)}):
+        with pytest.raises(Unfit):
+            read(json.dumps(good | change).encode())
+    text = json.dumps(good).encode()
+    for torn in (b"", text[:-5], b"[]", b"\xff" + text, text.replace(b"400.0", b"NaN", 1)):
+        with pytest.raises(Unfit):
+            read(torn)
+
+
+@pytest.mark.parametrize("carry, message", [
+    ({"most_age_s": 5}, "carry.file: missing"), ({"file": 3}, "carry.file: 3 is no text"),
+    ({"file": "/x", "most_age_s": 0}, "carry.most_age_s: 0 is out of range"), ([], "carry: must be an object"),
+])
+def test_the_configuration_of_the_file_is_checked(tmp_path, carry, message):
+    with pytest.raises(BadConfig) as bad:
+        read_file(tmp_path, RAW | {"carry": carry})
+    assert str(bad.value).startswith(message)
+
+
+def test_without_a_word_nothing_is_carried(tmp_path):
+    assert read_file(tmp_path, RAW).carry is None
+    config = read_file(tmp_path, RAW | {"carry": {"file": "/x"}})
+    assert (config.carry, config.carry_age) == ("/x", 60_000.0)
+
+
+async def lines_of(process):
+    return [json.loads(line) for line in (await process.stdout.read()).splitlines()]
+
+
+@pytest.mark.parametrize("fault", ["", "torn", "old"])
+def test_a_process_says_what_it_carried_and_a_bad_file_stops_no_start(tmp_path, fault):
+    async def main():
+        async with Site(target("s-1", "127.0.0.1:9")) as site:
+            path = tmp_path / "carried"
+            at = site.agent.clock.now() - (3.6e6 if fault == "old" else 1000.0)
+            learnt = site.agent.balancer.learnt()
+            path.write_bytes(written(learnt, at)[:-9 if fault == "torn" else None])
+            raw = site.raw | {"listen": "127.0.0.1:0", "carry": {"file": str(path)}}
+            config = tmp_path / "config.json"
+            config.write_text(json.dumps(raw))
+            process = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", "lupinreach", env=os.environ | {"PROXY_CONFIG": str(config)},
+                stdout=asyncio.subprocess.PIPE, cwd=os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+            lines = []
+            while not any(line["event"] == "started" for line in lines):
+                lines.append(json.loads(await asyncio.wait_for(process.stdout.readline(), WAITS)))
+            process.terminate()
+            lines += await lines_of(process)
+            assert await process.wait() == 0
+            return lines, read(path.read_bytes())
+
+    lines, (at, learnt) = run(main())
+    said = [line for line in lines if line["event"].startswith("carried")]
+    assert len(said) == 1
+    if fault:
+        assert said[0]["event"] == "carried nothing" and ("torn" if fault == "torn" else "s old") in said[0]["why"]
+    else:
+        assert said[0]["event"] == "carried" and said[0]["backends"] == 1 and 1000 <= said[0]["age_ms"] < 20_000
+    assert len(learnt.backends) == 1 and at > 0  # left anew at the end
+
+
+def test_a_switch_to_the_new_shape_and_back_under_steady_clients_loses_nothing(tmp_path):
+    shape = PATIENT | {"weight_kind": "live", "discovery": "pushed", "fleet_size": 20}
+
+    async def main():
+        async with platform(tmp_path) as site:
+            raw = json.loads((tmp_path / "config.json").read_text())
+            carry = {"carry": {"file": str(tmp_path / "carried")}}
+            (tmp_path / "config.json").write_text(json.dumps(raw | carry))
+            (tmp_path / "moved.json").write_text(json.dumps(raw | carry | {"settings": shape}))
+            first = await site.start()
+            await asyncio.sleep(0.5)
+            moved = await site.upgrade(first, PROXY_CONFIG=str(tmp_path / "moved.json"))
+            await asyncio.sleep(1.0)
+            again = await site.upgrade(moved, PROXY_CONFIG=str(tmp_path / "moved.json"))  # within the new shape
+            await asyncio.sleep(0.5)
+            back = await site.upgrade(again)
+            await asyncio.sleep(0.5)
+            back.terminate()
+            await back.wait()
+            return site.seen
+
+    seen = run(main())
+    assert seen.answers[200] > 100 and set(seen.answers) <= {200}
+    assert seen.lost == 0
+    assert max(seen.runs.values()) == 1
--- a/tests/upgrading.py
+++ b/tests/upgrading.py
@@ -61,16 +61,16 @@
         self.processes.append(process)
         return process, door
 
-    async def start(self) -> asyncio.subprocess.Process:
+    async def start(self, **more: str) -> asyncio.subprocess.Process:
         """A process that has said yes."""
-        process, door = await self.spawn()
+        process, door = await self.spawn(**more)
         while not await says_yes(door):
             assert process.returncode is None
             await asyncio.sleep(0.01)
         return process
 
-    async def upgrade(self, old: asyncio.subprocess.Process) -> asyncio.subprocess.Process:
-        new = await self.start()
+    async def upgrade(self, old: asyncio.subprocess.Process, **more: str) -> asyncio.subprocess.Process:
+        new = await self.start(**more)
         old.send_signal(signal.SIGTERM)
         assert await asyncio.wait_for(old.wait(), WAITS) == 0
         return new
