--- a/lupinreach/balance.py
+++ b/lupinreach/balance.py
@@ -145,7 +145,7 @@
     """One shot of an API call; lives as long as its API call."""
 
     __slots__ = ("number", "backend", "sent", "load", "out", "ran", "overdue", "trial", "called_off",
-                 "passing")
+                 "passing", "lost")
 
     def __init__(self, number: int, backend: Backend, sent: float) -> None:
         self.number = number
@@ -157,6 +157,7 @@
         self.overdue = False
         self.trial = False
         self.called_off = False
+        self.lost = False  # its backend has sent nothing since: it takes up no room of the bound any more
         self.passing = False  # its answer is on its way to the client, and was booked when it began
 
 
@@ -803,7 +804,7 @@
         """Book the end of a shot."""
         b = shot.backend
         b.flight -= 1
-        self._flight -= 1
+        self._flight -= not shot.lost
         target = call.target
         failed = ending is not Ending.FULFILLED
         if shot.trial:
@@ -851,9 +852,7 @@
         b, own, failed = shot.backend, call.target, ending is not Ending.FULFILLED
         # Guards against a wave of cold backends, slow by their age, that would narrow what the warm ones get.
         tells = not self._is_cold(now, b) and ending is not Ending.UNREACHABLE and ending not in SPOILT
-        # Where the list tells what is held, silence says that a backend hangs, not that too much is out.
-        tells = tells and not (self._tells and shot.overdue and b.silent_since <= shot.sent)
-        if tells and not b.held[own.index]:
+        if tells and not shot.lost and not b.held[own.index]:
             self._learn_bound(now, failed or own.slow(latency))
         latency /= max(1.0, call.work)  # guards against a long API call that ejects a sound backend
         for t in self._targets:
@@ -948,6 +947,10 @@
                     # Guards against backends that take work and answer nothing: evidence before it ends.
                     shot.overdue = True
                     b, usual = shot.backend, shot.backend.figure[call.target.index] or 0.0
+                    # Where the list tells what is held, silence says that a backend hangs or is cut off, and not
+                    # that too much is out. Guards against an idle fleet refused for want of room.
+                    shot.lost = self._tells and not self._by_list and b.silent_since <= shot.sent
+                    self._flight -= shot.lost
                     if b.silent_since <= shot.sent and now - shot.sent > SILENT * usual:
                         # Nothing at all came back since, nor ever takes as long: one such shot says enough.
                         b.figure = [MISS * t.slo for t in self._targets]
