--- a/lupinreach/balance.py
+++ b/lupinreach/balance.py
@@ -787,7 +787,7 @@
             rate = self._rate * keep + (1 - keep) * sent / passed
             # Falls slowly: guards against losing the rate, and with it all credit, while the warm ones fail.
             self._rate = max(rate, self._rate * (1 - passed / self._cold))
-        few = len(warm) < KEEP * len(self._ring)
+        few = self._tells or len(warm) < KEEP * len(self._ring)
         for b in self._ring:
             if self._is_cold(now, b):
                 earned = self._rate * b.size * self._capacity(now, b) * (self._when_few if few else 1.0)
