--- a/lupinreach/adapter/wire.py
+++ b/lupinreach/adapter/wire.py
@@ -19,6 +19,7 @@
     "revoked": Ending.CANCELLED, "unused": Ending.UNSENT,
 }
 HINTED, REPEATED, WRITES = 1, 2, 4
+MOST_REPORTED = 1e9  # of anything: a report with more, with less than nothing or no number is none
 MOST_LISTS = 16
 MOST_PEER_BYTES = 256
 
@@ -93,7 +94,7 @@
         return index
 
     def _load(self, row: list[float] | None) -> Load | None:
-        if not row:
+        if not row or not all(type(x) in (int, float) and 0 <= x <= MOST_REPORTED for x in row):
             return None
         named = zip(self._fields, row, strict=False)
         return Load(**{k: v for k, v in named if k in Load.__dataclass_fields__})
--- a/lupinreach/net/call.py
+++ b/lupinreach/net/call.py
@@ -10,8 +10,9 @@
 from zlib import crc32
 
 from lupinreach.balance import Call
-from lupinreach.model import Ask, Kind
+from lupinreach.model import Ask, Kind, Load
 from lupinreach.net import http, protocol
+from lupinreach.net.counters import Counters
 from lupinreach.net.ends import ENDINGS, End
 from lupinreach.net.reply import Reply
 from lupinreach.net.serving import Serving
@@ -152,8 +153,7 @@
                         shot = shots[number].shot
                         counters.shots[shot.end.value] += 1
                         answer, served = shot.answer, shot.end is End.SERVED
-                        load = read_load(answer.header(protocol.LOAD)) if answer else None
-                        counters.others["load reports"] += load is not None
+                        load = _reported(counters, answer) if answer else None
                         took = now() - shots[number].sent if shot.took is None else shot.took
                         call.ended(now(), number, ENDINGS[shot.end], took, served, load)
                         if served and answer:
@@ -226,8 +226,7 @@
             out.task.cancel()
             return
         self._passing = number
-        load = read_load(shot.answer.header(protocol.LOAD))
-        serving.counters.others["load reports"] += load is not None
+        load = _reported(serving.counters, shot.answer)
         call.began(serving.clock.now(), number, shot.took or 0.0, load)
         lines = http.passed_on(shot.answer, protocol.BETWEEN_BACKEND_AND_AGENT)
         shot.pass_on(self._answers.begin(protocol.SERVED, lines, shot.length))
@@ -297,3 +296,12 @@
     if text is None or not NUMBER.fullmatch(text):
         raise BadRequest(f"{name.decode().title()} is missing or no number")
     return float(text)
+
+
+def _reported(counters: Counters, answer: http.Message) -> Load | None:
+    """The load that an answer reports; one that can't be believed is counted and no more."""
+    text = answer.header(protocol.LOAD)
+    load = read_load(text)
+    counters.others["load reports"] += load is not None
+    counters.others["load reports ignored"] += bool(text) and load is None
+    return load
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -59,6 +59,17 @@
     assert acts(host, 1060.0, *late) == []
 
 
+@pytest.mark.parametrize("metrics", [[-1, 0], [1e300, 0], ["many", 1], [True, 1], [None, 2], [float("nan"), 1]])
+def test_a_report_that_no_backend_can_make_is_none(metrics, monkeypatch):
+    host, _ = started()
+    told = []
+    monkeypatch.setattr("lupinreach.balance.Balancer.probed", lambda self, *what: told.append(what[-1]))
+    acts(host, 1005.0, {"t": "check_result", "i": 0, "backend": 70, "ending": "delivered", "metrics": metrics})
+    acts(host, 1005.0, {"t": "check_result", "i": 0, "backend": 4711, "ending": "delivered", "metrics": [3, 1]})
+    assert told[0] is None and told[1] is not None
+    assert {a["backend"] for a in tries(acts(host, 1006.0, *(req(n) for n in range(20))))} <= {70, 71}
+
+
 @pytest.mark.parametrize("ending", ["app_error", "shed", "expired", "dial_failed", "dropped", "unused"])
 def test_every_failure_leads_to_another_shot_or_an_answer(ending):
     host, _ = started()
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -874,6 +874,25 @@
     run(work())
 
 
+def test_reports_that_cannot_be_believed_are_counted_and_heeded_by_nobody():
+    async def work():
+        heads = iter([b"inflight=-3", b"inflight=many", b"queue=1e300", b"inflight=2", b""])
+
+        async def script(request, writer):
+            report = next(heads)
+            line = b"Srv-Load: " + report + b"\r\n" if report else b""
+            writer.write(b"HTTP/1.1 200 OK\r\n" + line + b"Content-Length: 4\r\n\r\nfine")
+
+        async with Peer(script) as backend, Site(target("s-1", backend.address)) as site:
+            for _ in range(5):
+                assert b" 200 " in await site.ask(look())
+            await site.settled()
+            others = site.agent.counters.others
+            assert (others["load reports"], others["load reports ignored"]) == (1, 3)
+            assert site.agent.balancer._crowd == 2.0
+    run(work())
+
+
 def test_load_reports():
     load = read_load(b"inflight=7, queue=2,util=0.61,novel=3")
     assert (load.in_flight, load.waiting, load.busy, load.latency) == (7.0, 2.0, 0.61, None)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -5,6 +5,7 @@
 import pytest
 
 from helpers import DRAINING, GONE, READY, Bench, PlainCall, PlainShot, settings
+from lupinreach.balance import Balancer, Call
 from lupinreach.model import Ending, Group, Kind, Listing, News, State
 
 KINDS = (
@@ -17,9 +18,12 @@
 class History:
     """A random history; every action of the module is checked by the plain model as it is made."""
 
-    def __init__(self, seed: int, copies: bool, shots: int) -> None:
+    def __init__(self, seed: int, copies: bool, shots: int, live: bool = False, agents: int = 1) -> None:
+        """`live`: lists come often, with weights that move with load; `agents` more than backends refuse by them."""
         self.rng = random.Random(seed)
-        self.given = settings(KINDS, slo=600.0, memory=250.0, shots=shots, copies=copies, cold=3000.0)
+        self.live = live
+        self.given = settings(KINDS, slo=600.0, memory=250.0, shots=shots, copies=copies, cold=3000.0,
+                              live_weights=live, agents=agents, warm_keys=live)
         self.listings = {i: Listing(i, READY, zone=i % 2, cell=i % 3) for i in range(6)}
         self.bench = Bench(self.given, seed=seed, entries=list(self.listings.values()))
         self.plain: dict[int, PlainCall] = {}
@@ -47,6 +51,8 @@
 
     def rate_limit(self, token, retry_after):
         self.answered(token, "rate-limited")
+        if retry_after <= 0:
+            self.wrong.append(f"no word of when to come back (API call {token})")
 
     def error(self, token):
         self.answered(token, "errored")
@@ -94,7 +100,7 @@
             left = rng.choice((60.0, 800.0, 2000.0))
             self.plain[token] = PlainCall(self.given.products[product], self.given.limits, bench.now + left)
             bench.calls[token] = None
-            call = bench.take(token, product, left)
+            call = bench.take(token, product, left, key=token % 3, again=token % 4 == 0)
             for number in range(len(self.plain[token].shots)):
                 assert call.shots[number].number == number
         elif what < 0.75:
@@ -104,7 +110,7 @@
                 good = rng.random() < self.good
                 self.end(token, number, Ending.FULFILLED if good else rng.choice(FAILURES))
         elif what < 0.80:
-            self.relist()
+            self.reweigh() if self.live and rng.random() < 0.7 else self.relist()
         elif what < 0.82:
             alive = [t for t, c in self.plain.items() if not c.final]
             if alive:
@@ -129,6 +135,13 @@
                     self.wrong.append(f"no final answer in time (API call {token})")
                     call.final.append("lost")
 
+    def reweigh(self):
+        load = self.rng.choice((0.0, 1.0, 6.0))
+        for b, old in self.listings.items():
+            weight = 4.0 / (1 + load * self.rng.random() * 2)
+            self.listings[b] = Listing(b, old.state, old.boot_time, weight, old.zone, old.cell, b)
+        self.bench.list(News.CHANGES, list(self.listings.values()))
+
     def relist(self):
         b = self.rng.randrange(8)
         old = self.listings.get(b, Listing(b, GONE, zone=b % 2, cell=b % 3))
@@ -148,7 +161,35 @@
 @pytest.mark.parametrize("copies", [True, False])
 @pytest.mark.parametrize("seed", range(12))
 def test_module_and_plain_model_agree(seed, copies):
-    history = History(seed, copies, shots=2 + seed % 4)
+    agree(History(seed, copies, shots=2 + seed % 4))
+
+
+@pytest.mark.parametrize("agents", [2, 100])
+@pytest.mark.parametrize("seed", range(8))
+def test_they_agree_where_weights_move_with_load(seed, agents):
+    agree(History(seed, copies=seed % 2 == 0, shots=2 + seed % 4, live=True, agents=agents))
+
+
+@pytest.mark.parametrize("plant", ["draining", "twice", "silent refusal"])
+def test_a_planted_fault_is_caught(plant, monkeypatch):
+    if plant == "draining":
+        monkeypatch.setattr(Call, "may_use", lambda self, b: True)
+        monkeypatch.setattr(Balancer, "_choose", lambda self, now, call: next(iter(self._backends.values()), None))
+    elif plant == "twice":
+        monkeypatch.setattr(Call, "may_send", lambda self, now: not self.done)
+    else:
+        refuse = Balancer.give_up
+
+        def silent(self, now, call):
+            self._most_retry_after = 0.0
+            refuse(self, now, call)
+        monkeypatch.setattr(Balancer, "give_up", silent)
+    with pytest.raises(AssertionError):
+        for seed in range(4):
+            agree(History(seed, copies=False, shots=3, live=True, agents=100))
+
+
+def agree(history):
     for _ in range(700):
         history.step()
         assert not history.wrong
