--- a/lupinreach/balance.py
+++ b/lupinreach/balance.py
@@ -57,6 +57,7 @@
 FEW = 3  # backends that an agent uses where the list tells loads and agents outnumber backends
 AIM = 0.65  # x SLO over what a shot takes where there is room: API calls held a core that come back in time
 LEAST_ADMIT, CUT, GROW = 0.01, 0.4, 1.5  # the least share admitted, and how far one list moves it
+BEYOND = 1e3  # x mean size: no weight is as large
 FLOOR = 0.05  # of a turn's pace, for a backend that holds more than the level
 SOON = 0.05  # weight of the newest shot in the share of slow ones
 SPAN = 4.0  # x longest SLO: evidence of slow shots older than that counts for nothing, yet
@@ -320,10 +321,11 @@
         self._least_used, self._exchange_at = 2, 0.0
         self._tells = settings.live_weights
         self._gap = self._listed_at = 0.0  # between two lists, smoothed
-        self._level = 0.0
-        self._admit = 1.0
-        self._by_list = False
-        self._load = 0.0  # median load of the ready backends
+        self._level = 0.0  # of load, from which on a backend has no room until the next list
+        self._mean = 0.0  # of the sizes as listed; 0 = none seen
+        self._admit = 1.0  # share of API calls, where
+        self._by_list = False  # agents outnumber backends, so that the list tells more than own shots
+        self._load = 0.0  # mean load of the middle half of the ready backends
         self._crowd = 0.0  # mean reported in flight for a backend's size
         self._peak = 0  # most shots out since the bound was last narrowed
         self._live: dict[Call, None] = {}  # API calls with shots out; each leaves when its last shot ended
@@ -431,7 +433,9 @@
                 b.rest_until, b.refusals = 0.0, 0
                 b.credit = self._first_credit()
             b.name, b.zone, b.cell = e.name, e.zone, e.cell
-            weight = e.size if 0 < e.size < inf else b.listed or 1.0
+            weight = e.size or 1.0
+            if self._tells and not 0 < weight < (self._mean * BEYOND or inf):
+                weight = b.listed or 1.0  # guards against one wrong weight that would be the highest for good
             # Guards against a load that is taken for a size: homes and credit would wander with it.
             b.listed = max(b.listed, weight) if self._tells else weight
             b.load = b.listed / weight - 1
@@ -450,7 +454,7 @@
         for b in self._backends.values():
             if b.state is State.READY and b.index not in known:
                 self._ring.insert(int(self._chance() * (len(self._ring) + 1)), b)
-        mean = sum(b.listed for b in self._ring) / len(self._ring) if self._ring else 1.0
+        self._mean = mean = sum(b.listed for b in self._ring) / len(self._ring) if self._ring else 1.0
         for b in self._ring:
             # Guards against a list of changes, whose few raw sizes would mix with shares of the mean.
             b.size = b.listed / mean
@@ -947,8 +951,8 @@
                     # Guards against backends that take work and answer nothing: evidence before it ends.
                     shot.overdue = True
                     b, usual = shot.backend, shot.backend.figure[call.target.index] or 0.0
-                    # Where the list tells what is held, silence says that a backend hangs or is cut off, and not
-                    # that too much is out. Guards against an idle fleet refused for want of room.
+                    # Where the list tells what is held, silence says that a backend hangs or is cut off,
+                    # not that too much is out. Guards against an idle fleet refused for want of room.
                     shot.lost = self._tells and not self._by_list and b.silent_since <= shot.sent
                     self._flight -= shot.lost
                     if b.silent_since <= shot.sent and now - shot.sent > SILENT * usual:
--- a/tests/test_live.py
+++ b/tests/test_live.py
@@ -128,9 +128,12 @@
             read_settings(raw | {"weight_kind": wrong}, "settings")
 
 
-@pytest.mark.parametrize("size", [0.0, 1e-9, 1e9])
-def test_a_weight_out_of_all_reason_breaks_nothing(size):
+@pytest.mark.parametrize("size", [0.0, -3.0, 1e9, float("inf"), float("nan")])
+def test_a_weight_out_of_all_reason_is_not_taken(size):
     bench = live()
+    tell(bench, [1.0] * 4)
     bench.list(News.CHANGES, [Listing(0, READY, size=size)])
-    tell(bench, [0.0] * 4)
-    assert {bench.serve(n, 30.0) for n in range(40)}
+    tell(bench, [1.0] * 4)
+    assert {b.size for b in bench.agent._ring} == {1.0}
+    assert {round(b.load, 6) for b in bench.agent._ring} == {1.0}
+    assert len({bench.serve(n, 30.0) for n in range(40)}) == 4
