--- a/lupinreach/ops/carry.py
+++ b/lupinreach/ops/carry.py
@@ -104,7 +104,10 @@
 
     def leave(self) -> None:
         """Write the file in one step, so that nobody reads half of it."""
-        text = written(self._agent.balancer.learnt(), self._agent.clock.now())
+        learnt = self._agent.balancer.learnt()
+        if not learnt.backends:
+            return  # guards against a process that never saw a list and would wipe out what another has left
+        text = written(learnt, self._agent.clock.now())
         try:
             descriptor, path = tempfile.mkstemp(dir=os.path.dirname(self._path) or ".", prefix="lupinreach-")
             with os.fdopen(descriptor, "wb") as file:
--- a/tests/test_carry.py
+++ b/tests/test_carry.py
@@ -10,7 +10,7 @@
 from helpers import DRAINING, READY, Bench, Site, run, settings, target
 from lupinreach.config import BadConfig
 from lupinreach.model import Learnt, Listing, Met, News
-from lupinreach.ops.carry import MOST_BACKENDS, Unfit, read, written
+from lupinreach.ops.carry import MOST_BACKENDS, Carry, Unfit, read, written
 from test_config import RAW
 from test_config import read as read_file
 from upgrading import PATIENT, WAITS, platform
@@ -109,6 +109,20 @@
             read(torn)
 
 
+def test_an_agent_that_saw_no_list_leaves_what_another_has_left(tmp_path):
+    path = tmp_path / "carried"
+    path.write_bytes(b"of another")
+
+    async def work():
+        async with Site() as blind, Site(target("s-1", "127.0.0.1:9")) as sees:
+            Carry(blind.agent, str(path), 1e4).leave()
+            assert path.read_bytes() == b"of another"
+            Carry(sees.agent, str(path), 1e4).leave()
+    run(work())
+    assert len(read(path.read_bytes())[1].backends) == 1
+    assert os.listdir(tmp_path) == ["carried"]
+
+
 @pytest.mark.parametrize("carry, message", [
     ({"most_age_s": 5}, "carry.file: missing"), ({"file": 3}, "carry.file: 3 is no text"),
     ({"file": "/x", "most_age_s": 0}, "carry.most_age_s: 0 is out of range"), ([], "carry: must be an object"),
