--- a/tests/test_carry.py
+++ b/tests/test_carry.py
@@ -79,6 +79,21 @@
     assert first == 2 and not b.held[0]
 
 
+def test_a_cold_backend_gets_no_more_in_the_first_second_than_from_an_agent_that_carries_nothing():
+    learnt = warmed().agent.learnt()
+
+    def first_second(carried):
+        entries = [Listing(i, READY, size=4.0, name=70 + i) for i in range(3)]
+        cold = Listing(3, READY, boot_time=1_000_000.0, size=4.0, name=73)  # carried as another process, warm
+        new, _ = fresh([*entries, cold], learnt=learnt if carried else None)
+        sent = [new.serve(n, 10.0) for n in range(100)]
+        return sent.count(3), sent
+
+    carried, sent = first_second(True)
+    assert carried <= first_second(False)[0] + 1 and carried < 0.5 * len(sent) / 4
+    assert set(sent) >= {0, 1}
+
+
 @pytest.mark.parametrize("other", [settings(live_weights=False), settings(live_weights=True, slo=500.0)])
 def test_figures_for_other_slos_or_other_weights_are_not_taken(other):
     new, taken = fresh([Listing(0, READY, name=70)], other, warmed().agent.learnt())
