One atomic write, one judgement of load reports; the module's opening is true again

The simulator's adapter judged reports by a check of its own beside the sockets' one: both call config.believed, the adapter by the tighter bound. Out: a set built for each API call where an agent uses all backends. The opening of balance.py still told of two homes and no share; a comment broke off.

--- a/lupinreach/adapter/wire.py
+++ b/lupinreach/adapter/wire.py
@@ -10,7 +10,7 @@
 from typing import Any
 
 from lupinreach.balance import Balancer, Call
-from lupinreach.config import BadConfig, read_settings
+from lupinreach.config import BadConfig, believed, read_settings
 from lupinreach.model import Ask, Ending, Listing, Load, News, State
 
 ENDINGS = {
@@ -19,7 +19,6 @@
     "revoked": Ending.CANCELLED, "unused": Ending.UNSENT,
 }
 HINTED, REPEATED, WRITES = 1, 2, 4
-MOST_REPORTED = 1e9  # of anything: a report with more, with less than nothing or no number is none
 MOST_LISTS = 16
 MOST_PEER_BYTES = 256
 
@@ -94,7 +93,7 @@
         return index
 
     def _load(self, row: list[float] | None) -> Load | None:
-        if not row or not all(type(x) in (int, float) and 0 <= x <= MOST_REPORTED for x in row):
+        if not row or not believed(row):
             return None
         named = zip(self._fields, row, strict=False)
         return Load(**{k: v for k, v in named if k in Load.__dataclass_fields__})
--- a/lupinreach/balance.py
+++ b/lupinreach/balance.py
@@ -11,12 +11,14 @@
   1. cold credit: a starting backend earns its shots from what warm ones are sent          (Balancer._earn)
   2. a bound in flight: no more shots out than come back well in time; what finds it full stands in a short
      line, dearest first                                                     (_learn_bound, _wait, pump)
+     where the list tells loads to more agents than backends, a share of the API calls takes its place
+                                                                                     (_weigh, _full)
   3. further shots: after a failure or beside a late shot, out of a budget            (Call.ended, _second)
   4. bounded ejection: half of the backends stay, what is slow with all others stays, and trials
      take a small share of the API calls                                             (_eject, _choose)
   5. rest and silence: no turn after a quick failure, a report of far too much in flight, or while
      nothing at all comes back                                                         (_turn, landed)
-  6. some backends only: a small agent uses a few, a key is at home at two                   (_choose, _homes)
+  6. some backends only: a small agent uses a few, a key is at home at few                   (_choose, _homes)
 """
 
 from __future__ import annotations
@@ -281,7 +283,7 @@
         self._seed = seed
         self._drawn = 0
         slos = sorted({p.slo for p in settings.products})
-        self._slos = slos
+        self._slos = tuple(slos)
         self._targets = [Target(i, slo) for i, slo in enumerate(slos)]
         self.offers = [Offer(p, self._targets[slos.index(p.slo)]) for p in settings.products]
         given = [s for s in slos if s > 0] or [min(p.timeout for p in settings.products) / MISS]
@@ -323,7 +325,7 @@
         self._gap = self._listed_at = 0.0  # between two lists, smoothed
         self._level = 0.0  # of load, from which on a backend has no room until the next list
         self._mean = 0.0  # of the sizes as listed; 0 = none seen
-        self._admit = 1.0  # share of API calls, where
+        self._admit = 1.0  # share of the API calls that go on, in place of the bound where `_by_list`
         self._by_list = False  # agents outnumber backends, so that the list tells more than own shots
         self._load = 0.0  # mean load of the middle half of the ready backends
         self._crowd = 0.0  # mean reported in flight for a backend's size
@@ -346,13 +348,13 @@
     def learnt(self) -> Learnt:
         """What stays true for whoever asks next. Loads, bounds, credit, states and shots out don't."""
         return Learnt(
-            tuple(self._slos), self._tells,
+            self._slos, self._tells,
             tuple((t.typical, t.recent, t.ease, t.base) for t in self._targets),
             tuple(Met(b.name, b.boot_time, b.listed, tuple(b.figure), b.ill) for b in self._ring))
 
     def recall(self, learnt: Learnt) -> bool:
         """Begin with that, before the first list; false, with nothing taken, if it means something else."""
-        if learnt.slos != tuple(self._slos) or learnt.live_weights is not self._tells:
+        if learnt.slos != self._slos or learnt.live_weights is not self._tells:
             return False
         for t, (typical, recent, ease, base) in zip(self._targets, learnt.usual, strict=True):
             t.typical, t.recent, t.ease, t.base = typical, recent or t.recent, ease or t.ease, base or t.base
@@ -643,7 +645,7 @@
         awake = [b for b in pool if now >= b.rest_until]
         most = max(self._least_used, int(FRESH * self._taken))
         used = awake[:most]
-        if self._tells:
+        if self._tells and most < len(self._ring):
             first = set(self._ring[:most])
             used = [b for b in awake if b in first]
         if len(used) < 2:
--- a/lupinreach/config.py
+++ b/lupinreach/config.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from math import inf, isfinite
 from typing import Any
@@ -21,6 +21,7 @@
     "throughput": "calls_per_s", "errors_per_s": "errors_per_s",
 }
 WEIGHTS = {"off": False, "nominal": False, "rough": False, "live": True}  # if they move with what is held
+MOST_REPORTED = 1e5  # of anything in a load report: more than one address has ports for
 MOST_CONFIG_BYTES = 16 << 20
 LEAST_MEMORY = 32  # MB
 CARRY_AGE = 60.0  # s
@@ -33,6 +34,14 @@
     """The input can't be used; the text names the key."""
 
 
+def believed(figures: Iterable[Any]) -> bool:
+    """If a load report's figures are such as a backend can have.
+
+    Guards against one that no backend can have, which would rest it for good and spoil the mean.
+    """
+    return all(type(f) in (int, float) and 0 <= f <= MOST_REPORTED for f in figures)
+
+
 class Section:
     """One object of the input, read key by key."""
 
--- a/lupinreach/net/shot.py
+++ b/lupinreach/net/shot.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from math import inf
 
+from lupinreach.config import believed
 from lupinreach.model import Load
 from lupinreach.net import http, protocol
 from lupinreach.net.channel import FIRST_BUFFER, Channel
@@ -19,7 +20,6 @@
 KEPT_UNSAID = 16 << 10  # where it doesn't say how long it is
 MOVES = 10.0  # s in which a long answer must bring something
 BUFFER = 64 << 10  # bytes that are read of one at once
-MOST_REPORTED = 1e5  # of anything: more than one address has ports for
 
 
 class Shot:
@@ -177,6 +177,4 @@
                 figures[ours] = float(value)
             except ValueError:
                 return None
-    # Guards against a figure that no backend can have, which would rest it for good and spoil the mean.
-    believed = figures and all(0 <= figure <= MOST_REPORTED for figure in figures.values())
-    return Load(**figures) if believed else None
+    return Load(**figures) if figures and believed(figures.values()) else None
--- a/lupinreach/ops/carry.py
+++ b/lupinreach/ops/carry.py
@@ -1,14 +1,12 @@
 """What one process has learnt of the backends, handed to the next by one file: written, read, judged.
 
-The file says what it is of: its form, its time, the SLOs and the kind of weights. Whatever is wrong with it, the
-agent starts with nothing, as it does without a file, and the log says why.
+The file says what it is of: its form, its time, the SLOs and the kind of weights. Whatever is wrong with it,
+the agent starts with nothing, as it does without a file, and the log says why.
 """
 
 from __future__ import annotations
 
 import asyncio
-import os
-import tempfile
 from math import isfinite
 from typing import Any
 
@@ -16,6 +14,7 @@
 
 from lupinreach.model import Learnt, Met
 from lupinreach.net.agent import Agent
+from lupinreach.ops.files import replace
 
 FORM = 1  # of the file; another one is no file
 MOST = 1 << 20  # bytes of it
@@ -31,8 +30,10 @@
 def written(learnt: Learnt, at: float) -> bytes:
     """The file's text; of more backends than it may name, the rest is left out."""
     return orjson.dumps({
-        "form": FORM, "at": at, "slos": learnt.slos, "live_weights": learnt.live_weights, "usual": learnt.usual,
-        "backends": [(m.name, m.boot_time, m.listed, m.figures, m.ill) for m in learnt.backends[:MOST_BACKENDS]],
+        "form": FORM, "at": at, "slos": learnt.slos, "live_weights": learnt.live_weights,
+        "usual": learnt.usual,
+        "backends": [(m.name, m.boot_time, m.listed, m.figures, m.ill)
+                     for m in learnt.backends[:MOST_BACKENDS]],
     })
 
 
@@ -65,7 +66,7 @@
 
 
 def _figure(value: Any, most: float = MOST_FIGURE) -> float:
-    if isinstance(value, bool) or not isinstance(value, (int, float)) or not isfinite(value) or not 0 <= value <= most:
+    if type(value) not in (int, float) or not isfinite(value) or not 0 <= value <= most:
         raise Unfit(f"{value!r} is no such figure")
     return float(value)
 
@@ -103,17 +104,11 @@
         return learnt, age
 
     def leave(self) -> None:
-        """Write the file in one step, so that nobody reads half of it."""
+        """Write the file for the process that comes next."""
         learnt = self._agent.balancer.learnt()
         if not learnt.backends:
             return  # guards against a process that never saw a list and would wipe out what another has left
-        text = written(learnt, self._agent.clock.now())
-        try:
-            descriptor, path = tempfile.mkstemp(dir=os.path.dirname(self._path) or ".", prefix="lupinreach-")
-            with os.fdopen(descriptor, "wb") as file:
-                file.write(text)
-            os.replace(path, self._path)
-        except OSError:
+        if not replace(self._path, written(learnt, self._agent.clock.now())):
             self._agent.counters.others["carry: not written"] += 1
 
     async def leave_on(self) -> None:
--- a/lupinreach/ops/succession.py
+++ b/lupinreach/ops/succession.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import os
-import tempfile
 from typing import NamedTuple
 
 import orjson
 
+from lupinreach.ops.files import replace
+
 FORM = 1  # of the file; another one is no file
 MOST = 4096  # bytes of it
 
@@ -50,7 +51,6 @@
 
     def __init__(self, folder: str | None, name: str) -> None:
         safe = "".join(c if c.isalnum() or c in "-_" else "_" for c in name)
-        self._folder = folder
         self._path = os.path.join(folder, f"lupinreach-{safe}.serving") if folder else None
         self._me = alive(os.getpid())
 
@@ -68,14 +68,5 @@
         return named
 
     def take_over(self) -> bool:
-        """Name this process; in one step, so that nobody reads half a file."""
-        if self._path is None or self._me is None:
-            return False
-        try:
-            descriptor, path = tempfile.mkstemp(dir=self._folder, prefix="lupinreach-")
-            with os.fdopen(descriptor, "wb") as file:
-                file.write(written(self._me))
-            os.replace(path, self._path)
-        except OSError:
-            return False
-        return True
+        """Name this process."""
+        return self._path is not None and self._me is not None and replace(self._path, written(self._me))
--- a/tests/test_carry.py
+++ b/tests/test_carry.py
@@ -13,7 +13,7 @@
 from lupinreach.ops.carry import MOST_BACKENDS, Carry, Unfit, read, written
 from test_config import RAW
 from test_config import read as read_file
-from upgrading import PATIENT, WAITS, platform
+from upgrading import PATIENT, ROOT, WAITS, platform
 
 LIVE = settings(live_weights=True, agents=2, slo=400.0)
 
@@ -171,7 +171,7 @@
             config.write_text(json.dumps(raw))
             process = await asyncio.create_subprocess_exec(
                 sys.executable, "-m", "lupinreach", env=os.environ | {"PROXY_CONFIG": str(config)},
-                stdout=asyncio.subprocess.PIPE, cwd=os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+                stdout=asyncio.subprocess.PIPE, cwd=ROOT)
             lines = []
             while not any(line["event"] == "started" for line in lines):
                 lines.append(json.loads(await asyncio.wait_for(process.stdout.readline(), WAITS)))
