Trials of a whole fleet: power, deafness, sleep, clocks; the program untouched measured

Need: the operators want proof of how many processes behave together when parts fail; nothing played a power loss, an agent that hears nothing, one that stands still, a wrong clock or a registry with an older list, and nothing said how much of the possible is served. Module and network code decide as before (the only lines touched there hand a clock in).

`check-config` reads trials too.

Found on the way in the bed, mended: a word of the registry's on a connection that the agent had closed while it was cut off counted as told (deaf: 11 "sent to draining" that were none); agents' stand-stills excused answers of all agents and no refusals; virtual runs with killed agents printed "Event loop is closed" (Tornado's loop kept their streams until after the close).

--- a/lupinreach/__main__.py
+++ b/lupinreach/__main__.py
@@ -14,6 +14,7 @@
 from lupinreach.balance import Balancer
 from lupinreach.config import BadConfig, read_agent
 from lupinreach.net.agent import Agent, Decide
+from lupinreach.net.clock import Clock
 
 DOOR_DESCRIPTORS = 18  # for operators, where there is a door
 HEAR_FIRST = 1.5  # s for which a new process waits for the directory while the old one serves
@@ -65,11 +66,11 @@
         door.close()
 
 
-async def main(decide: Decide) -> int:
+async def main(decide: Decide, clock: Clock | None) -> int:
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # guards against an end by one that comes before the start
     try:
         config = read_agent(os.environ)
-        agent = Agent(config, decide=decide, reserved=DOOR_DESCRIPTORS if config.mgmt is not None else 0)
+        agent = Agent(config, clock=clock, decide=decide, reserved=DOOR_DESCRIPTORS if config.mgmt is not None else 0)
     except BadConfig as bad:
         print(f"lupinreach: {bad}", file=sys.stderr)
         return 2
@@ -84,10 +85,10 @@
     return 0
 
 
-def serve(decide: Decide = Balancer) -> int:
-    """Run one agent to its end; the exit code."""
+def serve(decide: Decide = Balancer, clock: Clock | None = None) -> int:
+    """Run one agent to its end; the exit code. The clock is the system's unless another is handed in."""
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-        return runner.run(main(decide))
+        return runner.run(main(decide, clock))
 
 
 if __name__ == "__main__":
--- a/lupinreach/bed/check.py
+++ b/lupinreach/bed/check.py
@@ -63,7 +63,7 @@
         self.breaches: list[Breach] = []
         self.tries: dict[str, Tried] = {}
         self._killed: dict[int, list[float]] = defaultdict(list)
-        self._held_up: list[tuple[float, float]] = []  # agents' event loops, by trouble
+        self._held_up: dict[int, list[tuple[float, float]]] = defaultdict(list)  # by agent: its event loop stood still
         # What each life of an agent was told of each backend: not ready since when; absent: ready, inf: never told
         self._barred: dict[tuple[int, int], dict[int, float]] = defaultdict(dict)
         self._listed: dict[tuple[int, int], set[int]] = defaultdict(set)
@@ -115,8 +115,9 @@
 
     def _on_trouble(self, at: float, number: int, kind: str, what: str, targets: list[int]) -> None:
         trouble = self._world.troubles[number]
-        if kind == "busy-agents" and what == "begins":
-            self._held_up.append((at, at + trouble.length + trouble.strength))
+        if kind in ("busy-agents", "sleep-agents") and what == "begins":
+            for agent in targets:
+                self._held_up[agent].append((at, at + trouble.length + max(trouble.strength, LATE)))
 
     def _on_told(self, at: float, agent: int, life: int, version: int, entries: list[tuple[int, str]],
                  whole: bool) -> None:
@@ -209,7 +210,8 @@
             dialled = self._world.limits.shots * self._world.limits.connect_timeout + LATE
             if status != 200 and at - one.at > max(HELD_AT * one.waits, dialled):
                 since = one.at + HELD_SINCE * one.waits
-                if all(s.ended < since for s in one.shots):
+                slept = any(begin <= at and one.at <= end for begin, end in self._held_up[one.agent])
+                if not slept and all(s.ended < since for s in one.shots):
                     self._breach("held", "held", at, f"{name}, refused {at - one.at:.0f} ms after it was asked")
             return
         over = one.over
@@ -217,7 +219,7 @@
             return  # never taken
         if any(one.at <= k <= over + LATE for k in self._killed[one.agent]):
             return  # what an agent held when it was killed is the client's to try again
-        if any(begin <= over <= end for begin, end in self._held_up):
+        if any(begin <= over <= end for begin, end in self._held_up[one.agent]):
             return  # a late answer of an agent that was held up
         if over < inf:
             why = f"the connection {one.lost[1]}" if one.lost else "the client timeout passed"
--- a/lupinreach/bed/commands.py
+++ b/lupinreach/bed/commands.py
@@ -17,7 +17,7 @@
 from lupinreach.bed import experiment, spec
 from lupinreach.bed.policies import POLICIES
 from lupinreach.bed.spec import World
-from lupinreach.config import BadConfig, read_agent
+from lupinreach.config import BadConfig
 
 KEPT, BROKEN, BAD = 0, 1, 2
 MOST_TOLD = 10  # breaches on standard error
@@ -53,22 +53,6 @@
     sys.exit(serve())
 
 
-@lupinreach.command("check-config")
-@click.argument("file")
-def check_config(file: str) -> None:
-    """Read a configuration (an agent's JSON, or a world's TOML) and name the faulty key."""
-    try:
-        if file.endswith(".json"):
-            config = read_agent({"PROXY_CONFIG": file})
-            print(f"{file}: good; agent {config.name}, {len(config.settings.products)} products")
-        else:
-            world = spec.read_file(file)
-            print(f"{file}: good; world {world.name}, {world.agents} agents, {world.fleet} backends, "
-                  f"{len(world.troubles)} troubles")
-    except BadConfig as wrong:
-        bad(wrong)
-
-
 @lupinreach.command("logs")
 @click.argument("files", nargs=-1, required=True, type=click.Path())
 def read_logs(files: tuple[str, ...]) -> None:
--- a/lupinreach/bed/loop.py
+++ b/lupinreach/bed/loop.py
@@ -151,6 +151,11 @@
             task.cancel()
         if tasks:
             self.run_until_complete(asyncio.wait(tasks, timeout=10.0))
+        # What killed owners wait for is let go while there still is a loop that its last lines can call.
+        self._timers.clear()
+        self._ready.clear()  # type: ignore[attr-defined]
+        self._sockets.clear()
+        self._wants.clear()
 
     # Readiness, level-triggered as a selector's.
 
--- a/lupinreach/bed/loopback.py
+++ b/lupinreach/bed/loopback.py
@@ -76,7 +76,8 @@
 
     def _pass(self, way: int, what: Callable[[], None]) -> None:
         ground = self._ground
-        if self._held[way] or not ground.paths.reaches(self._from, self._machine):
+        ends = (self._machine, self._from) if way else (self._from, self._machine)
+        if self._held[way] or not ground.paths.reaches(*ends):
             self._held[way].append(what)
             ground.waiting[self] = None
             return
@@ -115,6 +116,9 @@
     def is_closing(self) -> bool:
         return bool(self._transport.is_closing())
 
+    def get_extra_info(self, name: str, default: Any = None) -> Any:
+        return self._transport.get_extra_info(name, default)
+
 
 class LoopbackGround:
     exact = False
@@ -187,10 +191,12 @@
 
     # Agents.
 
-    async def start_agent(self, number: int, life: int, raw: dict[str, Any], ended: Callable[[], None]) -> None:
+    async def start_agent(self, number: int, life: int, raw: dict[str, Any], ended: Callable[[], None],
+                          ahead: float = 0.0) -> None:
         path = self._folder / f"agent-{number}.json"
         path.write_text(json.dumps(raw))
-        program = ["-m", "lupinreach"] if self._policy == "lupinreach" else ["-m", "lupinreach.bed.agent", self._policy]
+        plain = self._policy == "lupinreach" and not ahead
+        program = ["-m", "lupinreach"] if plain else ["-m", "lupinreach.bed.agent", self._policy, f"{ahead:.0f}"]
         env = {**os.environ, "PROXY_CONFIG": str(path)}
         if self._tree is not None:
             env["PYTHONPATH"] = str(self._tree)
--- a/lupinreach/bed/memory.py
+++ b/lupinreach/bed/memory.py
@@ -333,6 +333,8 @@
         return self._closing
 
     def get_extra_info(self, name: str, default: Any = None) -> Any:
+        if name == "left":  # the other end has closed, whether or not word of that has come
+            return self.other is None or self.other.closed
         return self.machine if name == "machine" else default
 
     def up(self) -> None:
@@ -385,8 +387,8 @@
         if sock.closed:
             return
         machine, protocol = self.servers[address]
-        if not self.paths.reaches(sock.machine, machine):
-            self.dials.append((sock, address))
+        if not self.paths.reaches(sock.machine, machine) or not self.paths.reaches(machine, sock.machine):
+            self.dials.append((sock, address))  # nothing came, or no answer to it
         elif machine.shut:
             self.loop.call_later(back, sock.fail, errno.ECONNREFUSED, context=self.context)
         else:
--- a/lupinreach/bed/network.py
+++ b/lupinreach/bed/network.py
@@ -34,8 +34,13 @@
     loss: float  # share of segments
     chance: Stream
     cut: set[int] = field(default_factory=set)  # zones that can't reach the others
+    deaf: set[Machine] = field(default_factory=set)  # nothing gets to them,
+    dumb: set[Machine] = field(default_factory=set)  # nor away from these, but within the machine
 
     def reaches(self, a: Machine, b: Machine) -> bool:
+        """If what `a` sends gets to `b`; the way back is asked for by itself."""
+        if a is not b and (a in self.dumb or b in self.deaf):
+            return False
         if a.vanished or b.vanished:
             return False
         return a.zone == b.zone or not ({a.zone, b.zone} & self.cut)
--- a/lupinreach/bed/registry.py
+++ b/lupinreach/bed/registry.py
@@ -50,6 +50,16 @@
         found = sorted(((v, e) for v, e in self._entries.values() if v > version), key=lambda pair: pair[0])
         return [e for _, e in found]
 
+    def copy(self) -> dict[str, tuple[int, Entry]]:
+        """What it holds now, as a disk would keep it."""
+        return dict(self._entries)
+
+    def restore(self, held: dict[str, tuple[int, Entry]]) -> None:
+        """It comes back with what it held then, and counts on from there."""
+        self.life += 1
+        self._entries = dict(held)
+        self.version = max((version for version, _ in held.values()), default=1)
+
     def restart(self, version: int) -> None:
         """It comes back with its entries and another count of versions, which may be lower."""
         self.life += 1
--- a/lupinreach/bed/report.py
+++ b/lupinreach/bed/report.py
@@ -77,7 +77,7 @@
     return found
 
 
-def _svg(figure: Any) -> str:
+def svg(figure: Any) -> str:
     text = io.StringIO()
     figure.savefig(text, format="svg", bbox_inches="tight")
     plt.close(figure)
@@ -85,7 +85,7 @@
     return drawn[drawn.index("<svg"):]
 
 
-def _axes(troubles: list[tuple[str, float, float]], label: str, height: float = 2.6) -> tuple[Any, Any]:
+def frame(troubles: list[tuple[str, float, float]], label: str, height: float = 2.6) -> tuple[Any, Any]:
     figure, axes = plt.subplots(figsize=(10, height))
     for i, (kind, begin, end) in enumerate(troubles):
         axes.axvspan(begin, end, color="#d8c8a8", alpha=0.45, lw=0)
@@ -105,10 +105,10 @@
 
 def _service(calls: list[service.Asked], troubles: list[tuple[str, float, float]]) -> str:
     seconds = _by_second(calls)
-    figure, axes = _axes(troubles, "share")
+    figure, axes = frame(troubles, "share")
     axes.step(list(seconds), [service.share(some) for some in seconds.values()], where="post", color="#2a5f9e")
     axes.set_ylim(0, 1.02)
-    return _svg(figure)
+    return svg(figure)
 
 
 def _latency(calls: list[service.Asked], troubles: list[tuple[str, float, float]]) -> str:
@@ -116,18 +116,18 @@
     seconds = {s: some for s, some in seconds.items() if some}
     if not seconds:
         return ""
-    figure, axes = _axes(troubles, "ms")
+    figure, axes = frame(troubles, "ms")
     for share, colour in ((50, "#2a7f62"), (90, "#e0a030"), (99, "#c04040")):
         axes.plot(list(seconds), [np.percentile(some, share) for some in seconds.values()], label=f"p{share}",
                   color=colour)
     axes.legend(loc="upper right")
     axes.set_ylim(bottom=0)
-    return _svg(figure)
+    return svg(figure)
 
 
 def _answers(calls: list[service.Asked], troubles: list[tuple[str, float, float]]) -> str:
     seconds = _by_second(calls)
-    figure, axes = _axes(troubles, "API calls a second")
+    figure, axes = frame(troubles, "API calls a second")
     below = np.zeros(len(seconds))
     for ending, colour in COLOURS.items():
         some = np.array([sum(c.ending == ending for c in asked) for asked in seconds.values()], dtype=float)
@@ -135,7 +135,7 @@
             axes.bar(list(seconds), some, bottom=below, width=1.0, align="edge", label=ending, color=colour)
             below += some
     axes.legend(loc="upper right")
-    return _svg(figure)
+    return svg(figure)
 
 
 def _map(records: list[Record], kind: str, label: str, read: Any) -> str:
@@ -158,4 +158,4 @@
     figure.colorbar(drawn, ax=axes, label=label)
     axes.set_xlabel("s")
     axes.set_ylabel("backend")
-    return _svg(figure)
+    return svg(figure)
--- a/lupinreach/bed/servers.py
+++ b/lupinreach/bed/servers.py
@@ -257,9 +257,11 @@
         for line in list(self.lines):
             line.cut()
 
-    def told(self, agent: int, version: int, entries: list[Entry], whole: bool) -> None:
-        """Book what an agent is told: once it can get there."""
-        self._untold[agent].append((self.life_of(agent), version, [[e.backend, e.state] for e in entries], whole))
+    def told(self, agent: int, version: int, entries: list[Entry], whole: bool, line: RegistryLine | None = None,
+             ) -> None:
+        """Book what an agent is told: once it can get there, and if the connection it goes by lasts until then."""
+        word = self.life_of(agent), version, [[e.backend, e.state] for e in entries], whole
+        self._untold[agent].append((line, word))
         if len(self._untold[agent]) == 1:
             self._tell(agent)
 
@@ -267,7 +269,9 @@
         waiting = self._untold[agent]
         if self.ground.paths.reaches(self.machine, self.machine_of(agent)):
             while waiting:
-                self.ground.ledger.note(books.TOLD, self.ground.now(), agent, *waiting.popleft())
+                line, word = waiting.popleft()
+                if line is None or line.lasts:
+                    self.ground.ledger.note(books.TOLD, self.ground.now(), agent, *word)
         else:
             # Guards against a word that hangs before a cut zone and would pass for heard.
             self.ground.loop.call_later(TOLD_EVERY, self._tell, agent)
@@ -290,6 +294,11 @@
             return
         self._host.lines[self] = None
 
+    @property
+    def lasts(self) -> bool:
+        """If what is written to it gets to the agent: neither end has closed it."""
+        return self in self._host.lines and not self._transport.get_extra_info("left", False)
+
     def data_received(self, data: bytes) -> None:
         try:
             messages = self._reader.feed(data)
@@ -329,7 +338,7 @@
     def _whole(self) -> bytes:
         registry = self._host.registry
         entries = registry.whole()
-        self._host.told(self._agent, registry.version, entries, True)
+        self._host.told(self._agent, registry.version, entries, True, self)
         return orjson.dumps({"rev": registry.version, "all": True, "targets": [e.wire() for e in entries]})
 
     def follow(self) -> None:
@@ -338,7 +347,7 @@
             return
         entries = registry.since(self._version)
         self._version = registry.version
-        self._host.told(self._agent, registry.version, entries, False)
+        self._host.told(self._agent, registry.version, entries, False, self)
         self._line(orjson.dumps({"rev": registry.version, "all": False, "targets": [e.wire() for e in entries]}))
 
     def _line(self, text: bytes) -> None:
--- a/lupinreach/bed/spec.py
+++ b/lupinreach/bed/spec.py
@@ -41,9 +41,14 @@
     "late-reports": ("backends", 4.0, 1.0, 1000.0),  # times older
     "restart-agents": ("agents", 0.0, 0.0, 0.0),  # stopped by signal, started at the end
     "kill-agents": ("agents", 0.0, 0.0, 0.0),  # killed outright, started at the end
+    "sleep-agents": ("agents", 0.0, 0.0, 0.0),  # the process stands still, and wakes with what it believed
+    "deaf-agents": ("agents", 0.0, 0.0, 0.0),  # nothing gets to them, but from their own clients
+    "dumb-agents": ("agents", 0.0, 0.0, 0.0),  # nothing gets away from them, but to their own clients
+    "clock-agents": ("agents", 86_400.0, -1e7, 1e7),  # s by which the clock of one that starts meanwhile is ahead
     "busy-agents": ("agents", 50.0, 0.0, 10_000.0),  # ms for which the event loop is held up, once a second
     "registry-down": ("none", 0.0, 0.0, 0.0),  # refuses and resets
     "registry-back": ("none", 0.0, 0.0, 0.0),  # restarts at a lower version at the end
+    "registry-older": ("none", 10.0, 0.0, 86_400.0),  # is down, and back with the list of so many s before
 }
 
 
@@ -286,13 +291,14 @@
 
 def read_file(path: str | Path) -> World:
     """A world from a TOML file, or one of the bed's own by its name; BadConfig says what is wrong and where."""
-    return read(_load(Path(path)))
+    return read(load(Path(path)))
 
 
-def _load(path: Path, depth: int = 0) -> dict[str, Any]:
-    own = WORLDS / f"{path}.toml"
-    if not path.suffix and not path.exists() and own.is_file():
-        path = own
+def load(path: Path, folders: tuple[Path, ...] = (WORLDS,), depth: int = 0) -> dict[str, Any]:
+    """The tables of a TOML file and of those that it begins from; names without an ending are looked up in `folders`."""
+    own = [folder / f"{path}.toml" for folder in folders if (folder / f"{path}.toml").is_file()]
+    if not path.suffix and not path.exists() and own:
+        path = own[0]
     try:
         raw = tomllib.loads(path.read_text(encoding="utf-8"))
     except OSError as bad:
@@ -307,7 +313,7 @@
     if not isinstance(base, str) or depth > 3:
         raise BadConfig("base: must be the name of a world or a file, and not go in a circle")
     below = path.parent / base
-    return _over(_load(below if below.suffix and below.exists() else Path(base), depth + 1), raw)
+    return _over(load(below if below.suffix and below.exists() else Path(base), folders, depth + 1), raw)
 
 
 def _over(below: dict[str, Any], above: dict[str, Any]) -> dict[str, Any]:
--- a/lupinreach/bed/stage.py
+++ b/lupinreach/bed/stage.py
@@ -86,6 +86,8 @@
             self._add(b, kind)
         self._starting: dict[asyncio.Task[None], None] = {}  # agents that come back; each leaves when it is up
         self._agent_of: list[int] = []  # by API call
+        self._lists: dict[int, dict[str, tuple[int, Entry]]] = {}  # kept for a return, by trouble
+        self._ahead = [0.0] * world.agents  # ms by which the clock of an agent that starts is wrong
 
     def machine(self, agent: int) -> Machine:
         return self._client_machines[agent]
@@ -135,6 +137,8 @@
         loop = ground.loop
         for number, trouble in enumerate(world.troubles):
             targets = self._targets(number, trouble)
+            if trouble.kind == "registry-older":
+                loop.call_later(max(0.0, trouble.at / 1000 - trouble.strength), self._keep_list, number)
             loop.call_later(trouble.at / 1000, self._begin, number, trouble, targets)
         loop.call_later(SAMPLE / 1000, self._sample)
         for number, arrival in enumerate(calls):
@@ -177,7 +181,7 @@
         self.registry_host.told(n, self.registry.version, known, True)
         self.ground.ledger.note(books.AGENT, self.ground.now(), n, life, "started")
         async with asyncio.timeout(READY_WITHIN):
-            await self.ground.start_agent(n, life, raw, lambda: self._ended(n, life))
+            await self.ground.start_agent(n, life, raw, lambda: self._ended(n, life), self._ahead[n])
         self.up.add(n)
 
     def _ended(self, n: int, life: int) -> None:
@@ -374,6 +378,35 @@
         if not on:
             self.registry.restart(self.world.registry.restart_version)
 
+    def _keep_list(self, number: int) -> None:
+        self._lists[number] = self.registry.copy()
+
+    def _registry_older(self, t: Trouble, targets: list[int], on: bool) -> None:
+        self._registry_down(t, targets, on)
+        if not on:
+            self.registry.restore(self._lists.pop(self.world.troubles.index(t)))
+
+    def _sleep_agents(self, t: Trouble, targets: list[int], on: bool) -> None:
+        for n in targets:
+            if on and n in self.up:
+                self.ground.hold_agent(n, t.length)
+
+    def _deaf_agents(self, t: Trouble, targets: list[int], on: bool) -> None:
+        self._unheard(self.ground.paths.deaf, targets, on)
+
+    def _dumb_agents(self, t: Trouble, targets: list[int], on: bool) -> None:
+        self._unheard(self.ground.paths.dumb, targets, on)
+
+    def _unheard(self, struck: set[Machine], targets: list[int], on: bool) -> None:
+        machines = {self._client_machines[n] for n in targets}
+        struck.update(machines) if on else struck.difference_update(machines)
+        if not on:
+            self.ground.mended()
+
+    def _clock_agents(self, t: Trouble, targets: list[int], on: bool) -> None:
+        for n in targets:
+            self._ahead[n] = t.strength * 1000 if on else 0.0
+
     def _restart_agents(self, t: Trouble, targets: list[int], on: bool) -> None:
         self._down_and_up(targets, on, "stopping", self.ground.stop_agent)
 
--- a/lupinreach/bed/virtual.py
+++ b/lupinreach/bed/virtual.py
@@ -31,16 +31,17 @@
 
 
 class VirtualClock(Clock):
-    """The agent's clock on the loop's time."""
+    """The agent's clock on the loop's time, so many ms ahead of it."""
 
-    def __init__(self, loop: VirtualLoop) -> None:
+    def __init__(self, loop: VirtualLoop, ahead: float = 0.0) -> None:
         self._loop = loop
+        self._epoch = EPOCH + ahead
 
     def now(self) -> float:
-        return EPOCH + self._loop.time() * 1000
+        return self._epoch + self._loop.time() * 1000
 
     def on_loop(self, at: float) -> float:
-        return (at - EPOCH) / 1000
+        return (at - self._epoch) / 1000
 
 
 class VirtualLog(Log):
@@ -125,13 +126,14 @@
 
     # Agents.
 
-    async def start_agent(self, number: int, life: int, raw: dict[str, Any], ended: Callable[[], None]) -> None:
+    async def start_agent(self, number: int, life: int, raw: dict[str, Any], ended: Callable[[], None],
+                          ahead: float = 0.0) -> None:
         owner = len(self._owners) + 1
         self._owners[owner] = number, life
         log = VirtualLog()
         with self.loop.owned_by(owner):
             sockets = MemorySockets(self.net, self._machines(number), raw["limits"]["sockets"])
-            agent = Agent(_config(raw), log, self.clock, sockets, self._decide)
+            agent = Agent(_config(raw), log, VirtualClock(self.loop, ahead), sockets, self._decide)
             self._lives[number] = Life(owner, agent, log)
             await self.loop.create_task(agent.start())
         self._ends[number] = ended
@@ -212,12 +214,15 @@
             raised = context.get("exception")
             ground.ledger.note(books.FAULT, ground.now(), f"{context['message']}: {type(raised).__name__}: {raised}")
     finally:
-        ground.ledger.seal()
+        ledger = ground.ledger
+        ledger.seal()
         loop.end()
+        # What killed agents left half-way ends while there still is a loop that it can call.
+        stage = ground = None  # type: ignore[assignment]
+        IOLoop._ioloop_for_asyncio.pop(loop, None)  # holds their streams
+        gc.collect()
         if frozen:
             gc.enable()
-        IOLoop._ioloop_for_asyncio.pop(loop, None)
         asyncio.set_event_loop(None)
         loop.close()
-        gc.collect()
-    return ground.ledger
+    return ledger
--- a/lupinreach/cli.py
+++ b/lupinreach/cli.py
@@ -11,7 +11,7 @@
         from lupinreach.__main__ import serve
         sys.exit(serve())
     try:
-        from lupinreach.bed.commands import lupinreach
+        from lupinreach.trial.commands import lupinreach  # all of them: a trial's stand on the bed's
     except ModuleNotFoundError as missing:
         print(f"lupinreach: {missing.name} is not installed; `lupinreach agent` needs nothing more, the other "
               "commands need: pip install 'lupinreach[bed]'", file=sys.stderr)
--- a/lupinreach/net/clock.py
+++ b/lupinreach/net/clock.py
@@ -4,8 +4,9 @@
 
 
 class Clock:
-    def __init__(self) -> None:
-        self._anchor = time.time() * 1000 - time.monotonic() * 1000
+    def __init__(self, ahead: float = 0.0) -> None:
+        """`ahead`: ms by which it goes before the system's."""
+        self._anchor = time.time() * 1000 - time.monotonic() * 1000 + ahead
 
     def now(self) -> float:
         return self._anchor + time.monotonic() * 1000
--- /dev/null
+++ b/lupinreach/trial/commands.py
@@ -0,0 +1,140 @@
+"""The commands of `lupinreach trial`."""
+
+from __future__ import annotations
+
+import json
+import sys
+from dataclasses import replace
+from pathlib import Path
+
+import click
+from rich.table import Table
+
+from lupinreach.bed.commands import BROKEN, KEPT, MOST_TOLD, bad, lupinreach, told
+from lupinreach.bed.policies import POLICIES
+from lupinreach.config import BadConfig, read_agent
+from lupinreach.trial import play, spec
+from lupinreach.trial.play import Played
+from lupinreach.trial.spec import Trial
+
+UNSURE, STOPPED = 3, 130  # exit codes: no verdict can be given; stopped by a signal
+
+
+def trial_of(file: str, seed: tuple[int, ...], policy: str | None = None) -> Trial:
+    try:
+        found = spec.read_file(file)
+    except BadConfig as wrong:
+        bad(wrong)
+    world = found.world
+    return replace(found, world=replace(world, seeds=seed or world.seeds, policy=policy or world.policy))
+
+
+@lupinreach.command("check-config")
+@click.argument("file")
+def check_config(file: str) -> None:
+    """Read a configuration (an agent's JSON, or the TOML of a world or a trial) and name the faulty key."""
+    try:
+        if file.endswith(".json"):
+            config = read_agent({"PROXY_CONFIG": file})
+            print(f"{file}: good; agent {config.name}, {len(config.settings.products)} products")
+        else:
+            found = spec.read_file(file)
+            world = found.world
+            print(f"{file}: good; world {world.name}, {world.agents} agents, {world.fleet} backends, "
+                  f"{len(world.troubles)} troubles")
+    except BadConfig as wrong:
+        bad(wrong)
+
+
+@lupinreach.group()
+def trial() -> None:
+    """Trials: parts of a whole fleet fail; is what is possible served, and are the rules kept?"""
+
+
+@trial.command("list")
+def list_trials() -> None:
+    """The trials that come with it."""
+    for path in sorted(spec.TRIALS.glob("*.toml")):
+        print(f"{path.stem:24} {path.read_text(encoding='utf-8').splitlines()[0].lstrip('# ')}")
+
+
+@trial.command()
+@click.argument("file")
+@click.option("--seed", type=click.IntRange(0), multiple=True, help="in place of the file's; may be given again")
+@click.option("--policy", type=click.Choice(list(POLICIES)))
+@click.option("--jobs", type=click.IntRange(1), help="runs beside each other")
+@click.option("--json", "out", type=click.Path(dir_okay=False), help="write every run's figures to a file")
+@click.option("--report", type=click.Path(file_okay=False), help="write a page with plots of the first seed")
+def run(file: str, seed: tuple[int, ...], policy: str | None, jobs: int | None, out: str | None,
+        report: str | None) -> None:
+    """Play a trial; ends with one line of JSON.
+
+    Exit 0: rules kept, 1: one broken or less than expected, 2: a bad file, 3: unsure, 130: stopped.
+    """
+    one = trial_of(file, seed, policy)
+    played: list[Played] = []
+
+    def done(p: Played) -> None:
+        played.append(p)
+        told.print(_line(p), markup=False)
+
+    stopped = False
+    try:
+        play.run_many([(one, s) for s in one.world.seeds], jobs, done)
+    except KeyboardInterrupt:
+        stopped = True
+        told.print(f"stopped after {len(played)} of {len(one.world.seeds)} runs")
+    for p in played:
+        for b in p.result.breaches[:MOST_TOLD]:
+            told.print(f"seed {p.result.seed} at {b.at:.0f} ms: {b.rule}: {b.name}: {b.what}", markup=False)
+        for line in p.missed:
+            told.print(f"seed {p.result.seed}: {line}", markup=False)
+    if not played:
+        print(json.dumps({"trial": one.world.name, "verdict": "stopped" if stopped else play.UNSURE, "seeds": []}))
+        sys.exit(STOPPED if stopped else UNSURE)
+    if out:
+        rows = [{"seed": p.result.seed, "verdict": p.verdict, **p.recovery.plain(), "missed": p.missed,
+                 "seconds": [vars(s) for s in p.seconds], "breaches": [vars(b) for b in p.result.breaches]}
+                for p in played]
+        Path(out).write_text(json.dumps({"trial": one.world.name, "runs": rows}, indent=1) + "\n")
+    if report:
+        from lupinreach.trial.report import write
+        told.print(f"report: {write(Path(report), one, played)}")
+    found = play.summary(one, played)
+    print(json.dumps(found | ({"stopped": True} if stopped else {})))
+    if stopped:
+        sys.exit(STOPPED)
+    if found["verdict"] == play.UNSURE:
+        sys.exit(UNSURE)
+    sys.exit(KEPT if found["verdict"] == play.KEPT and found["as_expected"] else BROKEN)
+
+
+@trial.command()
+@click.argument("file")
+@click.option("--against", type=click.Choice(list(POLICIES)), multiple=True, required=True)
+@click.option("--seed", type=click.IntRange(0), multiple=True)
+@click.option("--jobs", type=click.IntRange(1))
+def compare(file: str, against: tuple[str, ...], seed: tuple[int, ...], jobs: int | None) -> None:
+    """The same seeds under two policies or more."""
+    one = trial_of(file, seed)
+    found = play.compare(one, list(dict.fromkeys([one.world.policy, *against])), one.world.seeds, jobs)
+    table = Table(box=None)
+    for column in ("policy", "first 10 s", "first 20 s", "whole", "back after s", "cold load", "rules"):
+        table.add_column(column, justify="left" if column in ("policy", "rules") else "right")
+    lines = {}
+    for name, runs in found.items():
+        lines[name] = total = play.summary(replace(one, world=replace(one.world, policy=name)), runs)
+        table.add_row(name, *(f"{total[k]:.3f}" for k in ("first_10s", "first_20s", "whole")),
+                      str(total["back_after_s"]), f"{total['cold_load']:.2f}", total["verdict"])
+    told.print(table)
+    keep = ("verdict", "first_10s", "first_20s", "whole", "back_after_s", "cold_load", "service")
+    print(json.dumps({"trial": one.world.name, "seeds": list(one.world.seeds),
+                      "policies": {name: {k: total[k] for k in keep} for name, total in lines.items()}}))
+    sys.exit(KEPT if lines[one.world.policy]["verdict"] == play.KEPT else BROKEN)
+
+
+def _line(p: Played) -> str:
+    r = p.recovery
+    return (f"seed {p.result.seed}: {p.verdict}, served over possible {r.first_10s:.3f} in the first 10 s, "
+            f"{r.first_20s:.3f} in the first 20, back after {r.back_after / 1000:.0f} s, "
+            f"cold load {r.cold_load:.2f}{', ' + p.unsure if p.unsure else ''}")
--- /dev/null
+++ b/tests/test_trial.py
@@ -0,0 +1,128 @@
+"""Trials: files read strictly, figures beside a plain count, and small fleets that lose power in virtual time."""
+
+import json
+import os
+import subprocess
+import sys
+
+import pytest
+
+from lupinreach.bed import virtual
+from lupinreach.bed.spec import read as read_world
+from lupinreach.config import BadConfig
+from lupinreach.trial import figures, play, spec
+
+SMALL = {"name": "t", "seconds": 12, "zones": ["a", "b"], "agents": {"count": 4},
+         "backends": [{"count": 6, "cores": 1, "speed": 1.0}],
+         "products": [{"name": "look", "work": 40, "slo": 500, "timeout": 1500},
+                      {"name": "pay", "kind": "non-idempotent", "work": 40, "slo": 500, "timeout": 1500, "value": 5}],
+         "traffic": {"calls_per_s": 60}, "rules": {"cold": 4000.0, "drain_grace": 500.0, "fall": 1000.0},
+         "registry": {"lag": [100, 300], "silent_lag": [500, 900]}}
+POWER = {"kind": "power", "at": 3, "agents": 1, "backends": 1.5, "registry": 2}
+
+
+def command(*words, **more):
+    return subprocess.run([sys.executable, "-m", "lupinreach.cli", *words], capture_output=True, text=True,
+                          env={**os.environ, "PYTHONPATH": "."}, **more)
+
+
+@pytest.mark.parametrize("raw, path", [
+    ({"faults": [{"kind": "powr", "at": 1, "agents": 1}]}, "faults[0].kind"),
+    ({"faults": [{"kind": "power", "at": 1}]}, "faults[0].agents"),
+    ({"faults": [POWER | {"rack": "c"}]}, "faults[0].rack"),
+    ({"faults": [POWER | {"registry": "soon"}]}, "faults[0].registry"),
+    ({"faults": [POWER | {"over": {"registry": 2}}]}, "faults[0].over.registry"),
+    ({"faults": [POWER | {"stagger": 2}]}, "faults[0].stagger"),
+    ({"expect": {"first_30s": 0.5}}, "expect.first_30s"),
+    ({"since": 60}, "since"),
+    ({"agents": {"cout": 3}}, "agents.cout"),
+])
+def test_a_faulty_trial_is_refused_by_the_whole_path(raw, path):
+    with pytest.raises(BadConfig, match=path.replace("[", r"\[").replace("]", r"\]")):
+        spec.read(SMALL | raw)
+
+
+def test_every_trial_that_comes_with_it_is_read_and_a_bad_command_starts_nothing(tmp_path):
+    for path in spec.TRIALS.glob("*.toml"):
+        assert spec.read_file(path.stem).world.name == path.stem
+    bad = tmp_path / "bad.toml"
+    bad.write_text('base = "fleet"\n[[faults]]\nkind = "power"\nat = 1\nagents = 1\nrack = "east"\n')
+    found = command("trial", "run", str(bad))
+    assert found.returncode == 2 and "faults[0].rack: 'east' is none of north, south" in found.stderr
+    assert found.stdout == ""
+
+
+def test_a_power_fault_strikes_what_it_names_in_the_order_of_its_returns():
+    one = spec.read(SMALL | {"faults": [POWER | {"rack": "b", "over": {"backends": 3}}]})
+    kills = [t for t in one.world.troubles if t.kind == "kill-agents"]
+    crashes = [t for t in one.world.troubles if t.kind == "crash"]
+    assert [t.names for t in kills] == [(1, 3)] and [t.names for t in crashes] == [(1,), (3,), (5,)]
+    assert [t.length for t in crashes] == [1500.0, 2500.0, 3500.0] and one.since == 4500.0
+
+
+def test_possible_is_what_asked_agents_backends_up_and_their_age_allow():
+    world = read_world(SMALL)
+    us = 1_000_000
+    records = [("agent", 0, 0, 1, "started"), ("state", 0, 0, 1, "Ready", 2.0, 0.0, 0.2, 0, 0)]
+    records += [("asked", i * us // 10, f"{i:x}.0", i, 0, 0, "look", "", 100.0, 900.0) for i in range(30)]
+    records += [("got", 50_000, "0.0", 200, 0.0, "0.0"), ("state", 1 * us, 0, 1, "Gone", 0.0, 0.0, 0.0, 0, 0),
+                ("state", 2 * us, 0, 2, "Ready", 2.0, 4000.0, 0.2, 0, 0)]
+    records.sort(key=lambda r: r[1])
+    rows = figures.seconds(world, records)
+    # 100 ms of work each 100 ms: warm it could do 200; down nothing; cold 200 x (0.2 + 0.8 x age / 4000).
+    assert rows[0].possible == pytest.approx(1000.0) and rows[1].possible == 0.0
+    assert rows[2].possible == pytest.approx(sum(42 + 4 * i for i in range(10)))
+    assert rows[0].served == pytest.approx(100.0) and rows[0].done == pytest.approx(100.0)
+    deaf = [*records[:2], ("trouble", 0, 0, "deaf-agents", "begins", [0]), *records[2:]]
+    assert all(r.possible == 0.0 for r in figures.seconds(world, deaf))
+
+
+def test_a_fleet_that_lost_power_comes_back_and_one_without_backends_is_told_apart():
+    one = spec.read(SMALL | {"faults": [POWER], "expect": {"whole": 0.99}})
+    played = play.run(one, 3)
+    assert played.verdict == play.KEPT and 0 < played.recovery.whole < 0.99
+    assert [line.split(":")[0] for line in played.missed] == ["expect.whole"]
+    dark = play.run(spec.read(SMALL | {"faults": [POWER | {"backends": "never"}], "since": 4.5}), 3)
+    assert dark.recovery.whole == 1.0 and sum(s.possible for s in dark.seconds[6:]) == 0.0
+
+
+def test_a_deaf_agent_sends_and_hears_nothing_and_is_told_nothing_meanwhile():
+    one = spec.read(SMALL | {"troubles": [{"kind": "deaf-agents", "at": 3, "seconds": 5, "targets": [1]},
+                                          {"kind": "drain", "at": 4, "seconds": 3, "targets": [2]}]})
+    records = virtual.play(one.world, 3).records
+    begin = next(r[1] for r in records if r[0] == "asked")
+    inside = [r for r in records if begin + 3.3e6 < r[1] < begin + 7.9e6]
+    asked = {r[2] for r in inside if r[0] == "asked" and r[5] == 1}
+    assert any(r[0] == "came" and r[4] in asked for r in inside)
+    assert not any(r[0] == "got" and r[2] in asked and r[3] == 200 for r in inside)
+    assert not any(r[0] == "told" and r[2] == 1 for r in inside)
+    assert any(r[0] == "told" and r[2] == 1 for r in records if r[1] >= begin + 8e6)
+    assert play.run(one, 3).verdict == play.KEPT
+
+
+def test_a_registry_that_comes_back_with_an_older_list_tells_it():
+    one = spec.read(SMALL | {"troubles": [
+        {"kind": "replace", "at": 1, "seconds": 2, "targets": [0]},
+        {"kind": "registry-older", "at": 5, "seconds": 1, "strength": 4.5}]})
+    records = virtual.play(one.world, 3).records
+    last = [r for r in records if r[0] == "told" and r[2] == 0]
+    assert max(r[4] for r in last) > last[-1][4] and [0, "Ready"] in last[-1][5]
+
+
+def test_an_agent_whose_clock_is_wrong_keeps_the_rules(capsys):
+    one = spec.read(SMALL | {"troubles": [{"kind": "clock-agents", "at": 2, "seconds": 9, "share": 0.5,
+                                           "strength": -86400.0}], "faults": [POWER]})
+    assert play.run(one, 3).verdict == play.KEPT
+    assert "Event loop is closed" not in capsys.readouterr().err
+
+
+def test_a_trial_is_run_from_the_command_line_with_a_page(tmp_path):
+    file = tmp_path / "one.toml"
+    file.write_text('base = "calm"\nname = "one"\nseconds = 6\n[[faults]]\nkind = "power"\nat = 2\nagents = 1\n'
+                    'backends = 1\nregistry = 1\n[expect]\nwhole = 0.1\n')
+    found = command("trial", "run", str(file), "--seed", "4", "--report", str(tmp_path), "--json",
+                    str(tmp_path / "out.json"))
+    line = json.loads(found.stdout.splitlines()[-1])
+    assert found.returncode == 0 and line["verdict"] == "kept" and line["seeds"] == [4]
+    assert "<svg" in (tmp_path / "trial-one.html").read_text()
+    assert len(json.loads((tmp_path / "out.json").read_text())["runs"][0]["seconds"]) >= 6
