The fleet as processes: agents as run, peers in processes of their own, a relay on every link

Need: the loopback way plays all peers in one process and can't fault what passes between two. The stage stays the bed's; its peers are stand-ins that send each change to the process that has the model. Relays decide by the bed's Paths, one way by one way, and carry datagrams from the address that the receiver knows. Each process measures its lateness; a run in which the rig was late is unsure. A run that is stopped takes down what it started and says what it saw (130); `lupinreach demo` by Ctrl-C said Aborted! and 1.

Tests start 3 agents with peers, lose power, make one deaf, let one sleep: rules kept, back at 0.9 of the possible.

Failed on the way: lives filled in over the coordinator's own records, which made 34 "sent to unlisted" of a restart.

--- a/lupinreach/bed/commands.py
+++ b/lupinreach/bed/commands.py
@@ -17,6 +17,7 @@
 from lupinreach.bed import experiment, spec
 from lupinreach.bed.policies import POLICIES
 from lupinreach.bed.spec import World
+from lupinreach.bed.stopping import STOPPED
 from lupinreach.config import BadConfig
 
 KEPT, BROKEN, BAD = 0, 1, 2
@@ -87,10 +88,12 @@
     world = replace(world, length=seconds * 1000, troubles=tuple(
         replace(t, at=t.at * share, length=t.length * share) for t in world.troubles))
     console = Console(highlight=False)
-    result = show(world, seed, console)
+    result, stopped = show(world, seed, console)
     _tell_breaches([result])
-    print(json.dumps(experiment.summary(world, [result])))
-    sys.exit(KEPT if result.kept else BROKEN)
+    if stopped:
+        told.print("stopped: this is what was seen so far")
+    print(json.dumps(experiment.summary(world, [result]) | ({"stopped": True} if stopped else {})))
+    sys.exit(STOPPED if stopped else KEPT if result.kept else BROKEN)
 
 
 @lupinreach.group()
@@ -117,24 +120,28 @@
         ledger: str | None, report: str | None) -> None:
     """Play a world; ends with one line of JSON. Exit 0: rules kept, 1: one broken, 2: a bad file."""
     world = world_of(file, seed, mode, policy)
-    results = []
+    results, stopped = [], False
     for number, one in enumerate(world.seeds):
         with _progress(f"seed {one}", world.length) as progress:
             book = experiment.play(world, one, progress)
         result = experiment.judge(world, one, book)
         results.append(result)
+        stopped = book.stopped
         if ledger and not number:
             book.save(Path(ledger))
         if report:
             from lupinreach.bed.report import write
             told.print(f"report: {write(Path(report), world, result, book.records)}")
+        if stopped:
+            told.print(f"stopped in run {number + 1} of {len(world.seeds)}")
+            break
     _tell_breaches(results)
     if out:
         rows = [{"seed": r.seed, "digest": r.digest, "rules": r.rules, **r.figures,
                  "breaches": [vars(b) for b in r.breaches]} for r in results]
         Path(out).write_text(json.dumps({"world": spec.plain(world), "runs": rows}, indent=1) + "\n")
-    print(json.dumps(experiment.summary(world, results)))
-    sys.exit(KEPT if all(r.kept for r in results) else BROKEN)
+    print(json.dumps(experiment.summary(world, results) | ({"stopped": True} if stopped else {})))
+    sys.exit(STOPPED if stopped else KEPT if all(r.kept for r in results) else BROKEN)
 
 
 @bed.command()
--- a/lupinreach/bed/demo.py
+++ b/lupinreach/bed/demo.py
@@ -115,6 +115,7 @@
         await asyncio.gather(showing, return_exceptions=True)
 
 
-def demo(world: World, seed: int, console: Console) -> Result:
-    """Play it and show it; judged at the end."""
-    return judge(world, seed, asyncio.run(_play(world, seed, console)))
+def demo(world: World, seed: int, console: Console) -> tuple[Result, bool]:
+    """Play it and show it; judged at the end, or at what was seen until a signal stopped it."""
+    ledger = asyncio.run(_play(world, seed, console))
+    return judge(world, seed, ledger), ledger.stopped
--- a/lupinreach/bed/ledger.py
+++ b/lupinreach/bed/ledger.py
@@ -44,6 +44,12 @@
         self._start = start  # ms, on the clock that times are given by
         self.records: list[Record] = []
         self._sealed = False
+        self.stopped = False  # by a signal, before the end
+
+    def stop(self) -> None:
+        """The run was stopped: what it has booked so far is all there is."""
+        self.stopped = True
+        self.seal()
 
     def seal(self) -> None:
         """The run is over: what its parts do while they are taken down is none of it."""
--- a/lupinreach/bed/loopback.py
+++ b/lupinreach/bed/loopback.py
@@ -29,6 +29,7 @@
 from lupinreach.bed.network import Machine, Paths
 from lupinreach.bed.spec import World
 from lupinreach.bed.stage import Stage
+from lupinreach.bed.stopping import until_stopped
 from lupinreach.config import Address
 
 NAME = b"Req-Id: "
@@ -200,8 +201,9 @@
         env = {**os.environ, "PROXY_CONFIG": str(path)}
         if self._tree is not None:
             env["PYTHONPATH"] = str(self._tree)
+        # In a session of its own: a Ctrl-C is the run's, which stops its agents itself.
         agent = await asyncio.create_subprocess_exec(
-            sys.executable, *program, stdout=asyncio.subprocess.PIPE, env=env, cwd=self._tree)
+            sys.executable, *program, stdout=asyncio.subprocess.PIPE, env=env, cwd=self._tree, start_new_session=True)
         self._agents[number] = agent
         up = asyncio.Event()
         self._spawn(self._follow(number, agent, up, ended))
@@ -282,7 +284,8 @@
         if watch is not None:
             watch(stage)
         try:
-            await stage.play()
+            if await until_stopped(stage.play()):
+                ground.ledger.stop()
         finally:
             await ground.close()
             for what in ground.ended_badly:
--- a/lupinreach/bed/servers.py
+++ b/lupinreach/bed/servers.py
@@ -247,6 +247,10 @@
         waits = self._free_at - now
         return min(waits, self._spec.call_wait), waits <= self._spec.call_wait
 
+    def wire(self, agent: int, entry: Entry) -> dict[str, Any]:
+        """An entry as this agent is told it."""
+        return entry.wire()
+
     def changed(self) -> None:
         """Tell all watches what they have not been told."""
         for line in list(self.lines):
@@ -339,7 +343,11 @@
         registry = self._host.registry
         entries = registry.whole()
         self._host.told(self._agent, registry.version, entries, True, self)
-        return orjson.dumps({"rev": registry.version, "all": True, "targets": [e.wire() for e in entries]})
+        return self._text(True, entries)
+
+    def _text(self, whole: bool, entries: list[Entry]) -> bytes:
+        return orjson.dumps({"rev": self._host.registry.version, "all": whole,
+                             "targets": [self._host.wire(self._agent, e) for e in entries]})
 
     def follow(self) -> None:
         registry = self._host.registry
@@ -348,7 +356,7 @@
         entries = registry.since(self._version)
         self._version = registry.version
         self._host.told(self._agent, registry.version, entries, False, self)
-        self._line(orjson.dumps({"rev": registry.version, "all": False, "targets": [e.wire() for e in entries]}))
+        self._line(self._text(False, entries))
 
     def _line(self, text: bytes) -> None:
         self._transport.write(b"%x\r\n%s\n\r\n" % (len(text) + 1, text))
--- a/lupinreach/bed/stage.py
+++ b/lupinreach/bed/stage.py
@@ -172,18 +172,24 @@
             "name": f"agent-{n}", "listen": text(at.agent(n)), "discovery": text(at.registry(n)),
             "seed": f"{int(stream(self._seed, 'agent', n, life).integers(1 << 48)):x}",
             "limits": {"sockets": self.world.sockets},
-            "known": {"rev": self.registry.version, "all": True, "targets": [e.wire() for e in known]},
+            "known": {"rev": self.registry.version, "all": True,
+                      "targets": [self.registry_host.wire(n, e) for e in known]},
             "settings": self.world.settings(n),
         }
         if self.world.limits.peers:
             raw |= {"peer_listen": text(at.peer(n)), "peers_all": text(at.everybody()),
                     "peers": [text(at.peer(i)) for i in range(self.world.agents)]}
+        raw = self._told(n, raw)
         self.registry_host.told(n, self.registry.version, known, True)
         self.ground.ledger.note(books.AGENT, self.ground.now(), n, life, "started")
         async with asyncio.timeout(READY_WITHIN):
             await self.ground.start_agent(n, life, raw, lambda: self._ended(n, life), self._ahead[n])
         self.up.add(n)
 
+    def _told(self, n: int, raw: dict[str, Any]) -> dict[str, Any]:
+        """What an agent is told at its start, where others than the stage stand between it and its peers."""
+        return raw
+
     def _ended(self, n: int, life: int) -> None:
         self.ground.ledger.note(books.AGENT, self.ground.now(), n, life, "ended")
 
--- a/lupinreach/trial/commands.py
+++ b/lupinreach/trial/commands.py
@@ -12,21 +12,28 @@
 
 from lupinreach.bed.commands import BROKEN, KEPT, MOST_TOLD, bad, lupinreach, told
 from lupinreach.bed.policies import POLICIES
+from lupinreach.bed.stopping import STOPPED
 from lupinreach.config import BadConfig, read_agent
 from lupinreach.trial import play, spec
 from lupinreach.trial.play import Played
 from lupinreach.trial.spec import Trial
 
-UNSURE, STOPPED = 3, 130  # exit codes: no verdict can be given; stopped by a signal
+UNSURE = 3  # exit code: no verdict can be given
+MODES = {"virtual": "virtual", "processes": "loopback"}  # as the world's mode has them
 
 
-def trial_of(file: str, seed: tuple[int, ...], policy: str | None = None) -> Trial:
+def trial_of(file: str, seed: tuple[int, ...], policy: str | None = None, mode: str | None = None) -> Trial:
     try:
         found = spec.read_file(file)
     except BadConfig as wrong:
         bad(wrong)
-    world = found.world
-    return replace(found, world=replace(world, seeds=seed or world.seeds, policy=policy or world.policy))
+    world = replace(found.world, seeds=seed or found.world.seeds, policy=policy or found.world.policy,
+                    mode=MODES[mode] if mode else found.world.mode)
+    if world.mode != "virtual":
+        from lupinreach.trial.rig.stage import fits
+        if why := fits(world):
+            bad(why)
+    return replace(found, world=world)
 
 
 @lupinreach.command("check-config")
@@ -62,21 +69,22 @@
 @click.argument("file")
 @click.option("--seed", type=click.IntRange(0), multiple=True, help="in place of the file's; may be given again")
 @click.option("--policy", type=click.Choice(list(POLICIES)))
+@click.option("--mode", type=click.Choice(list(MODES)), help="in virtual time, or with every part a process")
 @click.option("--jobs", type=click.IntRange(1), help="runs beside each other")
 @click.option("--json", "out", type=click.Path(dir_okay=False), help="write every run's figures to a file")
 @click.option("--report", type=click.Path(file_okay=False), help="write a page with plots of the first seed")
-def run(file: str, seed: tuple[int, ...], policy: str | None, jobs: int | None, out: str | None,
+def run(file: str, seed: tuple[int, ...], policy: str | None, mode: str | None, jobs: int | None, out: str | None,
         report: str | None) -> None:
     """Play a trial; ends with one line of JSON.
 
     Exit 0: rules kept, 1: one broken or less than expected, 2: a bad file, 3: unsure, 130: stopped.
     """
-    one = trial_of(file, seed, policy)
+    one = trial_of(file, seed, policy, mode)
     played: list[Played] = []
 
     def done(p: Played) -> None:
         played.append(p)
-        told.print(_line(p), markup=False)
+        told.print(_line(p) + (" (stopped)" if p.stopped else ""), markup=False)
 
     stopped = False
     try:
@@ -94,7 +102,7 @@
         sys.exit(STOPPED if stopped else UNSURE)
     if out:
         rows = [{"seed": p.result.seed, "verdict": p.verdict, **p.recovery.plain(), "missed": p.missed,
-                 "seconds": [vars(s) for s in p.seconds], "breaches": [vars(b) for b in p.result.breaches]}
+                 "seconds": [vars(s) for s in p.seconds], "rig": p.rig, "breaches": [vars(b) for b in p.result.breaches]}
                 for p in played]
         Path(out).write_text(json.dumps({"trial": one.world.name, "runs": rows}, indent=1) + "\n")
     if report:
--- a/lupinreach/trial/play.py
+++ b/lupinreach/trial/play.py
@@ -5,17 +5,18 @@
 import os
 from collections.abc import Callable
 from concurrent.futures import ProcessPoolExecutor
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 from math import inf
 from typing import Any
 
-from lupinreach.bed import experiment, virtual
+from lupinreach.bed import check, experiment, virtual
 from lupinreach.bed.experiment import Result
 from lupinreach.bed.ledger import Ledger
 from lupinreach.trial import figures
 from lupinreach.trial.spec import Trial
 
 KEPT, BROKEN, UNSURE = "kept", "broken", "unsure"
+TOO_LATE = check.LATE / 2  # ms at p99.9 from which a run with processes says nothing
 
 
 @dataclass
@@ -28,6 +29,8 @@
     missed: list[str]
     late: float = 0.0  # ms that the rig itself was late at p99.9; 0 in virtual time
     unsure: str = ""  # why no verdict can be given
+    stopped: bool = False
+    rig: dict[str, Any] = field(default_factory=dict)  # lateness by process, and what starting and stopping took
 
     @property
     def verdict(self) -> str:
@@ -44,8 +47,19 @@
 
 
 def run(trial: Trial, seed: int) -> Played:
-    """One run in virtual time."""
-    return judge(trial, seed, virtual.play(trial.world, seed))
+    """One run, in virtual time or with processes as the trial's mode says."""
+    if trial.world.mode == "virtual":
+        return judge(trial, seed, virtual.play(trial.world, seed))
+    from lupinreach.trial.rig import stage
+    ledger, late, took = stage.play(trial.world, seed)
+    played = judge(trial, seed, ledger)
+    played.stopped, played.rig = ledger.stopped, {"late": late, **took}
+    played.late = max((each["p999"] for each in late.values()), default=0.0)
+    most, where = max((each["most"], name) for name, each in late.items())
+    if played.late > TOO_LATE or most > check.LATE:
+        # Guards against a verdict on agents where it is the rig that was late.
+        played.unsure = f"the rig was late: {played.late:.1f} ms at p99.9, {most:.1f} at most ({where})"
+    return played
 
 
 def run_many(jobs: list[tuple[Trial, int]], workers: int | None = None,
@@ -53,10 +67,12 @@
     """In the order given; in processes of their own where there are several."""
     workers = min(len(jobs), workers or os.cpu_count() or 1)
     results: list[Played] = []
-    if workers <= 1:
+    if workers <= 1 or any(trial.world.mode != "virtual" for trial, _ in jobs):
         for job in jobs:
             results.append(run(*job))
             done(results[-1])
+            if results[-1].stopped:
+                raise KeyboardInterrupt
         return results
     with ProcessPoolExecutor(workers) as pool:
         for played in pool.map(run, *zip(*jobs, strict=True)):
--- /dev/null
+++ b/lupinreach/trial/rig/stage.py
@@ -0,0 +1,397 @@
+"""The coordinator: starts every process of the fleet, makes trouble when it is due, and merges what they booked.
+
+It is the bed's stage with the peers elsewhere: each part that the stage acts on is a stand-in here that sends what
+changed to the process that has it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import signal
+import sys
+import tempfile
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import orjson
+
+from lupinreach.bed import ledger as books
+from lupinreach.bed.backend import Backend
+from lupinreach.bed.ledger import Ledger, Record
+from lupinreach.bed.loopback import ENDS_WITHIN, LoopbackGround, free_port
+from lupinreach.bed.network import Machine
+from lupinreach.bed.registry import Entry
+from lupinreach.bed.spec import Trouble, World, plain
+from lupinreach.bed.stage import SETTLES, Stage, text
+from lupinreach.bed.stopping import until_stopped
+from lupinreach.trial.rig.late import Lateness
+from lupinreach.trial.rig.places import MOST_AGENTS, MOST_BACKENDS, Places
+
+BACKENDS_EACH, CLIENTS_EACH, AGENTS_EACH = 24, 24, 12  # that one process of the rig plays, and one relay serves
+BEGINS_IN = 0.3  # s from the word to begin until the first arrival
+MOST_LINE = 16 << 20
+TOLD_OF = ("slower", "silent", "fails", "stalls", "report_age", "stolen")  # of a backend
+MADE_BY_RELAY = ("vanished", "breaks", "slower")  # of a machine
+ENDED = 5.0  # s for a process of the rig to end
+
+
+class RigBroken(RuntimeError):
+    """A process of the rig ended or never opened; the run says nothing."""
+
+
+class Process:
+    """One process of the rig."""
+
+    def __init__(self, role: str, mine: list[int]) -> None:
+        self.role = role
+        self.mine = mine
+        self.process: asyncio.subprocess.Process | None = None
+        self.opened = asyncio.Event()
+        self.late: dict[str, float] = {}
+        self.ledger: Path | None = None
+
+    async def start(self, order: dict[str, Any], folder: Path, heard: Callable[[dict[str, Any]], None]) -> None:
+        self.ledger = folder / f"{self.role}-{self.mine[0] if self.mine else 0}.ledger"
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "lupinreach.trial.rig.host", stdin=asyncio.subprocess.PIPE,
+            stdout=asyncio.subprocess.PIPE, limit=MOST_LINE, start_new_session=True)
+        self.tell(order | {"role": self.role, "mine": self.mine, "folder": str(folder), "ledger": str(self.ledger)})
+        self._heard = heard
+        self._reads = asyncio.create_task(self._read())
+
+    async def _read(self) -> None:
+        assert self.process is not None and self.process.stdout is not None
+        async for line in self.process.stdout:
+            event = orjson.loads(line)
+            if event["event"] == "open":
+                self.opened.set()
+            elif event["event"] == "ended":
+                self.late = event["late"]
+            else:
+                self._heard(event)
+
+    def tell(self, order: dict[str, Any]) -> None:
+        assert self.process is not None and self.process.stdin is not None
+        if self.process.returncode is None:
+            self.process.stdin.write(orjson.dumps(order) + b"\n")
+
+    async def end(self) -> None:
+        if self.process is None:
+            return
+        with contextlib.suppress(ConnectionError):
+            self.tell({"do": "end"})
+        try:
+            async with asyncio.timeout(ENDED):
+                await self.process.wait()
+                await self._reads
+        except TimeoutError:
+            self.process.kill()
+            await self.process.wait()
+        self._reads.cancel()
+
+
+class RemoteBackend:
+    """What the stage acts on; the backend itself is in a process of the rig."""
+
+    def __init__(self, ground: RigGround, backend: Backend, machine: Machine) -> None:
+        self._ground = ground
+        self.backend = backend
+        self.machine = machine
+        self._told: dict[str, float] = {}
+        self._life = 0
+
+    def step(self) -> None:
+        b = self.backend
+        if b.life != self._life and b.up:
+            self._life = b.life
+            self._ground.tell_backend(b.number, {"do": "boot", "backend": b.number, "cold": b.booted > 0})
+            self._ground.tell_relays({"do": "shut", "name": self.machine.name, "on": False})
+        now = {name: getattr(b, name) for name in TOLD_OF} | {"resets": self.machine.resets}
+        if now != self._told and self._told:
+            self._ground.tell_backend(b.number, {"do": "set", "backend": b.number, "what": now})
+        self._told = now
+
+    def die(self) -> None:
+        self.backend.die(self._ground.now())
+        self._ground.tell_relays({"do": "shut", "name": self.machine.name, "on": True})
+        self._ground.tell_backend(self.backend.number, {"do": "die", "backend": self.backend.number})
+
+    def reset(self) -> None:
+        self._ground.tell_backend(self.backend.number, {"do": "reset", "backend": self.backend.number})
+
+
+class RemoteRegistry:
+    """The registry's service, elsewhere: it is handed all that it knows whenever that changes."""
+
+    def __init__(self, stage: RigStage) -> None:
+        self._stage = stage
+
+    def push(self) -> None:
+        registry = self._stage.registry
+        held = [[version, vars(entry)] for version, entry in registry.copy().values()]
+        self._stage.ground.tell_registry({"do": "hold", "version": registry.version, "up": registry.up, "entries": held})
+
+    def changed(self) -> None:
+        self.push()
+
+    def down(self) -> None:
+        self._stage.registry.up = False
+        self.push()
+
+    def told(self, agent: int, version: int, entries: list[Entry], whole: bool) -> None:
+        ground = self._stage.ground
+        ground.ledger.note(books.TOLD, ground.now(), agent, self._stage.agents[agent], version,
+                           [[e.backend, e.state] for e in entries], whole)
+
+    def wire(self, agent: int, entry: Entry) -> dict[str, Any]:
+        return entry.wire() | {"endpoint": text(self._stage.ground.addresses.backend_for(agent, entry.backend))}
+
+
+class RigGround(LoopbackGround):
+    """Agents as processes, and the processes that play everything round them."""
+
+    addresses: Places
+
+    def __init__(self, world: World, seed: int, folder: Path) -> None:
+        super().__init__(world, seed, folder)
+        self._world, self._seed = world, seed
+        self.addresses = Places(free_port())
+        self._processes: list[Process] = []
+        self.fell: Callable[[int], None] = lambda _: None
+        self.own = Lateness()
+        self._booted: set[int] = set()
+        self.all_booted = asyncio.Event()
+
+    async def open(self) -> None:
+        """Start the rig's processes and wait until all of them are open."""
+        def shares(total: int, each: int) -> list[list[int]]:
+            parts = -(-total // each)
+            return [list(range(total))[i::parts] for i in range(parts)]
+
+        world = self._world
+        self._processes = [
+            *(Process("backends", mine) for mine in shares(world.fleet, BACKENDS_EACH)), Process("registry", []),
+            *(Process("clients", mine) for mine in shares(world.agents, CLIENTS_EACH)),
+            *(Process("relay", mine) for mine in shares(world.agents, AGENTS_EACH))]
+        order = {"world": plain(world), "seed": self._seed, "port": self.addresses.port, "begin": self.ledger._start}
+        await asyncio.gather(*(p.start(order, self._folder, self._heard) for p in self._processes))
+        for p in self._processes:
+            assert p.process is not None
+            ended = asyncio.create_task(p.process.wait())
+            opened = asyncio.create_task(p.opened.wait())
+            await asyncio.wait((ended, opened), return_when=asyncio.FIRST_COMPLETED)
+            opened.cancel()
+            if not p.opened.is_set():
+                raise RigBroken(f"{p.role} ended with {p.process.returncode} before it was open")
+            ended.cancel()
+
+    def _heard(self, event: dict[str, Any]) -> None:
+        if event["event"] == "fell":
+            self.fell(event["backend"])
+        elif event["event"] == "booted":
+            self._booted.add(event["backend"])
+            if len(self._booted) == self._world.fleet:
+                self.all_booted.set()
+
+    def _each(self, role: str) -> list[Process]:
+        return [p for p in self._processes if p.role == role]
+
+    def tell_backend(self, n: int, order: dict[str, Any]) -> None:
+        next(p for p in self._each("backends") if n in p.mine).tell(order)
+
+    def tell_registry(self, order: dict[str, Any]) -> None:
+        self._each("registry")[0].tell(order)
+
+    def tell_relays(self, order: dict[str, Any]) -> None:
+        for p in self._each("relay"):
+            p.tell(order)
+
+    def tell_clients(self, order: dict[str, Any]) -> None:
+        for p in self._each("clients"):
+            p.tell(order)
+
+    async def serve(self, *_: Any) -> None:
+        """Every server is in a process of its own."""
+
+    def shut(self, machine: Machine, on: bool) -> None:
+        """Told by the stand-ins themselves."""
+
+    def mended(self) -> None:
+        """Told with the plane as a whole."""
+
+    def kill_agent(self, number: int) -> None:
+        super().kill_agent(number)
+        self.tell_relays({"do": "shut", "name": f"agent {number}", "on": True})
+
+    async def start_agent(self, number: int, life: int, raw: dict[str, Any], ended: Callable[[], None],
+                          ahead: float = 0.0) -> None:
+        def over() -> None:
+            self.tell_relays({"do": "shut", "name": f"agent {number}", "on": True})
+            ended()
+
+        await super().start_agent(number, life, raw, over, ahead)
+        self.tell_relays({"do": "shut", "name": f"agent {number}", "on": False})
+
+    async def close(self) -> None:
+        await super().close()
+        await asyncio.gather(*(p.end() for p in self._processes), return_exceptions=True)
+
+    def lateness(self) -> dict[str, dict[str, float]]:
+        """By process of the rig, ms."""
+        found = {f"{p.role} {p.mine[0] if p.mine else 0}": p.late for p in self._processes if p.late}
+        return found | {"coordinator": self.own.told()}
+
+    def merged(self, records: list[Record]) -> Ledger:
+        """All ledgers as one, by the machine's clock; which life of an agent it was is filled in here."""
+        rows: list[Record] = list(records)
+        for p in self._processes:
+            if p.ledger is not None and p.ledger.exists():
+                rows += [tuple(orjson.loads(line)) for line in p.ledger.read_bytes().splitlines()]
+        rows.sort(key=lambda r: (r[1], r[0] != books.AGENT))
+        lives: dict[int, int] = {}
+        merged = Ledger(self.ledger._start)
+        for r in rows:
+            if r[0] == books.AGENT and r[4] == "started":
+                lives[r[2]] = r[3]
+            elif r[0] in (books.SENT, books.TOLD) and not r[3]:
+                r = (*r[:3], lives.get(r[2], 1), *r[4:])
+            merged.records.append(r)
+        merged.seal()
+        return merged
+
+
+class RigStage(Stage):
+    """The stage with its peers elsewhere."""
+
+    ground: RigGround
+
+    def __init__(self, world: World, seed: int, ground: RigGround) -> None:
+        super().__init__(world, seed, ground)
+        self.registry_host = RemoteRegistry(self)  # type: ignore[assignment]
+        ground.fell = lambda n: self._fell(self.hosts[n])
+
+    def _add(self, b: Backend, kind: str, suffix: str = "") -> Any:
+        machine = Machine(f"backend {b.number}", b.zone)
+        self.hosts.append(RemoteBackend(self.ground, b, machine))  # type: ignore[arg-type]
+        address = self.ground.addresses.backend(b.number)
+        self.entries.append(Entry(f"b-{b.number:04x}{suffix}", b.number, text(address), self.world.zones[b.zone], kind,
+                                  b.cell, float(b.cores)))
+
+    def _told(self, n: int, raw: dict[str, Any]) -> dict[str, Any]:
+        """Everything that it knows others by is the relay's."""
+        at = self.ground.addresses
+        raw = raw | {"discovery": text(at.registry_for(n))}
+        if self.world.limits.peers:
+            raw |= {"peers_all": text(at.everybody_for(n)),
+                    "peers": [text(at.peer_for(n, other)) for other in range(self.world.agents)]}
+        return raw
+
+    async def play(self) -> None:
+        ground, world = self.ground, self.world
+        await ground.open()
+        watching = ground.loop.create_task(ground.own.watch())
+        facts = {**plain(world), "seed": self._seed, "mode": "processes", "measure": []}
+        ground.ledger.note(books.WORLD, ground.now(), facts)
+        for host in self.hosts:
+            b = host.backend
+            b.boot(ground.now(), False)
+            b.booted = -1.0
+            host.step()
+            self.registry.set(self.entries[b.number])
+        self.registry_host.changed()
+        async with asyncio.timeout(ENDS_WITHIN):
+            await ground.all_booted.wait()
+        for first in range(0, world.agents, 16):
+            await asyncio.gather(*(self._start_agent(n) for n in range(first, min(first + 16, world.agents))))
+        begin = ground.now() + BEGINS_IN * 1000
+        ground.tell_clients({"do": "begin", "at": begin})
+        await asyncio.sleep(BEGINS_IN)
+        for number, trouble in enumerate(world.troubles):
+            targets = self._targets(number, trouble)
+            if trouble.kind == "registry-older":
+                ground.loop.call_later(max(0.0, trouble.at / 1000 - trouble.strength), self._keep_list, number)
+            ground.loop.call_later(trouble.at / 1000, self._begin, number, trouble, targets)
+        longest = max(p.timeout for p in world.products)
+        await asyncio.sleep((begin + world.length - ground.now()) / 1000 + SETTLES * longest / 1000)
+        watching.cancel()
+
+    def _boot(self, host: Any, cold: bool) -> None:
+        b, now = host.backend, self.ground.now()
+        b.boot(now, cold)
+        host.step()
+
+    def _strike(self, trouble: Trouble, targets: list[int], on: bool) -> None:
+        super()._strike(trouble, targets, on)
+        paths = self.ground.paths
+        machines = {h.machine.name: {k: getattr(h.machine, k) for k in MADE_BY_RELAY} for h in self.hosts
+                    if any(getattr(h.machine, k) for k in MADE_BY_RELAY)}
+        self.ground.tell_relays({"do": "plane", "cut": sorted(paths.cut), "loss": paths.loss,
+                                 "deaf": sorted(m.name for m in paths.deaf), "dumb": sorted(m.name for m in paths.dumb),
+                                 "machines": machines})
+
+    def _list(self, n: int, **changed: Any) -> None:
+        super()._list(n, **changed)
+        if not self.registry.up:
+            self.registry_host.changed()
+
+    def _registry_down(self, t: Trouble, targets: list[int], on: bool) -> None:
+        self.registry.up = not on
+        self.ground.tell_relays({"do": "shut", "name": "registry", "on": on})
+        self.registry_host.changed()
+
+    def _registry_back(self, t: Trouble, targets: list[int], on: bool) -> None:
+        super()._registry_back(t, targets, on)
+        self.registry_host.changed()
+
+    def _registry_older(self, t: Trouble, targets: list[int], on: bool) -> None:
+        super()._registry_older(t, targets, on)
+        self.registry_host.changed()
+
+    def _sleep_agents(self, t: Trouble, targets: list[int], on: bool) -> None:
+        for n in targets:
+            if n in self.up:
+                self.ground._signal(n, signal.SIGSTOP if on else signal.SIGCONT)
+
+
+async def play_on(world: World, seed: int) -> tuple[Ledger, dict[str, dict[str, float]], dict[str, float]]:
+    """One run; the merged ledger, how late each process of the rig was, and what starting and stopping took in s."""
+    with tempfile.TemporaryDirectory(prefix="lupinreach-rig-") as folder:
+        began = time.monotonic()
+        ground = RigGround(world, seed, Path(folder))
+        stage = RigStage(world, seed, ground)
+        ended = began
+        stopped = False
+        try:
+            stopped = await until_stopped(stage.play())
+        finally:
+            ended = time.monotonic()
+            await ground.close()
+            closed = time.monotonic()
+        for what in ground.ended_badly:
+            ground.ledger.note(books.FAULT, ground.now(), what)
+        ground.ledger.seal()
+        longest = max(p.timeout for p in world.products)
+        played = (world.length + SETTLES * longest) / 1000
+        took = {"start": round(ended - began - played - BEGINS_IN, 2), "stop": round(closed - ended, 2)}
+        merged = ground.merged(ground.ledger.records)
+        merged.stopped = stopped
+        return merged, ground.lateness(), took
+
+
+def fits(world: World) -> str:
+    """Why this world can't be played with processes; empty if it can."""
+    if world.agents > MOST_AGENTS:
+        return f"agents.count: at most {MOST_AGENTS} with processes"
+    if world.fleet > MOST_BACKENDS:
+        return f"backends: at most {MOST_BACKENDS} with processes"
+    if world.fault:
+        return "fault: can be planted in virtual time only"
+    return ""
+
+
+def play(world: World, seed: int) -> tuple[Ledger, dict[str, dict[str, float]], dict[str, float]]:
+    """As `play_on`, on an event loop of its own."""
+    return asyncio.run(play_on(world, seed))
--- /dev/null
+++ b/tests/test_rig.py
@@ -0,0 +1,196 @@
+"""The fleet as processes: small fleets under faults, the relay between them, and runs that are stopped."""
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import pytest
+
+from lupinreach.bed.chance import stream
+from lupinreach.bed.network import Machine, Paths
+from lupinreach.trial import play, spec
+from lupinreach.trial.rig.places import Places
+from lupinreach.trial.rig.relay import Plane, Posts
+
+SMALL = {"name": "small", "mode": "loopback", "seconds": 6, "zones": ["a", "b"], "agents": {"count": 3},
+         "backends": [{"count": 4, "cores": 1, "speed": 1.0}],
+         "products": [{"name": "look", "work": 20, "slo": 500, "timeout": 1500},
+                      {"name": "pay", "kind": "non-idempotent", "work": 20, "slo": 500, "timeout": 1500, "value": 5}],
+         "traffic": {"calls_per_s": 40}, "rules": {"cold": 3000.0, "drain_grace": 500.0, "fall": 1000.0},
+         "registry": {"lag": [100, 300], "silent_lag": [500, 900]}}
+TROUBLES = {
+    "power": {"faults": [{"kind": "power", "at": 2, "agents": 0.6, "backends": 1.0, "registry": 1.4}]},
+    "deaf": {"troubles": [{"kind": "deaf-agents", "at": 2, "seconds": 2, "targets": [1]}]},
+    "asleep": {"troubles": [{"kind": "sleep-agents", "at": 2, "seconds": 1.5, "targets": [1]}]},
+}
+
+
+@pytest.mark.parametrize("name", TROUBLES)
+def test_a_small_fleet_of_processes_keeps_the_rules_and_comes_back(name):
+    played = play.run(spec.read(SMALL | TROUBLES[name]), 3)
+    assert played.result.rules == {rule: "kept" for rule in played.result.rules}, played.result.breaches[:3]
+    ends = played.result.figures["answers"]
+    assert ends["fulfilled"] > 0.5 * played.result.figures["calls"]
+    assert played.seconds[-2].served >= 0.9 * played.seconds[-2].possible > 0
+    assert set(played.rig["late"]) == {"backends 0", "registry 0", "clients 0", "relay 0", "coordinator"}
+
+
+# The relay by itself.
+
+def plane():
+    paths = Paths(0.0, 0.0, 0.0, 0.0, stream(1, "paths"))
+    return Plane(paths, stream(1, "relay")), Machine("near", 0), Machine("far", 1)
+
+
+async def echo(reader, writer):
+    while data := await reader.read(1000):
+        writer.write(data.upper())
+    writer.close()
+
+
+async def link(between, near, far):
+    """A server behind the plane, and a connection to it."""
+    server = await asyncio.start_server(echo, "127.0.0.1", 0)
+    door = ("127.0.0.1", free())
+    await between.door(door, near, far, server.sockets[0].getsockname())
+    return server, door, await asyncio.open_connection(*door)
+
+
+def free():
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+def run(work):
+    return asyncio.run(asyncio.wait_for(work, 20))
+
+
+def test_a_cut_holds_what_is_sent_in_either_direction_until_it_heals():
+    async def work():
+        between, near, far = plane()
+        server, door, (reader, writer) = await link(between, near, far)
+        writer.write(b"a")
+        assert await reader.readexactly(1) == b"A"
+        for struck in (between.paths.dumb, between.paths.deaf):
+            struck.add(near)
+            writer.write(b"b")
+            with pytest.raises(TimeoutError):
+                await asyncio.wait_for(reader.readexactly(1), 0.1)
+            struck.clear()
+            between.mended()
+            assert await reader.readexactly(1) == b"B"
+        between.close()
+        server.close()
+    run(work())
+
+
+def test_a_machine_that_is_down_refuses_and_resets_and_is_back_at_the_same_address():
+    async def work():
+        between, near, far = plane()
+        server, door, (reader, writer) = await link(between, near, far)
+        writer.write(b"a")
+        await reader.readexactly(1)
+        await between.shut("far", True)
+        with pytest.raises(ConnectionResetError):
+            await reader.readexactly(1)
+        with pytest.raises(ConnectionRefusedError):
+            await asyncio.open_connection(*door)
+        await between.shut("far", False)
+        reader, writer = await asyncio.open_connection(*door)
+        writer.write(b"c")
+        assert await reader.readexactly(1) == b"C"
+        between.close()
+        server.close()
+    run(work())
+
+
+def test_a_break_before_the_last_byte_brings_half_of_it_and_a_reset():
+    async def work():
+        between, near, far = plane()
+        far.breaks = 1.0
+        server, door, (reader, writer) = await link(between, near, far)
+        writer.write(b"abcdefgh")
+        with pytest.raises((ConnectionResetError, asyncio.IncompleteReadError)):
+            await reader.readexactly(8)
+        server.close()
+    run(work())
+
+
+class Heard(asyncio.DatagramProtocol):
+    def __init__(self):
+        self.got = []
+
+    def datagram_received(self, data, addr):
+        self.got.append((data, addr))
+
+
+def test_a_datagram_comes_from_where_its_receiver_knows_the_sender_and_none_from_elsewhere():
+    async def work():
+        between, *_ = plane()
+        machines = [Machine(f"agent {n}", 0) for n in range(2)]
+        places = Places(free() - 1)
+        posts = Posts(between, machines.__getitem__, places.peer)
+        ends = []
+        for n in range(2):
+            ends.append(await between.loop.create_datagram_endpoint(Heard, local_addr=places.peer(n)))
+        for n in range(2):
+            await posts.pair(n, 1 - n, places.peer_for(n, 1 - n))
+            await posts.everybody(n, range(2), places.everybody_for(n))
+        ends[0][0].sendto(b"one", places.peer_for(0, 1))
+        ends[0][0].sendto(b"all", places.everybody_for(0))
+        ends[1][0].sendto(b"forged", places.peer_for(0, 1))  # not that one's to use
+        await asyncio.sleep(0.1)
+        assert sorted(ends[1][1].got) == [(b"all", places.peer_for(1, 0)), (b"one", places.peer_for(1, 0))]
+        assert ends[0][1].got == []
+        machines[1].vanished = True
+        ends[0][0].sendto(b"lost", places.peer_for(0, 1))
+        await asyncio.sleep(0.1)
+        machines[1].vanished, posts.doubled = False, 1.0
+        ends[0][0].sendto(b"twice", places.peer_for(0, 1))
+        await asyncio.sleep(0.1)
+        assert [data for data, _ in ends[1][1].got].count(b"twice") == 2
+    run(work())
+
+
+# Stopped by a signal.
+
+def left_over(mark: str) -> list[str]:
+    found = []
+    for path in Path("/proc").glob("[0-9]*/environ"):
+        try:
+            if mark.encode() in path.read_bytes() and int(path.parent.name) != os.getpid():
+                found.append((path.parent / "cmdline").read_text())
+        except OSError:
+            continue
+    return found
+
+
+@pytest.mark.parametrize("words, number", [(("trial", "run", "FILE", "--mode", "processes"), signal.SIGINT),
+                                           (("trial", "run", "FILE", "--mode", "processes"), signal.SIGTERM),
+                                           (("demo", "--seconds", "60"), signal.SIGINT)])
+def test_a_run_that_is_stopped_takes_down_what_it_started_and_says_what_it_saw(words, number, tmp_path):
+    file = tmp_path / "one.toml"
+    file.write_text('base = "calm"\nname = "one"\nseconds = 60\n[[faults]]\nkind = "power"\nat = 50\nagents = 1\n')
+    folder = tmp_path / "tmp"
+    folder.mkdir()
+    mark = f"LUPINREACH_TEST={os.getpid()}-{time.monotonic_ns()}"
+    env = {**os.environ, "PYTHONPATH": ".", "TMPDIR": str(folder), **dict([mark.split("=")])}
+    one = subprocess.Popen([sys.executable, "-m", "lupinreach.cli", *(str(file) if w == "FILE" else w for w in words)],
+                           stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True, env=env)
+    began = time.monotonic()
+    while len([c for c in left_over(mark) if c.endswith("lupinreach\0")]) < 3 and time.monotonic() < began + 20:
+        time.sleep(0.1)
+    time.sleep(1.5)
+    one.send_signal(number)
+    out, err = one.communicate(timeout=20)
+    line = json.loads(out.splitlines()[-1])
+    assert one.returncode == 130 and line["stopped"] is True and line["verdict"] in ("kept", "unsure"), err
+    assert line["calls"] > 0
+    assert left_over(mark) == [] and list(folder.iterdir()) == []
