Merged ledgers end where the run did: what peers book while agents are taken down is none of it

Now cut at the end of the run. A relay that resets a connection that has gone by itself met a socket without a descriptor (ValueError).

--- a/lupinreach/trial/rig/relay.py
+++ b/lupinreach/trial/rig/relay.py
@@ -148,8 +148,8 @@
                 sock = side.transport.get_extra_info("socket")
                 try:
                     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
-                except OSError:
-                    pass  # it has gone by itself
+                except (OSError, ValueError):
+                    pass  # it has gone by itself: uvloop's socket then has no descriptor any more
                 side.transport.abort()
 
 
--- a/lupinreach/trial/rig/stage.py
+++ b/lupinreach/trial/rig/stage.py
@@ -244,12 +244,16 @@
         found = {f"{p.role} {p.mine[0] if p.mine else 0}": p.late for p in self._processes if p.late}
         return found | {"coordinator": self.own.told()}
 
-    def merged(self, records: list[Record]) -> Ledger:
-        """All ledgers as one, by the machine's clock; which life of an agent it was is filled in here."""
+    def merged(self, records: list[Record], until: float) -> Ledger:
+        """All ledgers as one, by the machine's clock; which life of an agent it was is filled in here.
+
+        What the peers booked past `until`, when the run was over and its parts were taken down, is none of it.
+        """
         rows: list[Record] = list(records)
         for p in self._processes:
             if p.ledger is not None and p.ledger.exists():
-                rows += [tuple(orjson.loads(line)) for line in p.ledger.read_bytes().splitlines()]
+                booked = (tuple(orjson.loads(line)) for line in p.ledger.read_bytes().splitlines())
+                rows += [r for r in booked if r[0] == books.FAULT or r[1] <= (until - self.ledger._start) * 1000]
         rows.sort(key=lambda r: (r[1], r[0] != books.AGENT))
         lives: dict[int, int] = {}
         merged = Ledger(self.ledger._start)
@@ -367,7 +371,7 @@
         try:
             stopped = await until_stopped(stage.play())
         finally:
-            ended = time.monotonic()
+            ended, until = time.monotonic(), ground.now()
             await ground.close()
             closed = time.monotonic()
         for what in ground.ended_badly:
@@ -376,7 +380,7 @@
         longest = max(p.timeout for p in world.products)
         played = (world.length + SETTLES * longest) / 1000
         took = {"start": round(ended - began - played - BEGINS_IN, 2), "stop": round(closed - ended, 2)}
-        merged = ground.merged(ground.ledger.records)
+        merged = ground.merged(ground.ledger.records, until)
         merged.stopped = stopped
         return merged, ground.lateness(), took
 
