Bed: a registry without power learns of nothing until it is back

Now what changes while it is down reaches it after its lag once it is back, as machines that register again do.

--- a/lupinreach/bed/stage.py
+++ b/lupinreach/bed/stage.py
@@ -87,6 +87,7 @@
         self._starting: dict[asyncio.Task[None], None] = {}  # agents that come back; each leaves when it is up
         self._agent_of: list[int] = []  # by API call
         self._lists: dict[int, dict[str, tuple[int, Entry]]] = {}  # kept for a return, by trouble
+        self._missed: dict[str, int] = {}  # uids of backends that changed unseen by the registry; emptied as it is back
         self._ahead = [0.0] * world.agents  # ms by which the clock of an agent that starts is wrong
 
     def machine(self, agent: int) -> Machine:
@@ -315,9 +316,27 @@
 
     def _list(self, n: int, **changed: Any) -> None:
         entry = self.entries[n] = replace(self.entries[n], **changed)
+        if not self.registry.up:
+            self._missed.setdefault(entry.uid, n)  # what has no power learns of nothing
+            return
         self.registry.set(entry)
+        self.registry_host.changed()
+
+    def _learn_missed(self) -> None:
+        """The registry is back: what changed meanwhile reaches it after its lag, as any change does."""
+        missed, self._missed = self._missed, {}
+        for uid, n in missed.items():
+            # Of a machine that was replaced meanwhile, only the last is there.
+            gone = {"state": "Gone"} if self.entries[n].uid != uid else {}
+            self._later(self.world.registry.lag, self._list_late, uid, n, gone)
+
+    def _list_late(self, uid: str, n: int, gone: dict[str, str]) -> None:
+        entry = replace(self.entries[n], uid=uid, **gone)  # type: ignore[arg-type]
         if self.registry.up:
+            self.registry.set(entry)
             self.registry_host.changed()
+        else:
+            self._missed.setdefault(uid, n)
 
     def _die(self, n: int) -> None:
         host = self.hosts[n]
@@ -374,6 +393,7 @@
             self.registry_host.down()
         else:
             self.registry.up = True
+            self._learn_missed()
         self.ground.shut(self._registry_machine, on)
 
     def _registry_back(self, t: Trouble, targets: list[int], on: bool) -> None:
--- a/lupinreach/trial/rig/stage.py
+++ b/lupinreach/trial/rig/stage.py
@@ -323,13 +323,10 @@
                                  "deaf": sorted(m.name for m in paths.deaf), "dumb": sorted(m.name for m in paths.dumb),
                                  "machines": machines})
 
-    def _list(self, n: int, **changed: Any) -> None:
-        super()._list(n, **changed)
-        if not self.registry.up:
-            self.registry_host.changed()
-
     def _registry_down(self, t: Trouble, targets: list[int], on: bool) -> None:
         self.registry.up = not on
+        if not on:
+            self._learn_missed()
         self.ground.tell_relays({"do": "shut", "name": "registry", "on": on})
         self.registry_host.changed()
 
