bed/ in rooms by concern: world, peers, ways to play, judging, commands

Twenty-eight files stood in one room. Arrows go one way: world, peers, ways, judging, commands; only the world's file reader looks the names of policies and faults up in ways as it checks them.

--- a/benchmarks/agent_cost.py
+++ b/benchmarks/agent_cost.py
@@ -13,8 +13,9 @@
 from dataclasses import replace
 from pathlib import Path
 
-from lupinreach.bed import service, spec
-from lupinreach.bed.loopback import play_on
+from lupinreach.bed.judging import service
+from lupinreach.bed.world import spec
+from lupinreach.bed.ways.loopback import play_on
 
 TURNS = 4
 
--- a/benchmarks/bed_scale.py
+++ b/benchmarks/bed_scale.py
@@ -6,7 +6,8 @@
 import time
 from dataclasses import replace
 
-from lupinreach.bed import experiment, spec
+from lupinreach.bed.commands import experiment
+from lupinreach.bed.world import spec
 
 AGENTS = 10, 50, 150, 500
 
--- /dev/null
+++ b/lupinreach/bed/commands/__init__.py
@@ -0,0 +1,1 @@
+"""What the command line does with it: runs, searches, reports, the demo."""
--- a/lupinreach/bed/commands.py
+++ b/lupinreach/bed/commands/cli.py
@@ -14,10 +14,11 @@
 from rich.progress import BarColumn, Progress, TextColumn, TimeElapsedColumn
 from rich.table import Table
 
-from lupinreach.bed import experiment, spec
-from lupinreach.bed.policies import POLICIES
-from lupinreach.bed.spec import World
-from lupinreach.bed.stopping import STOPPED
+from lupinreach.bed.commands import experiment
+from lupinreach.bed.world import spec
+from lupinreach.bed.ways.policies import POLICIES
+from lupinreach.bed.world.spec import World
+from lupinreach.bed.ways.stopping import STOPPED
 from lupinreach.config import BadConfig
 
 KEPT, BROKEN, BAD = 0, 1, 2
@@ -82,7 +83,7 @@
 @click.option("--seed", type=click.IntRange(0), default=1, show_default=True)
 def demo(seconds: float, seed: int) -> None:
     """Agents, stand-in backends, a registry and clients on loopback; a trouble after some seconds."""
-    from lupinreach.bed.demo import demo as show
+    from lupinreach.bed.commands.demo import demo as show
     world = world_of("demo")
     share = seconds * 1000 / world.length
     world = replace(world, length=seconds * 1000, troubles=tuple(
@@ -130,7 +131,7 @@
         if ledger and not number:
             book.save(Path(ledger))
         if report:
-            from lupinreach.bed.report import write
+            from lupinreach.bed.commands.report import write
             told.print(f"report: {write(Path(report), world, result, book.records)}")
         if stopped:
             told.print(f"stopped in run {number + 1} of {len(world.seeds)}")
@@ -180,8 +181,8 @@
 @click.option("--out", type=click.Path(file_okay=False), default="found", show_default=True)
 def search(file: str, budget: int, seed: int, jobs: int | None, out: str) -> None:
     """Draw worlds round the file, keep the worst, and shrink a broken rule to a small file that replays it."""
-    from lupinreach.bed.search import search as look
-    from lupinreach.bed.search import size
+    from lupinreach.bed.commands.search import search as look
+    from lupinreach.bed.commands.search import size
     world = world_of(file)
     broken, worst = look(world, budget, seed, jobs, lambda text: told.print(text))
     folder = Path(out)
--- a/lupinreach/bed/demo.py
+++ b/lupinreach/bed/commands/demo.py
@@ -12,11 +12,11 @@
 from rich.table import Table
 from rich.text import Text
 
-from lupinreach.bed import loopback
-from lupinreach.bed.experiment import Result, judge
-from lupinreach.bed.ledger import Ledger
-from lupinreach.bed.spec import World
-from lupinreach.bed.stage import Stage
+from lupinreach.bed.ways import loopback
+from lupinreach.bed.commands.experiment import Result, judge
+from lupinreach.bed.world.ledger import Ledger
+from lupinreach.bed.world.spec import World
+from lupinreach.bed.ways.stage import Stage
 
 EVERY = 0.5  # s between two looks
 LATELY = 2.0  # s that the table speaks of
--- a/lupinreach/bed/experiment.py
+++ b/lupinreach/bed/commands/experiment.py
@@ -10,10 +10,11 @@
 from math import sqrt
 from typing import Any
 
-from lupinreach.bed import check, loopback, service, virtual
-from lupinreach.bed.check import Breach
-from lupinreach.bed.ledger import Ledger
-from lupinreach.bed.spec import World
+from lupinreach.bed.judging import check, service
+from lupinreach.bed.ways import loopback, virtual
+from lupinreach.bed.judging.check import Breach
+from lupinreach.bed.world.ledger import Ledger
+from lupinreach.bed.world.spec import World
 
 SEEDS = 6  # that a comparison plays where the file names one
 
--- a/lupinreach/bed/report.py
+++ b/lupinreach/bed/commands/report.py
@@ -14,10 +14,10 @@
 import matplotlib.pyplot as plt  # noqa: E402
 import numpy as np  # noqa: E402
 
-from lupinreach.bed import service  # noqa: E402
-from lupinreach.bed.experiment import Result  # noqa: E402
-from lupinreach.bed.ledger import Record  # noqa: E402
-from lupinreach.bed.spec import World  # noqa: E402
+from lupinreach.bed.judging import service  # noqa: E402
+from lupinreach.bed.commands.experiment import Result  # noqa: E402
+from lupinreach.bed.world.ledger import Record  # noqa: E402
+from lupinreach.bed.world.spec import World  # noqa: E402
 
 SECOND = 1000.0
 COLOURS = {"fulfilled": "#2a7f62", "rate-limited": "#e0a030", "errored": "#c04040", "left": "#7a3f8f",
--- a/lupinreach/bed/search.py
+++ b/lupinreach/bed/commands/search.py
@@ -5,9 +5,9 @@
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, replace
 
-from lupinreach.bed.chance import Stream, stream
-from lupinreach.bed.experiment import Result, run_many
-from lupinreach.bed.spec import TROUBLES, BackendKind, Trouble, World
+from lupinreach.bed.world.chance import Stream, stream
+from lupinreach.bed.commands.experiment import Result, run_many
+from lupinreach.bed.world.spec import TROUBLES, BackendKind, Trouble, World
 from lupinreach.model import Kind
 
 MOST_TROUBLES = 3  # drawn beside those of the world
--- a/lupinreach/bed/check.py
+++ b/lupinreach/bed/judging/check.py
@@ -7,9 +7,9 @@
 from dataclasses import dataclass, field
 from math import inf
 
-from lupinreach.bed.backend import SLACK
-from lupinreach.bed.ledger import Record
-from lupinreach.bed.spec import ProductSpec, World
+from lupinreach.bed.peers.backend import SLACK
+from lupinreach.bed.world.ledger import Record
+from lupinreach.bed.world.spec import ProductSpec, World
 from lupinreach.model import Group, Kind
 
 LATE = 50.0  # ms that each limit is longer: messages take their time
--- a/lupinreach/bed/service.py
+++ b/lupinreach/bed/judging/service.py
@@ -9,8 +9,8 @@
 
 from hdrh.histogram import HdrHistogram  # type: ignore[import-untyped]
 
-from lupinreach.bed.ledger import Record
-from lupinreach.bed.spec import World
+from lupinreach.bed.world.ledger import Record
+from lupinreach.bed.world.spec import World
 
 WORST = 10_000.0  # ms
 STEP = 1000.0  # ms between two windows
--- a/lupinreach/bed/backend.py
+++ b/lupinreach/bed/peers/backend.py
@@ -12,7 +12,7 @@
 from math import inf
 from typing import Any
 
-from lupinreach.bed.spec import BackendSpec, RuleSpec
+from lupinreach.bed.world.spec import BackendSpec, RuleSpec
 
 STEP = 100.0  # ms between two looks at a capacity that changes by itself
 SLACK = 1.15  # x what pushes a cold backend over: chance in what comes
--- a/lupinreach/bed/clients.py
+++ b/lupinreach/bed/peers/clients.py
@@ -6,13 +6,13 @@
 from dataclasses import dataclass
 from typing import Any
 
-from lupinreach.bed import ledger as books
-from lupinreach.bed.ground import Ground
-from lupinreach.bed.messages import Reader
-from lupinreach.bed.network import Machine
-from lupinreach.bed.servers import BODY
-from lupinreach.bed.spec import World
-from lupinreach.bed.traffic import Arrival
+from lupinreach.bed.world import ledger as books
+from lupinreach.bed.world.ground import Ground
+from lupinreach.bed.peers.messages import Reader
+from lupinreach.bed.world.network import Machine
+from lupinreach.bed.peers.servers import BODY
+from lupinreach.bed.world.spec import World
+from lupinreach.bed.world.traffic import Arrival
 from lupinreach.config import Address
 from lupinreach.model import Kind
 from lupinreach.net.ends import Ended
--- a/lupinreach/bed/servers.py
+++ b/lupinreach/bed/peers/servers.py
@@ -10,14 +10,14 @@
 
 import orjson
 
-from lupinreach.bed import ledger as books
-from lupinreach.bed.backend import Backend, Job, Way
-from lupinreach.bed.chance import Stream
-from lupinreach.bed.ground import Ground
-from lupinreach.bed.messages import Reader, answer
-from lupinreach.bed.network import Machine
-from lupinreach.bed.registry import Entry, Registry
-from lupinreach.bed.spec import RegistrySpec, World
+from lupinreach.bed.world import ledger as books
+from lupinreach.bed.peers.backend import Backend, Job, Way
+from lupinreach.bed.world.chance import Stream
+from lupinreach.bed.world.ground import Ground
+from lupinreach.bed.peers.messages import Reader, answer
+from lupinreach.bed.world.network import Machine
+from lupinreach.bed.peers.registry import Entry, Registry
+from lupinreach.bed.world.spec import RegistrySpec, World
 from lupinreach.model import Kind
 from lupinreach.net import protocol
 from lupinreach.net.ends import Ended
--- a/lupinreach/bed/agent.py
+++ b/lupinreach/bed/ways/agent.py
@@ -1,11 +1,11 @@
-"""The agent with another module or a wrong clock: `python -m lupinreach.bed.agent POLICY [MS_AHEAD]`."""
+"""The agent with another module or a wrong clock: `python -m lupinreach.bed.ways.agent POLICY [MS_AHEAD]`."""
 
 from __future__ import annotations
 
 import sys
 
 from lupinreach.__main__ import serve
-from lupinreach.bed.policies import POLICIES
+from lupinreach.bed.ways.policies import POLICIES
 from lupinreach.net.clock import Clock
 
 if __name__ == "__main__":
--- a/lupinreach/bed/faults.py
+++ b/lupinreach/bed/ways/faults.py
@@ -9,7 +9,7 @@
 from zlib import crc32
 
 from lupinreach.balance import Backend, Balancer, Call
-from lupinreach.bed.ground import EPOCH
+from lupinreach.bed.world.ground import EPOCH
 from lupinreach.model import Ask, Kind, Listing, News, Port, Settings, State
 
 RARE = 10_000
--- a/lupinreach/bed/loopback.py
+++ b/lupinreach/bed/ways/loopback.py
@@ -22,14 +22,14 @@
 from pathlib import Path
 from typing import Any
 
-from lupinreach.bed import ledger as books
-from lupinreach.bed.chance import stream
-from lupinreach.bed.ground import Addresses
-from lupinreach.bed.ledger import Ledger
-from lupinreach.bed.network import Machine, Paths
-from lupinreach.bed.spec import World
-from lupinreach.bed.stage import Stage
-from lupinreach.bed.stopping import until_stopped
+from lupinreach.bed.world import ledger as books
+from lupinreach.bed.world.chance import stream
+from lupinreach.bed.world.ground import Addresses
+from lupinreach.bed.world.ledger import Ledger
+from lupinreach.bed.world.network import Machine, Paths
+from lupinreach.bed.world.spec import World
+from lupinreach.bed.ways.stage import Stage
+from lupinreach.bed.ways.stopping import until_stopped
 from lupinreach.config import Address
 
 NAME = b"Req-Id: "
@@ -197,7 +197,7 @@
         path = self._folder / f"agent-{number}.json"
         path.write_text(json.dumps(raw))
         plain = self._policy == "lupinreach" and not ahead
-        program = ["-m", "lupinreach"] if plain else ["-m", "lupinreach.bed.agent", self._policy, f"{ahead:.0f}"]
+        program = ["-m", "lupinreach"] if plain else ["-m", "lupinreach.bed.ways.agent", self._policy, f"{ahead:.0f}"]
         env = {**os.environ, "PROXY_CONFIG": str(path)}
         if self._tree is not None:
             env["PYTHONPATH"] = str(self._tree)
--- a/lupinreach/bed/memory.py
+++ b/lupinreach/bed/ways/memory.py
@@ -17,8 +17,8 @@
 from math import inf
 from typing import Any
 
-from lupinreach.bed.loop import OWNER, VirtualLoop
-from lupinreach.bed.network import Machine, Paths
+from lupinreach.bed.ways.loop import OWNER, VirtualLoop
+from lupinreach.bed.world.network import Machine, Paths
 from lupinreach.config import Address
 from lupinreach.net.sockets import Sockets
 
--- a/lupinreach/bed/stage.py
+++ b/lupinreach/bed/ways/stage.py
@@ -7,16 +7,16 @@
 from dataclasses import dataclass, replace
 from typing import Any
 
-from lupinreach.bed import ledger as books
-from lupinreach.bed.backend import Backend, Marks
-from lupinreach.bed.chance import stream
-from lupinreach.bed.clients import ClientHost
-from lupinreach.bed.ground import Ground
-from lupinreach.bed.network import Machine
-from lupinreach.bed.registry import Entry, Registry
-from lupinreach.bed.servers import SAMPLE, BackendHost, BackendLine, RegistryHost, RegistryLine
-from lupinreach.bed.spec import Trouble, World, plain
-from lupinreach.bed.traffic import arrivals
+from lupinreach.bed.world import ledger as books
+from lupinreach.bed.peers.backend import Backend, Marks
+from lupinreach.bed.world.chance import stream
+from lupinreach.bed.peers.clients import ClientHost
+from lupinreach.bed.world.ground import Ground
+from lupinreach.bed.world.network import Machine
+from lupinreach.bed.peers.registry import Entry, Registry
+from lupinreach.bed.peers.servers import SAMPLE, BackendHost, BackendLine, RegistryHost, RegistryLine
+from lupinreach.bed.world.spec import Trouble, World, plain
+from lupinreach.bed.world.traffic import arrivals
 from lupinreach.config import Address
 from lupinreach.model import Group, Kind
 
--- a/lupinreach/bed/virtual.py
+++ b/lupinreach/bed/ways/virtual.py
@@ -11,17 +11,17 @@
 
 from tornado.ioloop import IOLoop
 
-from lupinreach.bed import ledger as books
-from lupinreach.bed.chance import stream
-from lupinreach.bed.faults import FAULTS
-from lupinreach.bed.ground import EPOCH, Addresses
-from lupinreach.bed.ledger import Ledger
-from lupinreach.bed.loop import START, VirtualLoop
-from lupinreach.bed.memory import RST, MemoryNet, MemorySocket, MemorySockets
-from lupinreach.bed.network import Machine, Paths
-from lupinreach.bed.policies import POLICIES
-from lupinreach.bed.spec import World
-from lupinreach.bed.stage import Stage
+from lupinreach.bed.world import ledger as books
+from lupinreach.bed.world.chance import stream
+from lupinreach.bed.ways.faults import FAULTS
+from lupinreach.bed.world.ground import EPOCH, Addresses
+from lupinreach.bed.world.ledger import Ledger
+from lupinreach.bed.ways.loop import START, VirtualLoop
+from lupinreach.bed.ways.memory import RST, MemoryNet, MemorySocket, MemorySockets
+from lupinreach.bed.world.network import Machine, Paths
+from lupinreach.bed.ways.policies import POLICIES
+from lupinreach.bed.world.spec import World
+from lupinreach.bed.ways.stage import Stage
 from lupinreach.config import Address, AgentConfig, Section, read_settings
 from lupinreach.net.agent import Agent
 from lupinreach.net.clock import Clock
--- a/lupinreach/bed/ground.py
+++ b/lupinreach/bed/world/ground.py
@@ -7,8 +7,8 @@
 from dataclasses import dataclass
 from typing import Any, Protocol
 
-from lupinreach.bed.ledger import Ledger
-from lupinreach.bed.network import Machine, Paths
+from lupinreach.bed.world.ledger import Ledger
+from lupinreach.bed.world.network import Machine, Paths
 from lupinreach.config import Address
 
 EPOCH = 1_700_000_000_000.0  # ms: when virtual runs begin
--- a/lupinreach/bed/network.py
+++ b/lupinreach/bed/world/network.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from math import inf
 
-from lupinreach.bed.chance import Stream
+from lupinreach.bed.world.chance import Stream
 
 RESEND = 200.0  # ms that a lost segment costs
 MOST_RESENDS = 4
--- a/lupinreach/bed/spec.py
+++ b/lupinreach/bed/world/spec.py
@@ -326,8 +326,8 @@
 
 
 def read(raw: Mapping[str, Any]) -> World:
-    from lupinreach.bed.faults import FAULTS
-    from lupinreach.bed.policies import POLICIES
+    from lupinreach.bed.ways.faults import FAULTS
+    from lupinreach.bed.ways.policies import POLICIES
     top = Strict(dict(raw))
     zones = tuple(top.texts("zones")) or ("here",)
     agents = top.section("agents")
--- a/lupinreach/bed/traffic.py
+++ b/lupinreach/bed/world/traffic.py
@@ -6,8 +6,8 @@
 
 import numpy as np
 
-from lupinreach.bed.chance import stream
-from lupinreach.bed.spec import Traffic, World
+from lupinreach.bed.world.chance import stream
+from lupinreach.bed.world.spec import Traffic, World
 
 GRAIN = 50.0  # ms: the rate is even within one
 COSTLY_SHARE = 0.02
--- a/lupinreach/trial/commands.py
+++ b/lupinreach/trial/commands.py
@@ -10,9 +10,9 @@
 import click
 from rich.table import Table
 
-from lupinreach.bed.commands import BROKEN, KEPT, MOST_TOLD, bad, lupinreach, told
-from lupinreach.bed.policies import POLICIES
-from lupinreach.bed.stopping import STOPPED
+from lupinreach.bed.commands.cli import BROKEN, KEPT, MOST_TOLD, bad, lupinreach, told
+from lupinreach.bed.ways.policies import POLICIES
+from lupinreach.bed.ways.stopping import STOPPED
 from lupinreach.config import BadConfig, read_agent
 from lupinreach.trial import play, spec
 from lupinreach.trial.play import Played
--- a/lupinreach/trial/figures.py
+++ b/lupinreach/trial/figures.py
@@ -1,4 +1,4 @@
-"""Served over possible, second by second, from a run's ledger. Pure; an addition to `bed.service`.
+"""Served over possible, second by second, from a run's ledger. Pure; an addition to `bed.judging.service`.
 
 The possible of a second is the billed value that first tries ask of agents that are up, as far as the backends that
 they can reach have capacity for its work at that moment: a cold backend's by its age, a slow one's by how slow it is. It
@@ -13,9 +13,9 @@
 from math import inf
 from typing import Any
 
-from lupinreach.bed import service
-from lupinreach.bed.ledger import Record
-from lupinreach.bed.spec import World
+from lupinreach.bed.judging import service
+from lupinreach.bed.world.ledger import Record
+from lupinreach.bed.world.spec import World
 
 SECOND = 1000.0  # ms
 GRAIN = 100.0  # ms in which what stands is taken to stand still
--- a/lupinreach/trial/play.py
+++ b/lupinreach/trial/play.py
@@ -9,9 +9,11 @@
 from math import inf
 from typing import Any
 
-from lupinreach.bed import check, experiment, virtual
-from lupinreach.bed.experiment import Result
-from lupinreach.bed.ledger import Ledger
+from lupinreach.bed.commands import experiment
+from lupinreach.bed.judging import check
+from lupinreach.bed.ways import virtual
+from lupinreach.bed.commands.experiment import Result
+from lupinreach.bed.world.ledger import Ledger
 from lupinreach.trial import figures
 from lupinreach.trial.spec import Trial
 
--- a/lupinreach/trial/report.py
+++ b/lupinreach/trial/report.py
@@ -8,7 +8,7 @@
 
 import matplotlib.pyplot as plt
 
-from lupinreach.bed.report import STYLE, frame, svg
+from lupinreach.bed.commands.report import STYLE, frame, svg
 from lupinreach.trial.play import Played
 from lupinreach.trial.spec import Trial
 
--- a/lupinreach/trial/rig/host.py
+++ b/lupinreach/trial/rig/host.py
@@ -15,17 +15,17 @@
 import orjson
 import uvloop
 
-from lupinreach.bed import ledger as books
-from lupinreach.bed import spec as beds
-from lupinreach.bed.chance import stream
-from lupinreach.bed.clients import ClientHost
-from lupinreach.bed.ledger import Ledger
-from lupinreach.bed.loopback import BACKLOG, LoopbackGround
-from lupinreach.bed.network import Machine, Paths
-from lupinreach.bed.registry import Entry, Registry
-from lupinreach.bed.servers import SAMPLE, BackendHost, BackendLine, RegistryHost, RegistryLine
-from lupinreach.bed.stage import draw
-from lupinreach.bed.traffic import arrivals
+from lupinreach.bed.world import ledger as books
+from lupinreach.bed.world import spec as beds
+from lupinreach.bed.world.chance import stream
+from lupinreach.bed.peers.clients import ClientHost
+from lupinreach.bed.world.ledger import Ledger
+from lupinreach.bed.ways.loopback import BACKLOG, LoopbackGround
+from lupinreach.bed.world.network import Machine, Paths
+from lupinreach.bed.peers.registry import Entry, Registry
+from lupinreach.bed.peers.servers import SAMPLE, BackendHost, BackendLine, RegistryHost, RegistryLine
+from lupinreach.bed.ways.stage import draw
+from lupinreach.bed.world.traffic import arrivals
 from lupinreach.config import Address
 from lupinreach.trial.rig.late import Lateness
 from lupinreach.trial.rig.places import Places
--- a/lupinreach/trial/rig/relay.py
+++ b/lupinreach/trial/rig/relay.py
@@ -13,8 +13,8 @@
 from collections.abc import Callable
 from typing import Any
 
-from lupinreach.bed.chance import Stream
-from lupinreach.bed.network import Machine, Paths
+from lupinreach.bed.world.chance import Stream
+from lupinreach.bed.world.network import Machine, Paths
 from lupinreach.config import Address
 
 BACKLOG = 256
--- a/lupinreach/trial/rig/stage.py
+++ b/lupinreach/trial/rig/stage.py
@@ -18,15 +18,15 @@
 
 import orjson
 
-from lupinreach.bed import ledger as books
-from lupinreach.bed.backend import Backend
-from lupinreach.bed.ledger import Ledger, Record
-from lupinreach.bed.loopback import ENDS_WITHIN, LoopbackGround, free_port
-from lupinreach.bed.network import Machine
-from lupinreach.bed.registry import Entry
-from lupinreach.bed.spec import Trouble, World, plain
-from lupinreach.bed.stage import SETTLES, Stage, text
-from lupinreach.bed.stopping import until_stopped
+from lupinreach.bed.world import ledger as books
+from lupinreach.bed.peers.backend import Backend
+from lupinreach.bed.world.ledger import Ledger, Record
+from lupinreach.bed.ways.loopback import ENDS_WITHIN, LoopbackGround, free_port
+from lupinreach.bed.world.network import Machine
+from lupinreach.bed.peers.registry import Entry
+from lupinreach.bed.world.spec import Trouble, World, plain
+from lupinreach.bed.ways.stage import SETTLES, Stage, text
+from lupinreach.bed.ways.stopping import until_stopped
 from lupinreach.trial.rig.late import Lateness
 from lupinreach.trial.rig.places import MOST_AGENTS, MOST_BACKENDS, Places
 
--- a/lupinreach/trial/spec.py
+++ b/lupinreach/trial/spec.py
@@ -12,8 +12,8 @@
 from pathlib import Path
 from typing import Any
 
-from lupinreach.bed import spec as beds
-from lupinreach.bed.spec import Strict, Trouble, World
+from lupinreach.bed.world import spec as beds
+from lupinreach.bed.world.spec import Strict, Trouble, World
 from lupinreach.config import BadConfig
 
 TRIALS = Path(__file__).parent / "trials"
--- a/tests/test_bed.py
+++ b/tests/test_bed.py
@@ -7,8 +7,10 @@
 
 import pytest
 
-from lupinreach.bed import check, service, spec, virtual
-from lupinreach.bed.faults import FAULTS
+from lupinreach.bed.judging import check, service
+from lupinreach.bed.ways import virtual
+from lupinreach.bed.world import spec
+from lupinreach.bed.ways.faults import FAULTS
 from lupinreach.config import BadConfig
 
 LOOK = {"name": "look", "share": 3}
@@ -58,7 +60,7 @@
 
 
 def test_the_same_seed_gives_the_same_bytes_in_two_processes():
-    program = ("from lupinreach.bed import spec, virtual\n"
+    program = ("from lupinreach.bed.world import spec\nfrom lupinreach.bed.ways import virtual\n"
                "print(virtual.play(spec.read_file('calm'), 5).digest())")
     digests = {subprocess.run([sys.executable, "-c", program], capture_output=True, text=True, check=True,
                               env={**os.environ, "PYTHONHASHSEED": seed, "PYTHONPATH": "."}).stdout
@@ -146,7 +148,7 @@
 
 
 def test_timers_due_at_one_time_run_in_the_order_in_which_they_were_set():
-    from lupinreach.bed.loop import VirtualLoop
+    from lupinreach.bed.ways.loop import VirtualLoop
     loop, ran = VirtualLoop(), []
     at = loop.time() + 1
     handles = [loop.call_at(at, ran.append, i) for i in range(200)]
@@ -162,7 +164,7 @@
 
 
 def test_a_backend_does_its_work_in_the_time_that_its_cores_and_age_allow():
-    from lupinreach.bed.backend import Backend, Job, Marks, Way
+    from lupinreach.bed.peers.backend import Backend, Job, Marks, Way
     one = world(rules={"cold": 1000.0, "start_capacity": 0.5})
     b = Backend(0, 0, 2, 2.0, one.backend, one.rules, 1e9, 100.0, Marks())
     b.boot(0.0, cold=False)
@@ -184,14 +186,14 @@
 
 
 def test_a_mark_is_remembered_for_its_time_and_by_its_group_only():
-    from lupinreach.bed.backend import Marks
+    from lupinreach.bed.peers.backend import Marks
     here, there = Marks(), Marks()
     assert not here.repeat(0.0, "m", 100.0) and here.repeat(99.0, "m", 100.0)
     assert not there.repeat(50.0, "m", 100.0) and not here.repeat(101.0, "m", 100.0)
 
 
 def test_a_registry_tells_each_change_once_and_starts_anew_after_a_restart():
-    from lupinreach.bed.registry import Entry, Registry
+    from lupinreach.bed.peers.registry import Entry, Registry
     r = Registry()
     entries = [Entry(f"u{i}", i, "a:1", "z", "k", 0, 1.0) for i in range(4)]
     first = [r.set(e) for e in entries][-1]
@@ -204,7 +206,7 @@
 
 
 def test_arrivals_come_at_the_rate_and_in_the_shares_asked_for():
-    from lupinreach.bed.traffic import arrivals
+    from lupinreach.bed.world.traffic import arrivals
     one = spec.read({"seconds": 100, "products": [LOOK, PAY], "agents": {"count": 3, "zipf": 1.0},
                      "traffic": {"calls_per_s": 100, "shape": "bursts", "swing": 0.5, "period": 5},
                      "troubles": [{"kind": "surge", "at": 90, "seconds": 10, "strength": 3}]})
@@ -286,7 +288,7 @@
 
 
 def test_two_policies_on_the_same_seeds_meet_the_same_world():
-    from lupinreach.bed import experiment
+    from lupinreach.bed.commands import experiment
     one = world(seconds=3, seeds=[3, 4])
     found = experiment.compare(one, ["round-robin"], workers=1)
     ours, theirs = found["lupinreach"], found["round-robin"]
@@ -296,8 +298,8 @@
 
 
 def test_the_search_finds_a_planted_fault_and_shrinks_it_to_a_file_that_replays_it(tmp_path, monkeypatch):
-    from lupinreach.bed import search as searching
-    from lupinreach.bed.search import search
+    from lupinreach.bed.commands import search as searching
+    from lupinreach.bed.commands.search import search
     monkeypatch.setattr(searching, "TRIES", 2)
     one = world(fault="resends-payment", seconds=3, traffic={"calls_per_s": 60})
     broken, _ = search(one, budget=8, seed=1, workers=1)
@@ -312,7 +314,7 @@
 def test_a_calm_day_on_loopback_serves_as_in_virtual_time():
     from dataclasses import replace
 
-    from lupinreach.bed import experiment
+    from lupinreach.bed.commands import experiment
     one = replace(spec.read_file("calm"), length=4000.0)
     virtually, really = (experiment.run(replace(one, mode=mode), 1) for mode in ("virtual", "loopback"))
     assert virtually.kept and really.kept and virtually.figures["calls"] == really.figures["calls"] > 200
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -12,8 +12,8 @@
 
 import pytest
 
-from lupinreach.bed.chance import stream
-from lupinreach.bed.network import Machine, Paths
+from lupinreach.bed.world.chance import stream
+from lupinreach.bed.world.network import Machine, Paths
 from lupinreach.trial import play, spec
 from lupinreach.trial.rig.places import Places
 from lupinreach.trial.rig.relay import Plane, Posts
--- a/tests/test_trial.py
+++ b/tests/test_trial.py
@@ -7,8 +7,8 @@
 
 import pytest
 
-from lupinreach.bed import virtual
-from lupinreach.bed.spec import read as read_world
+from lupinreach.bed.ways import virtual
+from lupinreach.bed.world.spec import read as read_world
 from lupinreach.config import BadConfig
 from lupinreach.trial import figures, play, spec
 
