Trials: eleven planted mistakes, a policy that sees the true state, clocks that drift

Mistakes of an agent's decisions are planted with processes too (a launcher; two of them tested so), the others in virtual time. Clock takes a drift; a wall clock that steps while an agent runs is not seen by it (a test).

--- a/lupinreach/bed/peers/backend.py
+++ b/lupinreach/bed/peers/backend.py
@@ -114,6 +114,25 @@
         choke = self.spec.choke_slower if self.choked else 1.0
         return self.speed * self.part(now) * (1 - self.stolen) / (self.slower * choke)
 
+    # What a policy that sees the true state asks.
+
+    def takes(self, now: float, work: float) -> float:
+        """Ms until so much work would be done that comes now, what it holds first; infinite if it never is."""
+        rate = self._rate(now) * self.cores
+        held = sum(j.left for j in self.running) + sum(j.left or j.work for j in self.queue)
+        return (held / self.cores + work) / rate * self.cores if self.up and rate > 0 else inf
+
+    def spare(self, now: float) -> float:
+        """Ms of work that may come now before it is pushed over; infinite if warm."""
+        age = now - self.booted
+        if age >= self.rules.cold:
+            return inf
+        lately = sum(w for at, w in self._came if at > now - self.rules.fall)
+        return self._allowed(now) - lately
+
+    def _allowed(self, now: float) -> float:
+        return self.rules.fall_multiple * self.capacity * self.part(now) * self.rules.fall
+
     # From life to life.
 
     def boot(self, now: float, cold: bool) -> None:
@@ -245,8 +264,7 @@
         self._came.append((now, work))
         while self._came and self._came[0][0] <= now - self.rules.fall:
             self._came.popleft()
-        allowed = self.rules.fall_multiple * self.capacity * self.part(now) * self.rules.fall
-        if sum(w for _, w in self._came) > SLACK * allowed:
+        if sum(w for _, w in self._came) > SLACK * self._allowed(now):
             self.fallen = True
 
     # Reports.
--- a/lupinreach/bed/ways/faults.py
+++ b/lupinreach/bed/ways/faults.py
@@ -9,10 +9,11 @@
 from zlib import crc32
 
 from lupinreach.balance import Backend, Balancer, Call
-from lupinreach.bed.world.ground import EPOCH
 from lupinreach.model import Ask, Kind, Listing, News, Port, Settings, State
 
 RARE = 10_000
+ASLEEP = 1000.0  # ms without any word of the world, after which an agent takes itself for one that slept
+TOO_LATE = 150.0  # ms past the client timeout, more than the checker's slack
 Tamper = Callable[[Any, bytes], bytes]
 
 
@@ -89,12 +90,39 @@
         return max(usable, key=lambda b: b.boot_time) if usable else None
 
 
+class WakesBelieving(Balancer):
+    """Goes on by what it believed when it was put to sleep: what has begun to drain meanwhile stays ready for it."""
+
+    def take(self, now: float, ask: Ask) -> Call:
+        self._slept = getattr(self, "_slept", False) or now - getattr(self, "_last", now) > ASLEEP
+        self._last = now
+        return super().take(now, ask)
+
+    def listed(self, now: float, news: News, entries: list[Listing]) -> None:
+        self._slept = getattr(self, "_slept", False) or now - getattr(self, "_last", now) > ASLEEP
+        if self._slept:
+            entries = [replace(e, state=State.READY) if e.state is State.DRAINING else e for e in entries]
+        super().listed(now, news, entries)
+
+
+class SpendsAnew(Balancer):
+    """Begins each life with the whole budget for cold backends, whatever the life before has spent."""
+
+    def start(self, now: float) -> None:
+        self._stood = now
+        super().start(now)
+
+    def _choose(self, now: float, call: Call) -> Backend | None:
+        cold = [b for b in self._ring if call.may_use(b) and self._is_cold(now, b)]
+        return cold[0] if cold and now < self._stood + self._cold else super()._choose(now, call)
+
+
 class _Holding:
-    """A port that keeps refusals back until just before the client timeout."""
+    """A port that keeps refusals back until so many ms before the client timeout, or after it."""
 
-    def __init__(self, port: Port) -> None:
+    def __init__(self, port: Port, before: float) -> None:
         self._port = port
-        self.until: dict[Hashable, float] = {}  # by token; emptied with the refusal
+        self._before = before
 
     def __getattr__(self, name: str) -> Any:
         return getattr(self._port, name)
@@ -107,11 +135,15 @@
 
     def _later(self, token: Hashable, what: Callable[..., None], *args: Any) -> None:
         until = token.ask.until if hasattr(token, "ask") else 0.0
-        asyncio.get_running_loop().call_at((until - 1.0 - EPOCH) / 1000, what, *args)
+        asyncio.get_running_loop().call_at(self._port._clock.on_loop(until - self._before), what, *args)  # type: ignore[attr-defined]
 
 
 def _holds(settings: Settings, seed: int, port: Port) -> Balancer:
-    return Balancer(settings, seed, _Holding(port))  # type: ignore[arg-type]
+    return Balancer(settings, seed, _Holding(port, 1.0))  # type: ignore[arg-type]
+
+
+def _too_late(settings: Settings, seed: int, port: Port) -> Balancer:
+    return Balancer(settings, seed, _Holding(port, -TOO_LATE))  # type: ignore[arg-type]
 
 
 # What an agent writes to its clients, seen on the way out. `sock.address` is None there.
@@ -156,4 +188,7 @@
     "holds-until-deadline": Fault("held", _holds),
     "mixes-up-answers": Fault("another call's answer", tamper=_mixes_up),
     "rare-resend": Fault("effect twice", RareResends),
+    "answers-too-late": Fault("held", _too_late),
+    "wakes-believing": Fault("sent to draining", WakesBelieving),
+    "spends-anew": Fault("cold pushed over", SpendsAnew),
 }
--- a/lupinreach/bed/ways/loopback.py
+++ b/lupinreach/bed/ways/loopback.py
@@ -132,7 +132,7 @@
         self.paths = Paths(network.same, network.cross, network.jitter, network.loss, stream(seed, "paths"))
         self.addresses = Addresses(free_port())
         self.ledger = Ledger(self.now())
-        self._policy = world.policy
+        self._runs = world.fault or world.policy
         self._folder = folder
         self._served: dict[Machine, list[tuple[Address, Callable[[], asyncio.Protocol]]]] = {}
         self._servers: dict[Machine, list[asyncio.Server]] = {}
@@ -193,11 +193,11 @@
     # Agents.
 
     async def start_agent(self, number: int, life: int, raw: dict[str, Any], ended: Callable[[], None],
-                          ahead: float = 0.0) -> None:
+                          ahead: float = 0.0, drift: float = 0.0) -> None:
         path = self._folder / f"agent-{number}.json"
         path.write_text(json.dumps(raw))
-        plain = self._policy == "lupinreach" and not ahead
-        program = ["-m", "lupinreach"] if plain else ["-m", "lupinreach.bed.ways.agent", self._policy, f"{ahead:.0f}"]
+        plain = self._runs == "lupinreach" and not ahead and not drift
+        program = ["-m", "lupinreach"] if plain else ["-m", "lupinreach.bed.ways.agent", self._runs, f"{ahead:.0f}", f"{drift}"]
         env = {**os.environ, "PROXY_CONFIG": str(path)}
         if self._tree is not None:
             env["PYTHONPATH"] = str(self._tree)
--- a/lupinreach/bed/ways/policies.py
+++ b/lupinreach/bed/ways/policies.py
@@ -8,13 +8,16 @@
 
 from collections.abc import Callable
 from math import inf
+from typing import Protocol
 
 from lupinreach.balance import Backend, Balancer, Call
+from lupinreach.bed.peers.backend import Backend as Model
 from lupinreach.model import Ending, Load, Port, Settings
 
 Decide = Callable[[Settings, int, Port], Balancer]
 
 PAPER_WEIGHT = 0.3  # of the newest sample
+MARGIN = 3.0  # x an API call's work that a cold backend must be able to take: others see the same in the same instant
 PAPER_HOLD = 5000.0  # ms until an ejected backend gets its trial
 
 
@@ -124,7 +127,42 @@
             b.figure[i] = latency
 
 
+class Truth(Protocol):
+    """What is so, handed in by virtual time."""
+
+    def backend(self, index: int) -> Model | None:
+        """By the number under which the agent knows it; None: nothing there, or cut off from the agent."""
+        ...
+
+    def work(self, product: int) -> float:
+        """Mean ms of work."""
+        ...
+
+
+class TrueState(Baseline):
+    """Sees what every backend holds, its speed and age, a message's time late: a ceiling, nothing that an agent can do.
+
+    The one that would be done first, of those that are not pushed over by it; refused where that is past the SLO.
+    It knows backends from its list as any agent does.
+    """
+
+    truth: Truth | None = None  # handed in before the first API call
+
+    def _choose(self, now: float, call: Call) -> Backend | None:
+        assert self.truth is not None
+        work = self.truth.work(self.offers.index(call.offer)) * call.work
+        left = min(call.target.slo, call.until - call.taken) - (now - call.taken)
+        best, first = None, left if not call.shots else inf
+        # Of as many as other agents use: connections are scarce, and backends turn away what comes over too many.
+        for b in self._ring[:self._most()]:
+            if call.may_use(b) and (model := self.truth.backend(b.index)) is not None:
+                takes = model.takes(now, work)
+                if takes < first and model.spare(now) >= MARGIN * work:
+                    best, first = b, takes
+        return best
+
+
 POLICIES: dict[str, Decide] = {
     "lupinreach": Balancer, "round-robin": RoundRobin, "least-request": LeastRequest, "two-choices": TwoChoices,
-    "paper": Paper, "nearest": Nearest,
+    "paper": Paper, "nearest": Nearest, "true-state": TrueState,
 }
--- a/lupinreach/bed/ways/stage.py
+++ b/lupinreach/bed/ways/stage.py
@@ -89,6 +89,7 @@
         self._lists: dict[int, dict[str, tuple[int, Entry]]] = {}  # kept for a return, by trouble
         self._missed: dict[str, int] = {}  # uids of backends that changed unseen by the registry; emptied as it is back
         self._ahead = [0.0] * world.agents  # ms by which the clock of an agent that starts is wrong
+        self._drift = [0.0] * world.agents  # and what it gains of each ms
 
     def machine(self, agent: int) -> Machine:
         return self._client_machines[agent]
@@ -172,7 +173,7 @@
         self.registry_host.told(n, self.registry.version, known, True)
         self.ground.ledger.note(books.AGENT, self.ground.now(), n, life, "started")
         async with asyncio.timeout(READY_WITHIN):
-            await self.ground.start_agent(n, life, raw, lambda: self._ended(n, life), self._ahead[n])
+            await self.ground.start_agent(n, life, raw, lambda: self._ended(n, life), self._ahead[n], self._drift[n])
         self.up.add(n)
 
     def _told(self, n: int, raw: dict[str, Any]) -> dict[str, Any]:
@@ -430,6 +431,10 @@
         for n in targets:
             self._ahead[n] = t.strength * 1000 if on else 0.0
 
+    def _drift_agents(self, t: Trouble, targets: list[int], on: bool) -> None:
+        for n in targets:
+            self._drift[n] = t.strength if on else 0.0
+
     def _restart_agents(self, t: Trouble, targets: list[int], on: bool) -> None:
         self._down_and_up(targets, on, "stopping", self.ground.stop_agent)
 
--- a/lupinreach/bed/ways/virtual.py
+++ b/lupinreach/bed/ways/virtual.py
@@ -11,6 +11,7 @@
 
 from tornado.ioloop import IOLoop
 
+from lupinreach.bed.peers.backend import Backend
 from lupinreach.bed.world import ledger as books
 from lupinreach.bed.world.chance import stream
 from lupinreach.bed.ways.faults import FAULTS
@@ -19,7 +20,7 @@
 from lupinreach.bed.ways.loop import START, VirtualLoop
 from lupinreach.bed.ways.memory import RST, MemoryNet, MemorySocket, MemorySockets
 from lupinreach.bed.world.network import Machine, Paths
-from lupinreach.bed.ways.policies import POLICIES
+from lupinreach.bed.ways.policies import POLICIES, TrueState
 from lupinreach.bed.world.spec import World
 from lupinreach.bed.ways.stage import Stage
 from lupinreach.config import Address, AgentConfig, Section, read_settings
@@ -31,17 +32,15 @@
 
 
 class VirtualClock(Clock):
-    """The agent's clock on the loop's time, so many ms ahead of it."""
+    """The agent's clock on the loop's time, so many ms ahead of it, and gaining."""
 
-    def __init__(self, loop: VirtualLoop, ahead: float = 0.0) -> None:
+    def __init__(self, loop: VirtualLoop, ahead: float = 0.0, drift: float = 0.0) -> None:
         self._loop = loop
-        self._epoch = EPOCH + ahead
+        self._rate = 1 + drift
+        self._anchor = EPOCH + ahead - loop.time() * 1000 * drift
 
     def now(self) -> float:
-        return self._epoch + self._loop.time() * 1000
-
-    def on_loop(self, at: float) -> float:
-        return (at - self._epoch) / 1000
+        return self._anchor + self._loop.time() * 1000 * self._rate
 
 
 class VirtualLog(Log):
@@ -64,6 +63,25 @@
         self.log = log
 
 
+class Seen:
+    """The true state, as far as one agent could act on it."""
+
+    def __init__(self, ground: VirtualGround, machine: Machine, agent: Agent) -> None:
+        self._ground, self._machine, self._agent = ground, machine, agent
+
+    def backend(self, index: int) -> Backend | None:
+        ground, place = self._ground, self._agent.directory.place(index)
+        host = ground.hosts[ground.backend_at[place.address]]
+        there = ground.paths.reaches(self._machine, host.machine) and ground.paths.reaches(host.machine, self._machine)
+        if not there or not host.backend.up:
+            return None
+        host.step()
+        return host.backend
+
+    def work(self, product: int) -> float:
+        return self._ground.works[product]
+
+
 class VirtualGround:
     exact = True
     addresses = Addresses(7000)
@@ -83,6 +101,7 @@
         self._lives: dict[int, Life] = {}
         self._owners: dict[int, tuple[int, int]] = {}  # owner: agent, life; as many as there were lives
         self._chance = stream(seed, "breaks")
+        self.works = [p.work for p in world.products]
         self._tasks: set[asyncio.Task[None]] = set()
         self._ends: dict[int, Callable[[], None]] = {}  # of the agents that run
         self.agent_faults: Counter[str] = Counter()
@@ -109,7 +128,7 @@
             if at >= 0:
                 name = piece[at + len(NAME):piece.index(b"\r", at)].decode()
                 agent, life = self._owners[sock.owner]
-                backend = self._backends.get(sock.address)
+                backend = self.backend_at.get(sock.address)
                 if backend is not None:
                     self.ledger.note(books.SENT, self.now(), agent, life, backend, name)
                 other = sock.other
@@ -127,14 +146,16 @@
     # Agents.
 
     async def start_agent(self, number: int, life: int, raw: dict[str, Any], ended: Callable[[], None],
-                          ahead: float = 0.0) -> None:
+                          ahead: float = 0.0, drift: float = 0.0) -> None:
         owner = len(self._owners) + 1
         self._owners[owner] = number, life
         log = VirtualLog()
         with self.loop.owned_by(owner):
             sockets = MemorySockets(self.net, self._machines(number), raw["limits"]["sockets"])
-            agent = Agent(_config(raw), log, VirtualClock(self.loop, ahead), sockets, self._decide)
+            agent = Agent(_config(raw), log, VirtualClock(self.loop, ahead, drift), sockets, self._decide)
             self._lives[number] = Life(owner, agent, log)
+            if isinstance(agent.balancer, TrueState):
+                agent.balancer.truth = Seen(self, self._machines(number), agent)
             await self.loop.create_task(agent.start())
         self._ends[number] = ended
 
@@ -167,18 +188,19 @@
         self.loop.hold(self._lives[number].owner, ms)
 
     def pools(self) -> dict[int, int]:
-        found = dict.fromkeys(self._backends.values(), 0)  # one that is in no pool counts too
+        found = dict.fromkeys(self.backend_at.values(), 0)  # one that is in no pool counts too
         for life in self._lives.values():
             for b in life.agent.balancer._ring:
                 if not any(b.held):
-                    backend = self._backends.get(life.agent.directory.place(b.index).address)
+                    backend = self.backend_at.get(life.agent.directory.place(b.index).address)
                     if backend is not None:
                         found[backend] += 1
         return found
 
     def bind(self, stage: Stage, backends: dict[Address, int]) -> None:
+        self.hosts = stage.hosts
         self._machines = stage.machine
-        self._backends = backends
+        self.backend_at = backends
 
     def close(self) -> None:
         for life in self._lives.values():
--- a/lupinreach/bed/world/ground.py
+++ b/lupinreach/bed/world/ground.py
@@ -33,8 +33,8 @@
     def connect(self, machine: Machine, protocol: asyncio.Protocol, address: Address) -> None: ...
 
     async def start_agent(self, number: int, life: int, raw: dict[str, Any], ended: Callable[[], None],
-                          ahead: float = 0.0) -> None:
-        """Returns once it listens. Its clock is so many ms ahead of the run's."""
+                          ahead: float = 0.0, drift: float = 0.0) -> None:
+        """Returns once it listens. Its clock is so many ms ahead of the run's, and gains so much of a ms each ms."""
         ...
 
     def stop_agent(self, number: int) -> None: ...
--- a/lupinreach/bed/world/spec.py
+++ b/lupinreach/bed/world/spec.py
@@ -45,6 +45,7 @@
     "deaf-agents": ("agents", 0.0, 0.0, 0.0),  # nothing gets to them, but from their own clients
     "dumb-agents": ("agents", 0.0, 0.0, 0.0),  # nothing gets away from them, but to their own clients
     "clock-agents": ("agents", 86_400.0, -1e7, 1e7),  # s by which the clock of one that starts meanwhile is ahead
+    "drift-agents": ("agents", 0.01, -0.2, 0.2),  # what the clock of one that starts meanwhile gains of each second
     "busy-agents": ("agents", 50.0, 0.0, 10_000.0),  # ms for which the event loop is held up, once a second
     "registry-down": ("none", 0.0, 0.0, 0.0),  # refuses and resets
     "registry-back": ("none", 0.0, 0.0, 0.0),  # restarts at a lower version at the end
--- a/lupinreach/trial/rig/stage.py
+++ b/lupinreach/trial/rig/stage.py
@@ -21,6 +21,7 @@
 from lupinreach.bed.world import ledger as books
 from lupinreach.bed.peers.backend import Backend
 from lupinreach.bed.world.ledger import Ledger, Record
+from lupinreach.bed.ways.faults import FAULTS
 from lupinreach.bed.ways.loopback import ENDS_WITHIN, LoopbackGround, free_port
 from lupinreach.bed.world.network import Machine
 from lupinreach.bed.peers.registry import Entry
@@ -226,12 +227,12 @@
         self.tell_relays({"do": "shut", "name": f"agent {number}", "on": True})
 
     async def start_agent(self, number: int, life: int, raw: dict[str, Any], ended: Callable[[], None],
-                          ahead: float = 0.0) -> None:
+                          ahead: float = 0.0, drift: float = 0.0) -> None:
         def over() -> None:
             self.tell_relays({"do": "shut", "name": f"agent {number}", "on": True})
             ended()
 
-        await super().start_agent(number, life, raw, over, ahead)
+        await super().start_agent(number, life, raw, over, ahead, drift)
         self.tell_relays({"do": "shut", "name": f"agent {number}", "on": False})
 
     async def close(self) -> None:
@@ -375,8 +376,10 @@
         return f"agents.count: at most {MOST_AGENTS} with processes"
     if world.fleet > MOST_BACKENDS:
         return f"backends: at most {MOST_BACKENDS} with processes"
-    if world.fault:
-        return "fault: can be planted in virtual time only"
+    if world.fault and FAULTS[world.fault].decide is None:
+        return f"fault: {world.fault} can be planted in virtual time only"
+    if world.policy == "true-state":
+        return "policy: true-state sees the models, which is so in virtual time only"
     return ""
 
 
--- /dev/null
+++ b/tests/test_mistakes.py
@@ -0,0 +1,81 @@
+"""Mistakes planted in agents of a failing fleet: each is caught by its name, and the same trial without it is clean."""
+
+import pytest
+from test_rig import SMALL as RIG
+from test_trial import SMALL
+
+from lupinreach.bed.ways.faults import FAULTS
+from lupinreach.net.clock import Clock
+from lupinreach.trial import play, spec
+from lupinreach.trial.rig.stage import fits
+
+POWER = {"kind": "power", "at": 2, "agents": 1, "backends": 0.8, "registry": 0.5}
+DRAIN = {"kind": "drain", "at": 2, "seconds": 6, "targets": [0, 1]}
+CRASH = {"kind": "crash", "at": 2, "seconds": 0.8, "targets": [2]}
+BUSY = {"traffic": {"calls_per_s": 125}, "rules": {"cold": 8000.0, "drain_grace": 500.0, "fall": 1000.0}}
+SHOWS = {
+    "answers-too-late": {"faults": [POWER | {"backends": 2.5}]},
+    "wakes-believing": {"troubles": [DRAIN, {"kind": "sleep-agents", "at": 1.5, "seconds": 2.5, "targets": [0, 1, 2]}]},
+    "spends-anew": BUSY | {"faults": [{"kind": "power", "at": 2, "agents": 1}], "troubles": [CRASH]},
+    "resends-payment": {"faults": [POWER], "troubles": [{"kind": "stall", "at": 1, "seconds": 9, "share": 0.5, "strength": 0.5}]},
+    "sends-to-draining": {"faults": [POWER], "troubles": [DRAIN | {"at": 4}]},
+    "floods-cold": BUSY | {"faults": [POWER]},
+    "holds-until-deadline": {"faults": [POWER | {"backends": 2.5}]},
+    "answers-twice": {"faults": [POWER]},
+    "drops-answer": {"faults": [POWER]},
+    "mixes-up-answers": {"faults": [POWER]},
+}
+
+
+def caught(raw, fault):
+    one = play.run(spec.read(raw | ({"fault": fault} if fault else {})), 3)
+    return {b.name for b in one.result.breaches}, one.verdict
+
+
+@pytest.mark.parametrize("fault", SHOWS)
+def test_a_mistake_of_agents_in_a_failing_fleet_is_caught_by_its_name(fault):
+    names, verdict = caught(SMALL | SHOWS[fault], fault)
+    assert FAULTS[fault].caught_as in names and verdict == play.BROKEN
+    assert caught(SMALL | SHOWS[fault], "") == (set(), play.KEPT)
+
+
+@pytest.mark.parametrize("fault", ["sends-to-draining", "answers-too-late"])
+def test_and_so_it_is_with_processes(fault):
+    more = {"sends-to-draining": {"troubles": [DRAIN | {"at": 1, "seconds": 4}]},
+            "answers-too-late": {"faults": [{"kind": "power", "at": 1, "backends": 3}]}}[fault]
+    names, _ = caught(RIG | more, fault)
+    assert FAULTS[fault].caught_as in names
+
+
+def test_what_can_be_played_in_virtual_time_only_is_refused_by_its_key():
+    assert fits(spec.read(RIG | {"fault": "answers-twice"}).world).startswith("fault: ")
+    assert fits(spec.read(RIG | {"policy": "true-state"}).world).startswith("policy: ")
+    assert fits(spec.read(RIG | {"fault": "sends-to-draining"}).world) == ""
+
+
+def test_a_policy_that_sees_the_true_state_does_what_can_be_done_and_pushes_nothing_over():
+    plain, best = (play.run(spec.read(SMALL | BUSY | {"faults": [POWER], "policy": name}), 3).recovery
+                   for name in ("least-request", "true-state"))
+    assert best.done_10s > max(0.95, plain.done_10s) and best.cold_load <= 1.0 < plain.cold_load
+
+
+def test_a_clock_that_gains_is_kept_in_step_with_the_event_loop():
+    clock = Clock(5000.0, 0.01)
+    for later in (0.0, 60_000.0):
+        at = clock.now() + later
+        assert clock._anchor + clock.on_loop(at) * 1000 * 1.01 == pytest.approx(at, abs=0.01)
+    assert Clock(0.0, 0.01).now() == pytest.approx(Clock().now(), abs=50.0)
+
+
+def test_wall_clocks_that_step_while_an_agent_runs_are_not_seen_by_it(monkeypatch):
+    clock = Clock()
+    before = clock.now()
+    monkeypatch.setattr("time.time", lambda: 0.0)
+    assert 0 <= clock.now() - before < 1000.0
+
+
+def test_agents_whose_clocks_drift_keep_the_rules():
+    for gains in (0.05, -0.05):
+        one = spec.read(SMALL | {"troubles": [{"kind": "drift-agents", "at": 2, "seconds": 9, "share": 0.5, "strength": gains}],
+                                 "faults": [POWER]})
+        assert play.run(one, 3).verdict == play.KEPT
