Disks in trials: torn, older, another's, stuck, and power lost before a sync; the carried file is synced

Cause: `ops/files.replace` never synced. Now text and name are synced, in a thread, so that no event loop waits for a disk; a thread that hangs can't put an older text over the last. `carry.file` stays off without its key. Worlds: `agents.carry_s` gives each agent a disk; troubles `disk-torn`, `disk-lost`, `disk-older`, `disk-other`, `disk-stuck`, in virtual time by a disk that loses power, with processes in real folders (a sync that is lost can't be made there).

--- /dev/null
+++ b/lupinreach/bed/ways/disk.py
@@ -0,0 +1,121 @@
+"""An agent's folder: in memory, where it loses power as a disk does, or on the system's, where faults are put into files."""
+
+from __future__ import annotations
+
+import errno
+import os
+from collections.abc import Callable
+from pathlib import Path
+
+from lupinreach.bed.world.chance import Stream
+from lupinreach.ops.files import Disk
+
+CARRIED = "carried"
+
+
+class _File:
+    def __init__(self, text: bytes) -> None:
+        self.text = text
+        self.synced: bytes | None = None
+
+
+class MemoryDisk(Disk):
+    """Files and names, each with what of it a power loss leaves."""
+
+    def __init__(self, chance: Stream) -> None:
+        self._chance = chance
+        self._names: dict[str, _File] = {}
+        self._kept: dict[str, _File] = {}  # names that were synced
+        self._number = 0
+        self.stuck = False  # read-only, or full
+
+    def read(self, path: str, most: int) -> bytes:
+        if path not in self._names:
+            raise FileNotFoundError(errno.ENOENT, os.strerror(errno.ENOENT))
+        return self._names[path].text[:most]
+
+    def write(self, folder: str, text: bytes, sync: bool) -> str:
+        if self.stuck:
+            raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
+        self._number += 1
+        fresh = f"{folder}/fresh-{self._number}"
+        file = self._names[fresh] = _File(text)
+        if sync:
+            file.synced = text
+        return fresh
+
+    def rename(self, fresh: str, path: str) -> None:
+        self._names[path] = self._names.pop(fresh)
+
+    def sync(self, folder: str) -> None:
+        self._kept = dict(self._names)
+
+    async def away(self, work: Callable[[], bool]) -> bool:
+        return work()
+
+    def lose_power(self) -> None:
+        """Of a name that was not synced either state may be there; of bytes that were not, any first part."""
+        names = {name for name in {*self._names, *self._kept}}
+        found = {}
+        for name in sorted(names):
+            file = (self._names if self._chance.random() < 0.5 else self._kept).get(name)
+            if file is not None:
+                if file.synced is None:
+                    file.text = file.text[:int(self._chance.random() * (len(file.text) + 1))]
+                found[name] = file
+        self._names, self._kept = dict(found), found
+
+    # Faults, as in a folder.
+
+    def copy(self) -> bytes | None:
+        file = self._names.get(CARRIED)
+        return file.text if file else None
+
+    def put(self, text: bytes | None) -> None:
+        self._names.pop(CARRIED, None)
+        if text is not None:
+            self._names[CARRIED] = file = _File(text)
+            file.synced = text
+        self._kept = dict(self._names)
+
+
+class Folder:
+    """The same faults put into an agent's real folder."""
+
+    def __init__(self, path: Path) -> None:
+        self._path = path
+        self._away = path.with_name(path.name + "-away")
+        path.mkdir(exist_ok=True)
+
+    @property
+    def file(self) -> Path:
+        return self._path / CARRIED
+
+    def copy(self) -> bytes | None:
+        try:
+            return self.file.read_bytes()
+        except OSError:
+            return None
+
+    def put(self, text: bytes | None) -> None:
+        if text is None:
+            self.file.unlink(missing_ok=True)
+        else:
+            self.file.write_bytes(text)
+
+    @property
+    def stuck(self) -> bool:
+        return not self._path.is_dir()
+
+    @stuck.setter
+    def stuck(self, on: bool) -> None:
+        # No rights keep a process of root's from writing: a folder that is a file does.
+        if on and not self.stuck:
+            self._path.rename(self._away)
+            self._path.write_bytes(b"")
+        elif not on and self.stuck:
+            self._path.unlink()
+            self._away.rename(self._path)
+
+    def lose_power(self) -> None:
+        """The system's own caches outlive a process; what isn't synced is lost in virtual time only."""
--- a/lupinreach/bed/ways/loopback.py
+++ b/lupinreach/bed/ways/loopback.py
@@ -28,6 +28,7 @@
 from lupinreach.bed.world.ledger import Ledger
 from lupinreach.bed.world.network import Machine, Paths
 from lupinreach.bed.world.spec import World
+from lupinreach.bed.ways.disk import Folder
 from lupinreach.bed.ways.stage import Stage
 from lupinreach.bed.ways.stopping import until_stopped
 from lupinreach.config import Address
@@ -224,6 +225,12 @@
         up.set()
         ended()
 
+    def disk(self, number: int) -> Folder:
+        return Folder(self._folder / f"disk-{number}")
+
+    def carried(self, number: int) -> str:
+        return str(self.disk(number).file)
+
     def stop_agent(self, number: int) -> None:
         self._signal(number, signal.SIGTERM)
 
--- a/lupinreach/bed/ways/stage.py
+++ b/lupinreach/bed/ways/stage.py
@@ -87,6 +87,7 @@
         self._starting: dict[asyncio.Task[None], None] = {}  # agents that come back; each leaves when it is up
         self._agent_of: list[int] = []  # by API call
         self._lists: dict[int, dict[str, tuple[int, Entry]]] = {}  # kept for a return, by trouble
+        self._copies: dict[int, dict[int, bytes | None]] = {}  # of disks, by the trouble that puts them back
         self._missed: dict[str, int] = {}  # uids of backends that changed unseen by the registry; emptied as it is back
         self._ahead = [0.0] * world.agents  # ms by which the clock of an agent that starts is wrong
         self._drift = [0.0] * world.agents  # and what it gains of each ms
@@ -169,6 +170,8 @@
         if self.world.limits.peers:
             raw |= {"peer_listen": text(at.peer(n)), "peers_all": text(at.everybody()),
                     "peers": [text(at.peer(i)) for i in range(self.world.agents)]}
+        if self.world.carry:
+            raw["carry"] = {"file": self.ground.carried(n), "most_age_s": self.world.carry}
         raw = self._told(n, raw)
         self.registry_host.told(n, self.registry.version, known, True)
         self.ground.ledger.note(books.AGENT, self.ground.now(), n, life, "started")
@@ -204,6 +207,8 @@
             targets = self._targets(number, trouble)
             if trouble.kind == "registry-older":
                 loop.call_later(max(0.0, trouble.at / 1000 - trouble.strength), self._keep_list, number)
+            if trouble.kind == "disk-older":
+                loop.call_later(max(0.0, trouble.at / 1000 - trouble.strength), self._keep_disks, number, targets)
             loop.call_later(trouble.at / 1000, self._begin, number, trouble, targets)
 
     def _targets(self, number: int, trouble: Trouble) -> list[int]:
@@ -431,6 +436,35 @@
         for n in targets:
             self._ahead[n] = t.strength * 1000 if on else 0.0
 
+    # Their disks.
+
+    def _disk_torn(self, t: Trouble, targets: list[int], on: bool) -> None:
+        for n in targets if on else ():
+            text = self.ground.disk(n).copy()
+            if text is not None:
+                self.ground.disk(n).put(text[:int(t.strength * len(text))])
+
+    def _disk_lost(self, t: Trouble, targets: list[int], on: bool) -> None:
+        for n in targets if on else ():
+            self.ground.disk(n).lose_power()
+
+    def _disk_other(self, t: Trouble, targets: list[int], on: bool) -> None:
+        copies = {n: self.ground.disk((n + 1) % self.world.agents).copy() for n in targets} if on else {}
+        for n, text in copies.items():
+            self.ground.disk(n).put(text)
+
+    def _disk_older(self, t: Trouble, targets: list[int], on: bool) -> None:
+        copies = self._copies.pop(self.world.troubles.index(t), {}) if on else {}
+        for n, text in copies.items():
+            self.ground.disk(n).put(text)
+
+    def _keep_disks(self, number: int, targets: list[int]) -> None:
+        self._copies[number] = {n: self.ground.disk(n).copy() for n in targets}
+
+    def _disk_stuck(self, t: Trouble, targets: list[int], on: bool) -> None:
+        for n in targets:
+            self.ground.disk(n).stuck = on
+
     def _drift_agents(self, t: Trouble, targets: list[int], on: bool) -> None:
         for n in targets:
             self._drift[n] = t.strength if on else 0.0
--- a/lupinreach/bed/ways/virtual.py
+++ b/lupinreach/bed/ways/virtual.py
@@ -14,6 +14,7 @@
 from lupinreach.bed.peers.backend import Backend
 from lupinreach.bed.world import ledger as books
 from lupinreach.bed.world.chance import stream
+from lupinreach.bed.ways.disk import CARRIED, MemoryDisk
 from lupinreach.bed.ways.faults import FAULTS
 from lupinreach.bed.world.ground import EPOCH, Addresses
 from lupinreach.bed.world.ledger import Ledger
@@ -27,6 +28,7 @@
 from lupinreach.net.agent import Agent
 from lupinreach.net.clock import Clock
 from lupinreach.net.log import Log
+from lupinreach.ops.carry import Carry
 
 NAME = b"Req-Id: "
 
@@ -88,6 +90,8 @@
 
     def __init__(self, world: World, seed: int) -> None:
         self.loop = VirtualLoop()
+        self._seed = seed
+        self._disks: dict[int, MemoryDisk] = {}  # one an agent, over all its lives
         network = world.network
         self.paths = Paths(network.same, network.cross, network.jitter, network.loss, stream(seed, "paths"))
         self.net = MemoryNet(self.loop, self.paths)
@@ -156,9 +160,19 @@
             self._lives[number] = Life(owner, agent, log)
             if isinstance(agent.balancer, TrueState):
                 agent.balancer.truth = Seen(self, self._machines(number), agent)
+            if agent.config.carry is not None:
+                carry = Carry(agent, agent.config.carry, agent.config.carry_age, self.disk(number))
+                carry.take()
+                agent.tasks.spawn("carry", carry.leave_on())
             await self.loop.create_task(agent.start())
         self._ends[number] = ended
 
+    def disk(self, number: int) -> MemoryDisk:
+        return self._disks.setdefault(number, MemoryDisk(stream(self._seed, "disk", number)))
+
+    def carried(self, number: int) -> str:
+        return CARRIED
+
     def stop_agent(self, number: int) -> None:
         life = self._lives[number]
 
@@ -214,7 +228,8 @@
         raw["name"], top.address("listen"), top.address("discovery"), int(raw["seed"], 16), raw["limits"]["sockets"],
         192 << 20, top.address("peer_listen") if "peer_listen" in raw else None,
         tuple(Section({"peer": t}).address("peer") for t in raw.get("peers", ())), top.address("peers_all") if "peers_all" in raw else None,
-        raw["known"], read_settings(raw["settings"], "settings"))
+        raw["known"], read_settings(raw["settings"], "settings"),
+        carry=raw["carry"]["file"] if "carry" in raw else None, carry_age=1000 * raw["carry"]["most_age_s"] if "carry" in raw else 0.0)
 
 
 def play(world: World, seed: int, progress: Callable[[float], None] | None = None) -> Ledger:
--- a/lupinreach/bed/world/spec.py
+++ b/lupinreach/bed/world/spec.py
@@ -45,6 +45,11 @@
     "deaf-agents": ("agents", 0.0, 0.0, 0.0),  # nothing gets to them, but from their own clients
     "dumb-agents": ("agents", 0.0, 0.0, 0.0),  # nothing gets away from them, but to their own clients
     "clock-agents": ("agents", 86_400.0, -1e7, 1e7),  # s by which the clock of one that starts meanwhile is ahead
+    "disk-torn": ("agents", 0.5, 0.0, 1.0),  # of the carried file this share is left; 0: it is empty
+    "disk-lost": ("agents", 0.0, 0.0, 0.0),  # power is lost: what was not synced may be gone, or torn
+    "disk-older": ("agents", 5.0, 0.0, 1e5),  # the copy of so many s before is put back
+    "disk-other": ("agents", 0.0, 0.0, 0.0),  # the copy of the next agent's disk takes its place
+    "disk-stuck": ("agents", 0.0, 0.0, 0.0),  # can't be written, as one that is full or read-only
     "drift-agents": ("agents", 0.01, -0.2, 0.2),  # what the clock of one that starts meanwhile gains of each second
     "busy-agents": ("agents", 50.0, 0.0, 10_000.0),  # ms for which the event loop is held up, once a second
     "registry-down": ("none", 0.0, 0.0, 0.0),  # refuses and resets
@@ -238,6 +243,7 @@
     mode: str
     policy: str
     fault: str  # a planted one, empty for none
+    carry: float  # s that an agent's carried file may be old; 0: agents have no disk
     agents: int
     zones: tuple[str, ...]
     sockets: int
@@ -354,6 +360,7 @@
         agents=agents.whole("count", 4, low=1, high=5000),
         zones=zones,
         sockets=agents.whole("sockets", 1024, low=32),
+        carry=agents.number("carry_s", 0.0, low=0.0),
         backends=kinds,
         products=products,
         customers=customers,
@@ -511,7 +518,7 @@
     return {
         "name": world.name, "seconds": world.length / 1000, "seeds": list(world.seeds), "mode": world.mode,
         "policy": world.policy, "fault": world.fault, "zones": list(world.zones), "measure": list(world.measure),
-        "agents": {"count": world.agents, "sockets": world.sockets, "zipf": world.traffic.agent_zipf},
+        "agents": {"count": world.agents, "sockets": world.sockets, "carry_s": world.carry, "zipf": world.traffic.agent_zipf},
         "traffic": traffic, "clients": some(world.clients), "backend": some(world.backend),
         "registry": some(world.registry), "network": some(world.network), "rules": some(world.rules),
         "limits": some(world.limits),
--- a/lupinreach/ops/carry.py
+++ b/lupinreach/ops/carry.py
@@ -7,14 +7,16 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from math import isfinite
+from threading import Lock
 from typing import Any
 
 import orjson
 
 from lupinreach.model import Learnt, Met
 from lupinreach.net.agent import Agent
-from lupinreach.ops.files import replace
+from lupinreach.ops.files import Disk, replace
 
 FORM = 1  # of the file; another one is no file
 MOST = 1 << 20  # bytes of it
@@ -74,8 +76,11 @@
 class Carry:
     """The file, as one process uses it."""
 
-    def __init__(self, agent: Agent, path: str, most_age: float) -> None:
+    def __init__(self, agent: Agent, path: str, most_age: float, disk: Disk | None = None) -> None:
         self._agent = agent
+        self._disk = disk or Disk()
+        self._one = Lock()  # at a time: what is left at the end and a writing that hangs on its disk
+        self._number = self._newest = 0
         self._path = path
         self._most_age = most_age
 
@@ -93,8 +98,7 @@
         log.event("carried", backends=len(learnt.backends), age_ms=round(age))
 
     def _read(self) -> tuple[Learnt, float]:
-        with open(self._path, "rb") as file:
-            text = file.read(MOST + 1)
+        text = self._disk.read(self._path, MOST + 1)
         if len(text) > MOST:
             raise Unfit("too long")
         at, learnt = read(text)
@@ -105,13 +109,35 @@
 
     def leave(self) -> None:
         """Write the file for the process that comes next."""
+        text = self._text()
+        if text:
+            self._left(self._write(text)())
+
+    def _text(self) -> bytes:
         learnt = self._agent.balancer.learnt()
-        if not learnt.backends:
-            return  # guards against a process that never saw a list and would wipe out what another has left
-        if not replace(self._path, written(learnt, self._agent.clock.now())):
+        # Guards against a process that never saw a list and would wipe out what another has left.
+        return written(learnt, self._agent.clock.now()) if learnt.backends else b""
+
+    def _left(self, there: bool) -> None:
+        if not there:
             self._agent.counters.others["carry: not written"] += 1
 
     async def leave_on(self) -> None:
         while True:
             await asyncio.sleep(EVERY)
-            self.leave()
+            text = self._text()
+            if text:
+                self._left(await self._disk.away(self._write(text)))
+
+    def _write(self, text: bytes) -> Callable[[], bool]:
+        self._number += 1
+        number = self._number
+
+        def write() -> bool:
+            with self._one:
+                if number < self._newest:
+                    return True  # guards against a late thread that would put an older text over the last
+                self._newest = number
+                return replace(self._path, text, True, self._disk)
+
+        return write
