--- a/lupinreach/bed/ways/memory.py
+++ b/lupinreach/bed/ways/memory.py
@@ -53,7 +53,9 @@
             self.unsent.append(what)
             self.net.waiting[self] = None
             return
-        self._last = max(self._last, loop.time() + paths.delay(self.machine, other.machine) / 1000)
+        size = len(what) if isinstance(what, bytes | bytearray) else 0
+        self._last = (max(self._last, loop.time() + paths.delay(self.machine, other.machine) / 1000)
+                      + paths.passing(self.machine, other.machine, size) / 1000)
         loop.call_at(self._last, self._arrive, other, what, context=self.net.context)
 
     def _arrive(self, other: Side, what: Any) -> None:
--- a/lupinreach/bed/ways/stage.py
+++ b/lupinreach/bed/ways/stage.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 from typing import Any
@@ -88,6 +89,7 @@
         self._agent_of: list[int] = []  # by API call
         self._lists: dict[int, dict[str, tuple[int, Entry]]] = {}  # kept for a return, by trouble
         self._copies: dict[int, dict[int, bytes | None]] = {}  # of disks, by the trouble that puts them back
+        self._parted: Counter[tuple[str, str]] = Counter()  # by how many troubles; as many as the world has pairs
         self._missed: dict[str, int] = {}  # uids of backends that changed unseen by the registry; emptied as it is back
         self._ahead = [0.0] * world.agents  # ms by which the clock of an agent that starts is wrong
         self._drift = [0.0] * world.agents  # and what it gains of each ms
@@ -273,6 +275,24 @@
     def _latency(self, t: Trouble, targets: list[int], on: bool) -> None:
         self._set(targets, "slower", t.strength if on else 0.0, machine=True)
 
+    def _narrow(self, t: Trouble, targets: list[int], on: bool) -> None:
+        self._set(targets, "narrow", t.strength if on else 0.0, machine=True)
+
+    def _apart(self, t: Trouble, targets: list[int], on: bool, both: bool = True) -> None:
+        number, total = self.world.troubles.index(t), self.world.agents
+        some = stream(self._seed, "apart", number).permutation(total)[:round(t.strength * total)]
+        pairs = [(self.hosts[b].machine.name, self._client_machines[int(n)].name) for b in targets for n in some]
+        pairs += [(agent, backend) for backend, agent in pairs] if both else []
+        for pair in pairs:
+            # Counted, so that one of two troubles that part the same pair doesn't heal the other's.
+            self._parted[pair] += 1 if on else -1
+        self.ground.paths.parted = {pair for pair, times in self._parted.items() if times}
+        if not on:
+            self.ground.mended()
+
+    def _apart_one_way(self, t: Trouble, targets: list[int], on: bool) -> None:
+        self._apart(t, targets, on, both=False)
+
     def _thief(self, t: Trouble, targets: list[int], on: bool) -> None:
         self._set(targets, "stolen", t.strength if on else 0.0)
         if on:
--- a/lupinreach/bed/world/network.py
+++ b/lupinreach/bed/world/network.py
@@ -22,6 +22,7 @@
     resets: float = 0.0  # share of the requests after whose last byte a connection to it breaks,
     breaks: float = 0.0  # and of those that break before it
     slower: float = 0.0  # ms more, each way
+    narrow: float = 0.0  # bytes a ms that one connection of its passes at most, each way; 0: any number
 
 
 @dataclass
@@ -36,12 +37,13 @@
     cut: set[int] = field(default_factory=set)  # zones that can't reach the others
     deaf: set[Machine] = field(default_factory=set)  # nothing gets to them,
     dumb: set[Machine] = field(default_factory=set)  # nor away from these, but within the machine
+    parted: set[tuple[str, str]] = field(default_factory=set)  # from the first by name nothing gets to the second
 
     def reaches(self, a: Machine, b: Machine) -> bool:
         """If what `a` sends gets to `b`; the way back is asked for by itself."""
         if a is not b and (a in self.dumb or b in self.deaf):
             return False
-        if a.vanished or b.vanished:
+        if a.vanished or b.vanished or (self.parted and (a.name, b.name) in self.parted):
             return False
         return a.zone == b.zone or not ({a.zone, b.zone} & self.cut)
 
@@ -58,6 +60,11 @@
                 took += RESEND
         return took
 
+    def passing(self, a: Machine, b: Machine, size: int) -> float:
+        """Ms for which so many bytes hold up what comes after them on their connection."""
+        narrow = min((m.narrow for m in (a, b) if m.narrow), default=inf) if a is not b else inf
+        return size / narrow
+
     def datagram(self, a: Machine, b: Machine) -> float:
         """Ms for one datagram, infinite where it is lost."""
         if not self.reaches(a, b) or (self.loss and self.chance.random() < self.loss):
--- a/lupinreach/bed/world/spec.py
+++ b/lupinreach/bed/world/spec.py
@@ -33,6 +33,9 @@
     "reset": ("backends", 0.1, 0.0, 1.0),  # share of requests after whose last byte the connection is reset
     "break": ("backends", 0.1, 0.0, 1.0),  # share of requests before whose last byte it is
     "latency": ("backends", 50.0, 0.0, 60_000.0),  # ms more each way
+    "narrow": ("backends", 2.0, 0.01, 1e6),  # bytes a ms that each connection to it passes, each way
+    "apart": ("backends", 0.5, 0.0, 1.0),  # this share of the agents, drawn, and they don't hear each other
+    "apart-one-way": ("backends", 0.5, 0.0, 1.0),  # what they answer doesn't get to this share of the agents
     "thief": ("backends", 0.5, 0.0, 0.99),  # share of the cores that another program takes, on and off
     "cut": ("zones", 0.0, 0.0, 0.0),  # the zone can't reach the others
     "loss": ("none", 0.05, 0.0, 1.0),  # share of segments
--- a/lupinreach/trial/rig/stage.py
+++ b/lupinreach/trial/rig/stage.py
@@ -35,7 +35,7 @@
 BEGINS_IN = 0.3  # s from the word to begin until the first arrival
 MOST_LINE = 16 << 20
 TOLD_OF = ("slower", "silent", "fails", "stalls", "report_age", "stolen")  # of a backend
-MADE_BY_RELAY = ("vanished", "breaks", "slower")  # of a machine
+MADE_BY_RELAY = ("vanished", "breaks", "slower", "narrow")  # of a machine
 ENDED = 5.0  # s for a process of the rig to end
 
 
@@ -320,7 +320,7 @@
         paths = self.ground.paths
         machines = {h.machine.name: {k: getattr(h.machine, k) for k in MADE_BY_RELAY} for h in self.hosts
                     if any(getattr(h.machine, k) for k in MADE_BY_RELAY)}
-        self.ground.tell_relays({"do": "plane", "cut": sorted(paths.cut), "loss": paths.loss,
+        self.ground.tell_relays({"do": "plane", "cut": sorted(paths.cut), "loss": paths.loss, "parted": sorted(paths.parted),
                                  "deaf": sorted(m.name for m in paths.deaf), "dumb": sorted(m.name for m in paths.dumb),
                                  "machines": machines})
 
--- a/tests/test_trial.py
+++ b/tests/test_trial.py
@@ -100,6 +100,30 @@
     assert play.run(one, 3).verdict == play.KEPT
 
 
+def test_backends_apart_from_some_agents_serve_the_others_and_a_narrow_one_is_slow():
+    one = spec.read(SMALL | {"troubles": [{"kind": "apart", "at": 3, "seconds": 5, "targets": [2], "strength": 0.5},
+                                          {"kind": "apart-one-way", "at": 4, "seconds": 2, "targets": [2], "strength": 0.5}]})
+    records = virtual.play(one.world, 3).records
+    begin = next(r[1] for r in records if r[0] == "asked")
+    inside = [r for r in records if begin + 3.1e6 < r[1] < begin + 7.9e6]
+    whose = {r[2]: r[5] for r in records if r[0] == "asked"}
+    came = {whose[r[4]] for r in inside if r[0] == "came" and r[2] == 2}
+    assert 1 <= len(came) <= 2  # two of the four agents don't reach it
+    after = {whose[r[4]] for r in records if r[0] == "came" and r[2] == 2 and r[1] > begin + 8e6}
+    assert len(after) == 4 and play.run(one, 3).verdict == play.KEPT
+
+
+def test_a_registry_without_power_learns_of_nothing_and_of_all_of_it_once_it_is_back():
+    # Found in the trials: it unlisted dead backends while it was down, so that agents were handed lists nobody could have.
+    one = spec.read(SMALL | {"faults": [POWER | {"agents": 3, "backends": 3.5, "registry": 5}]})
+    records = virtual.play(one.world, 3).records
+    begin = next(r[1] for r in records if r[0] == "asked")
+    dark = [r for r in records if r[0] == "told" and begin + 3e6 < r[1] < begin + 8e6]
+    assert dark and all(len(r[5]) == 6 and {state for _, state in r[5]} == {"Ready"} for r in dark)
+    back = [r for r in records if r[0] == "told" and r[1] > begin + 8e6 + 4e5]
+    assert {n for r in back for n, _ in r[5]} == set(range(6))
+
+
 def test_a_registry_that_comes_back_with_an_older_list_tells_it():
     one = spec.read(SMALL | {"troubles": [
         {"kind": "replace", "at": 1, "seconds": 2, "targets": [0]},
