The last carried file is written beside the event loop too; a stuck folder can be freed again

Seen on reading the change over: the sync that came in held up the loop of an agent that was told to stop, before it answered what was open (__main__.run, Carry.leave); and Folder, made anew while it is stuck, raised (it is a file then). Tests of both.

--- a/lupinreach/bed/ways/disk.py
+++ b/lupinreach/bed/ways/disk.py
@@ -85,7 +85,8 @@
     def __init__(self, path: Path) -> None:
         self._path = path
         self._away = path.with_name(path.name + "-away")
-        path.mkdir(exist_ok=True)
+        if not path.exists():  # while it is stuck it is a file
+            path.mkdir()
 
     @property
     def file(self) -> Path:
--- a/lupinreach/ops/carry.py
+++ b/lupinreach/ops/carry.py
@@ -107,27 +107,21 @@
             raise Unfit(f"{age / 1000:.0f} s old")
         return learnt, age
 
-    def leave(self) -> None:
-        """Write the file for the process that comes next."""
+    async def leave(self) -> None:
+        """Write the file for the process that comes next; the event loop serves on while the disk syncs."""
         text = self._text()
-        if text:
-            self._left(self._write(text)())
+        if text and not await self._disk.away(self._write(text)):
+            self._agent.counters.others["carry: not written"] += 1
 
     def _text(self) -> bytes:
         learnt = self._agent.balancer.learnt()
         # Guards against a process that never saw a list and would wipe out what another has left.
         return written(learnt, self._agent.clock.now()) if learnt.backends else b""
 
-    def _left(self, there: bool) -> None:
-        if not there:
-            self._agent.counters.others["carry: not written"] += 1
-
     async def leave_on(self) -> None:
         while True:
             await asyncio.sleep(EVERY)
-            text = self._text()
-            if text:
-                self._left(await self._disk.away(self._write(text)))
+            await self.leave()
 
     def _write(self, text: bytes) -> Callable[[], bool]:
         self._number += 1
--- a/tests/test_carry.py
+++ b/tests/test_carry.py
@@ -130,9 +130,9 @@
 
     async def work():
         async with Site() as blind, Site(target("s-1", "127.0.0.1:9")) as sees:
-            Carry(blind.agent, str(path), 1e4).leave()
+            await Carry(blind.agent, str(path), 1e4).leave()
             assert path.read_bytes() == b"of another"
-            Carry(sees.agent, str(path), 1e4).leave()
+            await Carry(sees.agent, str(path), 1e4).leave()
     run(work())
     assert len(read(path.read_bytes())[1].backends) == 1
     assert os.listdir(tmp_path) == ["carried"]
--- a/tests/test_disk.py
+++ b/tests/test_disk.py
@@ -1,5 +1,10 @@
 """An agent's disk: what a power loss leaves, every cut of the file, and fleets whose disks lie."""
 
+import asyncio
+import time
+from collections import Counter
+from types import SimpleNamespace
+
 import pytest
 from test_rig import SMALL as RIG
 from test_trial import SMALL
@@ -8,8 +13,8 @@
 from lupinreach.bed.ways.disk import CARRIED, Folder, MemoryDisk
 from lupinreach.bed.world.chance import stream
 from lupinreach.model import Learnt, Met
-from lupinreach.ops.carry import Unfit, read, written
-from lupinreach.ops.files import replace
+from lupinreach.ops.carry import Carry, Unfit, read, written
+from lupinreach.ops.files import Disk, replace
 from lupinreach.trial import play, spec
 
 POWER = {"kind": "power", "at": 6, "agents": 1, "backends": 0.8, "registry": 0.5}
@@ -97,7 +102,7 @@
     path = str(folder.file)
     assert folder.copy() is None and replace(path, b"one", True) and folder.copy() == b"one"
     folder.stuck = True
-    assert not replace(path, b"two", True)
+    assert not replace(path, b"two", True) and Folder(tmp_path / "disk-1").stuck
     folder.stuck = False
     assert folder.copy() == b"one" and replace(path, b"two", True) and folder.copy() == b"two"
     assert [p.name for p in (tmp_path / "disk-1").iterdir()] == [CARRIED]
@@ -110,3 +115,27 @@
                                         {"kind": "disk-other", "at": 5.8, "seconds": 1, "targets": [1]}]})
     played = play.run(one, 3)
     assert played.result.rules == {rule: "kept" for rule in played.result.rules}, played.result.breaches[:3]
+
+
+class Hangs(Disk):
+    def sync(self, folder):
+        time.sleep(0.4)
+        super().sync(folder)
+
+
+def test_an_event_loop_goes_on_while_a_disk_hangs_in_a_sync(tmp_path):
+    class Agent:
+        balancer, clock = SimpleNamespace(learnt=lambda: LEARNT), SimpleNamespace(now=lambda: 1000.0)
+        counters = SimpleNamespace(others=Counter())
+
+    async def main():
+        carry = Carry(Agent(), str(tmp_path / CARRIED), 1e4, Hangs())
+        leaves, ticks = asyncio.create_task(carry.leave()), [time.monotonic()]
+        while not leaves.done():
+            await asyncio.sleep(0.005)
+            ticks.append(time.monotonic())
+        return max(b - a for a, b in zip(ticks, ticks[1:], strict=False)), ticks[-1] - ticks[0]
+
+    longest, took = asyncio.run(main())
+    assert took >= 0.4 and longest < 0.3
+    assert read((tmp_path / CARRIED).read_bytes()) == (1000.0, LEARNT)
