--- a/lupinreach/bed/ways/disk.py
+++ b/lupinreach/bed/ways/disk.py
@@ -55,9 +55,8 @@
 
     def lose_power(self) -> None:
         """Of a name that was not synced either state may be there; of bytes that were not, any first part."""
-        names = {name for name in {*self._names, *self._kept}}
         found = {}
-        for name in sorted(names):
+        for name in sorted({*self._names, *self._kept}):
             file = (self._names if self._chance.random() < 0.5 else self._kept).get(name)
             if file is not None:
                 if file.synced is None:
