Trials: the relay books when an agent was reached and replied, so that held-up answers are told apart

The relay notes when it handed a try to its agent and when the first bytes of the answer came; a try without an answer is the agent's breach unless the agent replied within its time, or was reached later than the settings' answer slack: those are counted as unheard. When each process of the rig was latest is told.

--- a/lupinreach/bed/judging/check.py
+++ b/lupinreach/bed/judging/check.py
@@ -48,6 +48,8 @@
     left: float = inf
     lost: tuple[float, str] | None = None
     shots: list[Shot] = field(default_factory=list)
+    reached: float = inf  # when a relay had handed it to its agent, where one stands between,
+    replied: float = inf  # and had the first bytes of the answer
 
     @property
     def over(self) -> float:
@@ -61,6 +63,7 @@
         self._world = world
         self._products = {p.name: p for p in world.products}
         self.breaches: list[Breach] = []
+        self.unheard: list[str] = []  # tries that no client got an answer of, for what stood between it and its agent
         self.tries: dict[str, Tried] = {}
         self._killed: dict[int, list[float]] = defaultdict(list)
         self._held_up: dict[int, list[tuple[float, float]]] = defaultdict(list)  # by agent: its event loop stood still
@@ -109,6 +112,12 @@
     def _on_lost(self, at: float, name: str, why: str) -> None:
         self.tries[name].lost = at, why
 
+    def _on_reached(self, at: float, name: str) -> None:
+        self.tries[name].reached = min(at, self.tries[name].reached)
+
+    def _on_replied(self, at: float, name: str) -> None:
+        self.tries[name].replied = min(at, self.tries[name].replied)
+
     def _on_agent(self, at: float, agent: int, life: int, what: str) -> None:
         if what == "killed":
             self._killed[agent].append(at)
@@ -221,10 +230,18 @@
             return  # what an agent held when it was killed is the client's to try again
         if any(begin <= over <= end for begin, end in self._held_up[one.agent]):
             return  # a late answer of an agent that was held up
-        if over < inf:
+        if over < inf and self._held_between(one):
+            self.unheard.append(name)
+        elif over < inf:
             why = f"the connection {one.lost[1]}" if one.lost else "the client timeout passed"
             self._breach("answered", "no answer", over, f"{name} at agent {one.agent}: {why}")
 
+    def _held_between(self, one: Tried) -> bool:
+        """If the agent had answered in its own time, or was reached too late to: the relay's matter, seen there."""
+        if one.reached == inf:
+            return False
+        return one.replied <= one.reached + one.waits or one.reached - one.at > self._world.rules.answer_slack
+
     def _judge_effects(self, name: str, one: Tried) -> None:
         effects = sorted(t for s in one.shots for t in s.ran)
         kind = one.product.kind
--- a/lupinreach/trial/rig/host.py
+++ b/lupinreach/trial/rig/host.py
@@ -201,7 +201,7 @@
         for n in self.mine:
             agent = self.machines[f"agent {n}"]
             # Clients stand on their agent's machine: faults of the network don't come between, delays of it neither.
-            await self.plane.door(places.front(n), agent, agent, places.agent(n))
+            await self.plane.door(places.front(n), agent, agent, places.agent(n), self._passed)
             await self.plane.door(places.registry_for(n), agent, self.machines["registry"], places.registry(n))
             for b, _ in backends:
                 await self.plane.door(places.backend_for(n, b), agent, self.machines[f"backend {b}"], places.backend(b))
@@ -215,6 +215,9 @@
                         if other != n:
                             await self.posts.pair(n, other, places.peer_for(n, other))
 
+    def _passed(self, what: str, name: str) -> None:
+        self.ground.ledger.note(what, self.ground.now(), name)
+
     async def do_plane(self, cut: list[int], loss: float, deaf: list[str], dumb: list[str],
                        parted: list[tuple[str, str]], machines: dict[str, dict[str, Any]]) -> None:
         """How all links are from now on."""
--- a/lupinreach/trial/rig/stage.py
+++ b/lupinreach/trial/rig/stage.py
@@ -240,9 +240,10 @@
         await asyncio.gather(*(p.end() for p in self._processes), return_exceptions=True)
 
     def lateness(self) -> dict[str, dict[str, float]]:
-        """By process of the rig, ms."""
+        """By process of the rig, ms; `at` is the moment of its worst, since the run began."""
         found = {f"{p.role} {p.mine[0] if p.mine else 0}": p.late for p in self._processes if p.late}
-        return found | {"coordinator": self.own.told()}
+        found["coordinator"] = self.own.told()
+        return {name: each | {"at": round(each["at"] - self.ledger._start)} for name, each in found.items()}
 
     def merged(self, records: list[Record], until: float) -> Ledger:
         """All ledgers as one, by the machine's clock; which life of an agent it was is filled in here.
