--- a/lupinreach/bed/judging/check.py
+++ b/lupinreach/bed/judging/check.py
@@ -63,9 +63,10 @@
         self._world = world
         self._products = {p.name: p for p in world.products}
         self.breaches: list[Breach] = []
+        self._relayed = False  # a relay stands between clients and agents, and has booked
         self.unheard: list[str] = []  # tries that no client got an answer of, for what stood between it and its agent
         self.tries: dict[str, Tried] = {}
-        self._killed: dict[int, list[float]] = defaultdict(list)
+        self._killed: dict[int, list[tuple[float, float]]] = defaultdict(list)  # and when the next life was started
         self._held_up: dict[int, list[tuple[float, float]]] = defaultdict(list)  # by agent: its event loop stood still
         # What each life of an agent was told of each backend: not ready since when; absent: ready, inf: never told
         self._barred: dict[tuple[int, int], dict[int, float]] = defaultdict(dict)
@@ -113,6 +114,7 @@
         self.tries[name].lost = at, why
 
     def _on_reached(self, at: float, name: str) -> None:
+        self._relayed = True
         self.tries[name].reached = min(at, self.tries[name].reached)
 
     def _on_replied(self, at: float, name: str) -> None:
@@ -120,7 +122,9 @@
 
     def _on_agent(self, at: float, agent: int, life: int, what: str) -> None:
         if what == "killed":
-            self._killed[agent].append(at)
+            self._killed[agent].append((at, inf))
+        elif what == "started" and self._killed[agent] and self._killed[agent][-1][1] == inf:
+            self._killed[agent][-1] = self._killed[agent][-1][0], at
 
     def _on_trouble(self, at: float, number: int, kind: str, what: str, targets: list[int]) -> None:
         trouble = self._world.troubles[number]
@@ -224,10 +228,10 @@
                     self._breach("held", "held", at, f"{name}, refused {at - one.at:.0f} ms after it was asked")
             return
         over = one.over
-        if one.lost is not None and one.lost[1] == "refused":
-            return  # never taken
-        if any(one.at <= k <= over + LATE for k in self._killed[one.agent]):
-            return  # what an agent held when it was killed is the client's to try again
+        if one.lost is not None and (one.lost[1] == "refused" or (self._relayed and one.reached == inf)):
+            return  # never taken: of an agent that was killed a moment ago the relay accepts, and then resets
+        if any(one.at < back and killed <= over + LATE for killed, back in self._killed[one.agent]):
+            return  # what an agent held when it was killed, or was sent to nobody after, is the client's to try again
         if any(begin <= over <= end for begin, end in self._held_up[one.agent]):
             return  # a late answer of an agent that was held up
         if over < inf and self._held_between(one):
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -177,6 +177,21 @@
     run(work())
 
 
+def test_a_try_that_the_relay_could_hand_to_nobody_was_never_taken():
+    rows = [("asked", n, name, n, 0, 1, "look", "", 20.0, 1000.0) for n, name in enumerate(("a.0", "b.0", "c.0"))]
+    rows += [("reached", 5, "a.0"), ("reached", 6, "c.0"), ("lost", 2000, "b.0", "reset"), ("lost", 2000, "c.0", "reset")]
+    checker = Checker(spec.read(SMALL).world)
+    assert [b.what.split()[0] for b in checker.read(rows)] == ["c.0"]
+
+
+def test_what_is_sent_to_an_agent_between_its_kill_and_its_next_start_has_no_one_to_answer_it():
+    rows = [("agent", 0, 1, 1, "started"), ("agent", 90_000, 1, 1, "killed"), ("agent", 200_000, 1, 2, "started")]
+    for n, at in enumerate((80_000, 95_000, 210_000)):
+        rows += [("asked", at, f"{n}.0", n, 0, 1, "look", "", 20.0, 1000.0), ("reached", at, f"{n}.0"), ("lost", at + 3000, f"{n}.0", "reset")]
+    found = Checker(spec.read(SMALL).world).read(sorted(rows, key=lambda row: row[1]))
+    assert [b.what.split()[0] for b in found] == ["2.0"]
+
+
 @pytest.mark.parametrize("reached, replied, whose", [
     (2, None, "agent"), (2, 1003, "agent"), (2, 990, "rig"), (25, None, "rig"), (None, None, "agent")])
 def test_an_answer_that_no_client_got_is_the_agents_fault_unless_the_relay_saw_it_in_time(reached, replied, whose):
