--- a/lupinreach/bed/ways/loopback.py
+++ b/lupinreach/bed/ways/loopback.py
@@ -191,10 +191,24 @@
         for line in held:
             line.again()
 
+    def refused(self) -> None:
+        """Cut off in either way, connections here stay open and silent; the relay of a trial resets them."""
+
     # Agents.
 
     async def start_agent(self, number: int, life: int, raw: dict[str, Any], ended: Callable[[], None],
                           ahead: float = 0.0, drift: float = 0.0) -> None:
+        await self._launch(number, raw, ended, ahead, drift)
+
+    async def start_twin(self, number: int, raw: dict[str, Any]) -> None:
+        await self._launch(-1 - number, raw, lambda: None)
+
+    def stop_twin(self, number: int) -> None:
+        self._signal(-1 - number, signal.SIGTERM)
+
+    async def _launch(self, number: int, raw: dict[str, Any], ended: Callable[[], None], ahead: float = 0.0,
+                      drift: float = 0.0) -> None:
+        """Numbers below 0 are second processes."""
         path = self._folder / f"agent-{number}.json"
         path.write_text(json.dumps(raw))
         plain = self._runs == "lupinreach" and not ahead and not drift
--- a/lupinreach/bed/ways/memory.py
+++ b/lupinreach/bed/ways/memory.py
@@ -14,7 +14,7 @@
 import struct
 from collections import deque
 from collections.abc import Callable
-from math import inf
+from dataclasses import dataclass
 from typing import Any
 
 from lupinreach.bed.ways.loop import OWNER, VirtualLoop
@@ -346,6 +346,16 @@
         self._lost(why)
 
 
+@dataclass(eq=False)
+class Post:
+    """Where datagrams for one process come to."""
+
+    machine: Machine
+    address: Address
+    protocol: asyncio.DatagramProtocol
+    owner: int
+
+
 class MemoryNet:
     """All connections of one run."""
 
@@ -358,9 +368,10 @@
         self.waiting: dict[Side, None] = {}  # ends with something held; emptied by `mended`
         self.dials: list[tuple[MemorySocket, Address]] = []  # that never came up; emptied by `mended`
         self.of_owner: dict[int, dict[MemorySocket, None]] = {}  # an owner's open sockets
-        self.groups: dict[Address, list[tuple[Machine, Any]]] = {}  # datagram endpoints; gone with their agent
+        self.posts: dict[Address, Post] = {}  # each leaves with its agent
         # Sees each piece that an agent sends; gives what goes on its way, and how much the agent is told went.
         self.sends: Callable[[MemorySocket, bytes], tuple[bytes, int]] | None = None
+        self.everybody: Address | None = None  # what is sent there goes to all
         self._fds = FIRST_FD
 
     def number(self) -> int:
@@ -378,6 +389,9 @@
             self.loop.call_later(0.0, sock.fail, errno.ECONNREFUSED, context=self.context)
             return
         machine, protocol = found
+        if self.paths.refuses(sock.machine, machine):
+            self.loop.call_later(0.0, sock.fail, errno.ECONNREFUSED, context=self.context)
+            return
         if not self.paths.reaches(sock.machine, machine):
             self.dials.append((sock, address))
             return
@@ -427,17 +441,35 @@
         for sock in list(self.of_owner.pop(owner, {})):
             sock.put(RST)
             sock.end()
+        self.posts = {at: post for at, post in self.posts.items() if post.owner != owner}
+
+    def refuse(self) -> None:
+        """What is open between machines that refuse each other is reset, at both ends at once."""
+        for sockets in list(self.of_owner.values()):
+            for sock in list(sockets):
+                other = sock.other
+                if other is not None and self.paths.refuses(sock.machine, other.machine):
+                    for side in (sock, other):
+                        if not side.closed:
+                            self.loop.call_soon(side.take, RST, context=self.context)
 
     # Datagrams between agents.
 
-    def bind(self, machine: Machine, address: Address, endpoint: Any) -> None:
-        self.groups.setdefault(address, []).append((machine, endpoint))
-
     def tell(self, machine: Machine, source: Address, address: Address, data: bytes) -> None:
-        for to, endpoint in self.groups.get(address, ()):
-            took = self.paths.datagram(machine, to)
-            if took < inf:
-                self.loop.call_later(took / 1000, endpoint.datagram_received, data, source)
+        for post in self._at(address, source):
+            for took in self.paths.datagram(machine, post.machine):
+                self.loop.call_later(took / 1000, self._hear, post, data, source, context=self.context)
+
+    def _at(self, address: Address, source: Address) -> list[Post]:
+        if address == self.everybody:
+            return [post for post in self.posts.values() if post.address != source]
+        return [self.posts[address]] if address in self.posts else []
+
+    def _hear(self, post: Post, data: bytes, source: Address) -> None:
+        """Its own process takes it, in its turn; one that is gone takes nothing."""
+        if self.posts.get(post.address) is post:
+            with self.loop.owned_by(post.owner):
+                self.loop.call_soon(post.protocol.datagram_received, data, source)
 
 
 class MemorySockets(Sockets):
@@ -457,20 +489,20 @@
         return MemoryListener(self._net, self._machine, address)
 
     async def datagrams(self, protocol: Callable[[], asyncio.DatagramProtocol], address: Address) -> None:
-        endpoint = protocol()
-        endpoint.connection_made(_Datagrams(self._net, self._machine, address))  # type: ignore[arg-type]
-        self._net.bind(self._machine, address, endpoint)
+        post = Post(self._machine, address, protocol(), OWNER.get())
+        post.protocol.connection_made(_Datagrams(self._net, post))  # type: ignore[arg-type]
+        self._net.posts[address] = post
 
 
 class _Datagrams:
     """The transport of an agent's datagrams."""
 
-    def __init__(self, net: MemoryNet, machine: Machine, address: Address) -> None:
-        self._net, self._machine, self._address = net, machine, address
+    def __init__(self, net: MemoryNet, post: Post) -> None:
+        self._net, self._post = net, post
 
     def sendto(self, data: bytes, address: Address) -> None:
-        self._net.tell(self._machine, self._address, address, data)
+        self._net.tell(self._post.machine, self._post.address, address, data)
 
     def close(self) -> None:
-        for group in self._net.groups.values():
-            group[:] = [(m, e) for m, e in group if m is not self._machine]
+        if self._net.posts.get(self._post.address) is self._post:
+            del self._net.posts[self._post.address]
--- a/lupinreach/bed/ways/stage.py
+++ b/lupinreach/bed/ways/stage.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, replace
 from typing import Any
 
@@ -25,6 +25,7 @@
 SETTLES = 1.5  # x longest client timeout: after the last arrival, until all is answered
 THIEF = 2000.0  # ms of a thief's on and off together
 BUSY_EVERY = 1000.0  # ms between two times that an agent's event loop is held up
+NOBODY = 1  # a port that nothing listens on
 UNDRAINED = 0.05  # s between the end of a drain and the end of its process
 
 
@@ -160,6 +161,16 @@
         self.agents[n] += 1
         life = self.agents[n]
         self.clients[n].life = life
+        known = self.registry.whole()
+        raw = self._told(n, self._raw(n, life))
+        self.registry_host.told(n, self.registry.version, known, True)
+        self.ground.ledger.note(books.AGENT, self.ground.now(), n, life, "started")
+        async with asyncio.timeout(READY_WITHIN):
+            await self.ground.start_agent(n, life, raw, lambda: self._ended(n, life), self._ahead[n], self._drift[n])
+        self.up.add(n)
+
+    def _raw(self, n: int, life: int) -> dict[str, Any]:
+        """What an agent is told at its start."""
         known, at = self.registry.whole(), self.ground.addresses
         raw = {
             "name": f"agent-{n}", "listen": text(at.agent(n)), "discovery": text(at.registry(n)),
@@ -174,12 +185,7 @@
                     "peers": [text(at.peer(i)) for i in range(self.world.agents)]}
         if self.world.carry:
             raw["carry"] = {"file": self.ground.carried(n), "most_age_s": self.world.carry}
-        raw = self._told(n, raw)
-        self.registry_host.told(n, self.registry.version, known, True)
-        self.ground.ledger.note(books.AGENT, self.ground.now(), n, life, "started")
-        async with asyncio.timeout(READY_WITHIN):
-            await self.ground.start_agent(n, life, raw, lambda: self._ended(n, life), self._ahead[n], self._drift[n])
-        self.up.add(n)
+        return raw
 
     def _told(self, n: int, raw: dict[str, Any]) -> dict[str, Any]:
         """What an agent is told at its start, where others than the stage stand between it and its peers."""
@@ -328,6 +334,19 @@
         if not on:
             self.ground.mended()
 
+    def _cut_reset(self, t: Trouble, targets: list[int], on: bool) -> None:
+        refused = self.ground.paths.refused
+        self.ground.paths.refused = refused | set(targets) if on else refused - set(targets)
+        self.ground.refused()
+        if not on:
+            self.ground.mended()
+
+    def _datagrams_doubled(self, t: Trouble, targets: list[int], on: bool) -> None:
+        self.ground.paths.doubled = t.strength if on else 0.0
+
+    def _datagrams_late(self, t: Trouble, targets: list[int], on: bool) -> None:
+        self.ground.paths.late, self.ground.paths.late_by = (t.share, t.strength) if on else (0.0, 0.0)
+
     def _loss(self, t: Trouble, targets: list[int], on: bool) -> None:
         self.ground.paths.loss = t.strength if on else self.world.network.loss
 
@@ -440,6 +459,17 @@
             if on and n in self.up:
                 self.ground.hold_agent(n, t.length)
 
+    def _twin_agents(self, t: Trouble, targets: list[int], on: bool) -> None:
+        for n in targets:
+            if on:
+                # Where nobody sends and with a registry that refuses: what it can touch is the disk.
+                where = self.ground.addresses.twin(n)
+                raw = self._told(n, self._raw(n, 0)) | {"listen": text(where), "discovery": text((where[0], NOBODY))}
+                raw.pop("peer_listen", None)
+                self._run(self.ground.start_twin(n, raw))
+            else:
+                self.ground.stop_twin(n)
+
     def _deaf_agents(self, t: Trouble, targets: list[int], on: bool) -> None:
         self._unheard(self.ground.paths.deaf, targets, on)
 
@@ -506,9 +536,12 @@
 
     def _revive(self, n: int) -> None:
         if n not in self.up:
-            task = self.ground.loop.create_task(self._start_agent(n))
-            self._starting[task] = None
-            task.add_done_callback(lambda done: self._starting.pop(done, None))
+            self._run(self._start_agent(n))
+
+    def _run(self, start: Coroutine[Any, Any, None]) -> None:
+        task = self.ground.loop.create_task(start)
+        self._starting[task] = None
+        task.add_done_callback(lambda done: self._starting.pop(done, None))
 
     def _busy_agents(self, t: Trouble, targets: list[int], on: bool) -> None:
         if not on:
--- a/lupinreach/bed/ways/virtual.py
+++ b/lupinreach/bed/ways/virtual.py
@@ -96,6 +96,7 @@
         self.paths = Paths(network.same, network.cross, network.jitter, network.loss, stream(seed, "paths"))
         self.net = MemoryNet(self.loop, self.paths)
         self.net.sends = self._sends
+        self.net.everybody = self.addresses.everybody()
         self.clock = VirtualClock(self.loop)
         self.ledger = Ledger(EPOCH + START * 1000)
         self._fault = FAULTS.get(world.fault)
@@ -103,6 +104,7 @@
         self._decide = self._fault.decide if self._fault and self._fault.decide else POLICIES[world.policy]
         self._machines: Callable[[int], Machine] = lambda _: Machine("", 0)
         self._lives: dict[int, Life] = {}
+        self._twins: dict[int, Life] = {}  # second processes; each leaves as it ends
         self._owners: dict[int, tuple[int, int]] = {}  # owner: agent, life; as many as there were lives
         self._chance = stream(seed, "breaks")
         self.works = [p.work for p in world.products]
@@ -122,6 +124,9 @@
     def mended(self) -> None:
         self.net.mended()
 
+    def refused(self) -> None:
+        self.net.refuse()
+
     def shut(self, machine: Machine, on: bool) -> None:
         machine.shut = on
 
@@ -151,13 +156,25 @@
 
     async def start_agent(self, number: int, life: int, raw: dict[str, Any], ended: Callable[[], None],
                           ahead: float = 0.0, drift: float = 0.0) -> None:
+        self._lives[number] = await self._begin(number, life, raw, ahead, drift)
+        self._ends[number] = ended
+
+    async def start_twin(self, number: int, raw: dict[str, Any]) -> None:
+        self._twins[number] = await self._begin(number, 0, raw)
+
+    def stop_twin(self, number: int) -> None:
+        self._kill(self._twins.pop(number))
+
+    async def _begin(self, number: int, life: int, raw: dict[str, Any], ahead: float = 0.0, drift: float = 0.0) -> Life:
         owner = len(self._owners) + 1
         self._owners[owner] = number, life
         log = VirtualLog()
         with self.loop.owned_by(owner):
             sockets = MemorySockets(self.net, self._machines(number), raw["limits"]["sockets"])
             agent = Agent(_config(raw), log, VirtualClock(self.loop, ahead, drift), sockets, self._decide)
-            self._lives[number] = Life(owner, agent, log)
+            begun = Life(owner, agent, log)
+            if life:
+                self._lives[number] = begun  # one that is killed while it starts has an owner too
             if isinstance(agent.balancer, TrueState):
                 agent.balancer.truth = Seen(self, self._machines(number), agent)
             if agent.config.carry is not None:
@@ -165,7 +182,7 @@
                 carry.take()
                 agent.tasks.spawn("carry", carry.leave_on())
             await self.loop.create_task(agent.start())
-        self._ends[number] = ended
+        return begun
 
     def disk(self, number: int) -> MemoryDisk:
         return self._disks.setdefault(number, MemoryDisk(stream(self._seed, "disk", number)))
@@ -188,7 +205,9 @@
         task.add_done_callback(self._tasks.discard)
 
     def kill_agent(self, number: int) -> None:
-        life = self._lives[number]
+        self._kill(self._lives[number])
+
+    def _kill(self, life: Life) -> None:
         self.loop.kill(life.owner)
         self.net.die(life.owner)
         self._close(life)
--- a/lupinreach/bed/world/ground.py
+++ b/lupinreach/bed/world/ground.py
@@ -37,6 +37,12 @@
         """Returns once it listens. Its clock is so many ms ahead of the run's, and gains so much of a ms each ms."""
         ...
 
+    async def start_twin(self, number: int, raw: dict[str, Any]) -> None:
+        """A second process beside the agent's, with its disk; `stop_twin` ends it."""
+        ...
+
+    def stop_twin(self, number: int) -> None: ...
+
     def stop_agent(self, number: int) -> None: ...
 
     def kill_agent(self, number: int) -> None: ...
@@ -51,6 +57,10 @@
 
     def mended(self) -> None: ...
 
+    def refused(self) -> None:
+        """Connections that the paths refuse from now on are reset."""
+        ...
+
     def shut(self, machine: Machine, on: bool) -> None:
         """Connections to it are refused, or accepted again."""
         ...
@@ -79,6 +89,10 @@
     def peer(self, agent: int) -> Address:
         return _on(1, agent), self.port + 1
 
+    def twin(self, agent: int) -> Address:
+        """Where a second process of an agent's stands; nobody is told."""
+        return _on(9, agent), self.port
+
     def everybody(self) -> Address:
         return _on(4, 0), self.port + 1
 
--- a/lupinreach/bed/world/network.py
+++ b/lupinreach/bed/world/network.py
@@ -35,6 +35,10 @@
     loss: float  # share of segments
     chance: Stream
     cut: set[int] = field(default_factory=set)  # zones that can't reach the others
+    refused: set[int] = field(default_factory=set)  # zones that are cut too, whose connections to the others are reset
+    doubled: float = 0.0  # share of the datagrams that come twice,
+    late: float = 0.0  # and that are held back
+    late_by: float = 0.0  # for so many ms
     deaf: set[Machine] = field(default_factory=set)  # nothing gets to them,
     dumb: set[Machine] = field(default_factory=set)  # nor away from these, but within the machine
     parted: set[tuple[str, str]] = field(default_factory=set)  # from the first by name nothing gets to the second
@@ -45,7 +49,11 @@
             return False
         if a.vanished or b.vanished or (self.parted and (a.name, b.name) in self.parted):
             return False
-        return a.zone == b.zone or not ({a.zone, b.zone} & self.cut)
+        return a.zone == b.zone or not ({a.zone, b.zone} & (self.cut | self.refused))
+
+    def refuses(self, a: Machine, b: Machine) -> bool:
+        """If a connection between them is reset, and a new one refused."""
+        return a.zone != b.zone and bool({a.zone, b.zone} & self.refused)
 
     def delay(self, a: Machine, b: Machine) -> float:
         """Ms for one segment that gets there."""
@@ -65,8 +73,11 @@
         narrow = min((m.narrow for m in (a, b) if m.narrow), default=inf) if a is not b else inf
         return size / narrow
 
-    def datagram(self, a: Machine, b: Machine) -> float:
-        """Ms for one datagram, infinite where it is lost."""
-        if not self.reaches(a, b) or (self.loss and self.chance.random() < self.loss):
-            return inf
-        return self.delay(a, b)
+    def datagram(self, a: Machine, b: Machine) -> list[float]:
+        """Ms after which each copy of one datagram comes; none where it is lost."""
+        copies = []
+        for _ in range(2 if self.doubled and self.chance.random() < self.doubled else 1):
+            if self.reaches(a, b) and not (self.loss and self.chance.random() < self.loss):
+                held = self.late_by if self.late and self.chance.random() < self.late else 0.0
+                copies.append(self.delay(a, b) + held)
+        return copies
--- a/lupinreach/bed/world/spec.py
+++ b/lupinreach/bed/world/spec.py
@@ -38,7 +38,10 @@
     "apart-one-way": ("backends", 0.5, 0.0, 1.0),  # what they answer doesn't get to this share of the agents
     "thief": ("backends", 0.5, 0.0, 0.99),  # share of the cores that another program takes, on and off
     "cut": ("zones", 0.0, 0.0, 0.0),  # the zone can't reach the others
+    "cut-reset": ("zones", 0.0, 0.0, 0.0),  # nor does it stay silent: what was open to the others is reset, what is new refused
     "loss": ("none", 0.05, 0.0, 1.0),  # share of segments
+    "datagrams-doubled": ("none", 0.3, 0.0, 1.0),  # this share of the datagrams comes twice
+    "datagrams-late": ("none", 2000.0, 0.0, 60_000.0),  # ms by which the trouble's share of them is held back past later ones
     "surge": ("none", 2.0, 0.0, 100.0),  # times the usual arrivals
     "costly": ("none", 8.0, 1.0, 1000.0),  # times the work, for one API call in fifty
     "late-reports": ("backends", 4.0, 1.0, 1000.0),  # times older
@@ -47,6 +50,7 @@
     "sleep-agents": ("agents", 0.0, 0.0, 0.0),  # the process stands still, and wakes with what it believed
     "deaf-agents": ("agents", 0.0, 0.0, 0.0),  # nothing gets to them, but from their own clients
     "dumb-agents": ("agents", 0.0, 0.0, 0.0),  # nothing gets away from them, but to their own clients
+    "twin-agents": ("agents", 0.0, 0.0, 0.0),  # a second process stands up with the first one's disk and configuration
     "clock-agents": ("agents", 86_400.0, -1e7, 1e7),  # s by which the clock of one that starts meanwhile is ahead
     "disk-torn": ("agents", 0.5, 0.0, 1.0),  # of the carried file this share is left; 0: it is empty
     "disk-lost": ("agents", 0.0, 0.0, 0.0),  # power is lost: what was not synced may be gone, or torn
--- a/lupinreach/trial/figures.py
+++ b/lupinreach/trial/figures.py
@@ -162,7 +162,7 @@
             if r[3] == "slow":
                 for n in struck:
                     slower[n] *= strengths[r[2]] if on else 1 / strengths[r[2]]
-            elif r[3] == "cut":
+            elif r[3] in ("cut", "cut-reset"):
                 cut = cut | set(struck) if on else cut - set(struck)
             elif r[3] in ("deaf-agents", "dumb-agents", "sleep-agents"):
                 unheard = unheard | set(struck) if on else unheard - set(struck)
--- a/lupinreach/trial/rig/host.py
+++ b/lupinreach/trial/rig/host.py
@@ -218,10 +218,14 @@
     def _passed(self, what: str, name: str) -> None:
         self.ground.ledger.note(what, self.ground.now(), name)
 
-    async def do_plane(self, cut: list[int], loss: float, deaf: list[str], dumb: list[str],
-                       parted: list[tuple[str, str]], machines: dict[str, dict[str, Any]]) -> None:
+    async def do_plane(self, cut: list[int], refused: list[int], loss: float, posts: list[float], deaf: list[str],
+                       dumb: list[str], parted: list[tuple[str, str]], machines: dict[str, dict[str, Any]]) -> None:
         """How all links are from now on."""
         paths = self.plane.paths
+        paths.doubled, paths.late, paths.late_by = posts
+        if paths.refused != set(refused):
+            paths.refused = set(refused)
+            await self.plane.doors(lambda near, far: near.zone != far.zone)
         paths.parted = {(a, b) for a, b in parted}
         paths.cut, paths.loss = set(cut), loss
         paths.deaf, paths.dumb = {self.machines[n] for n in deaf}, {self.machines[n] for n in dumb}
--- a/lupinreach/trial/rig/relay.py
+++ b/lupinreach/trial/rig/relay.py
@@ -204,16 +204,22 @@
 
     async def shut(self, name: str, on: bool) -> None:
         """A machine's process is gone: connections to it are refused, those that it had are reset."""
-        for at, near, far, address, book in self._doors:
+        for _, _, far, _, _ in self._doors:
             if far.name == name:
                 far.shut = on
-                if on and at in self._open:
-                    self._open.pop(at).close()
-                elif not on:
+        await self.doors(lambda near, far: far.name == name)
+
+    async def doors(self, some: Callable[[Machine, Machine], bool] = lambda near, far: True) -> None:
+        """Bring those doors and links to what the machines and paths are now."""
+        for at, near, far, address, book in self._doors:
+            if some(near, far):
+                if not (far.shut or self.paths.refuses(near, far)):
                     await self._unlock(at, near, far, address, book)
+                elif at in self._open:
+                    self._open.pop(at).close()
                 await asyncio.sleep(0)  # guards against a relay that stands still while a whole fleet comes and goes
-        if on:
-            for link in [link for link in self.links if link.far.name == name]:
+        for link in [link for link in self.links if some(link.near, link.far)]:
+            if link.far.shut or self.paths.refuses(link.near, link.far):
                 link.reset()
                 await asyncio.sleep(0)
 
@@ -247,18 +253,13 @@
 
 
 class Posts:
-    """Datagrams between agents: each comes from the address that its receiver knows the sender by.
-
-    Faults of their own, beside the paths': a share doubled, a share held back past those that come after.
-    """
+    """Datagrams between agents: each comes from the address that its receiver knows the sender by."""
 
     def __init__(self, plane: Plane, machines: Callable[[int], Machine], peer: Callable[[int], Address]) -> None:
         self._plane = plane
         self._machines = machines
         self._peer = peer
         self._from: dict[tuple[int, int], Any] = {}  # (receiver, sender): the socket that it comes from
-        self.doubled = self.late = 0.0  # shares
-        self.late_by = 0.0  # ms
 
     async def pair(self, agent: int, other: int, at: Address) -> None:
         """`agent` knows `other` by this address."""
@@ -274,9 +275,5 @@
         socket_of = self._from.get((other, agent))
         if socket_of is None:
             return
-        for _ in range(2 if self.doubled and plane.chance.random() < self.doubled else 1):
-            took = plane.paths.datagram(self._machines(agent), self._machines(other))
-            if self.late and plane.chance.random() < self.late:
-                took += self.late_by
-            if took < float("inf"):
-                plane.loop.call_later(took / 1000, socket_of.sendto, data, self._peer(other))
+        for took in plane.paths.datagram(self._machines(agent), self._machines(other)):
+            plane.loop.call_later(took / 1000, socket_of.sendto, data, self._peer(other))
--- a/lupinreach/trial/rig/stage.py
+++ b/lupinreach/trial/rig/stage.py
@@ -31,7 +31,7 @@
 from lupinreach.trial.rig.late import Lateness
 from lupinreach.trial.rig.places import MOST_AGENTS, MOST_BACKENDS, Places
 
-BACKENDS_EACH, CLIENTS_EACH, AGENTS_EACH = 24, 24, 12  # that one process of the rig plays, and one relay serves
+BACKENDS_EACH, CLIENTS_EACH, AGENTS_EACH = 12, 12, 12  # that one process of the rig plays, and one relay serves
 BEGINS_IN = 0.3  # s from the word to begin until the first arrival
 MOST_LINE = 16 << 20
 TOLD_OF = ("slower", "silent", "fails", "stalls", "report_age", "stolen")  # of a backend
@@ -222,6 +222,9 @@
     def mended(self) -> None:
         """Told with the plane as a whole."""
 
+    def refused(self) -> None:
+        """So is this."""
+
     def kill_agent(self, number: int) -> None:
         super().kill_agent(number)
         self.tell_relays({"do": "shut", "name": f"agent {number}", "on": True})
@@ -321,7 +324,8 @@
         paths = self.ground.paths
         machines = {h.machine.name: {k: getattr(h.machine, k) for k in MADE_BY_RELAY} for h in self.hosts
                     if any(getattr(h.machine, k) for k in MADE_BY_RELAY)}
-        self.ground.tell_relays({"do": "plane", "cut": sorted(paths.cut), "loss": paths.loss, "parted": sorted(paths.parted),
+        self.ground.tell_relays({"do": "plane", "cut": sorted(paths.cut), "refused": sorted(paths.refused), "loss": paths.loss,
+                                 "posts": [paths.doubled, paths.late, paths.late_by], "parted": sorted(paths.parted),
                                  "deaf": sorted(m.name for m in paths.deaf), "dumb": sorted(m.name for m in paths.dumb),
                                  "machines": machines})
 
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -30,6 +30,9 @@
     "deaf and apart": {"troubles": [{"kind": "deaf-agents", "at": 2, "seconds": 2, "targets": [1]},
                                     {"kind": "apart-one-way", "at": 2, "seconds": 2, "targets": [1], "strength": 0.4},
                                     {"kind": "narrow", "at": 2, "seconds": 2, "targets": [2], "strength": 5.0}]},
+    "reset and twin": {"agents": {"count": 3, "carry_s": 60}, "troubles": [
+        {"kind": "cut-reset", "at": 2, "seconds": 2, "targets": ["b"]},
+        {"kind": "twin-agents", "at": 1, "seconds": 4, "targets": [1]}]},
     "asleep": {"troubles": [{"kind": "sleep-agents", "at": 2, "seconds": 1.5, "targets": [1]}]},
 }
 
@@ -234,7 +237,7 @@
         machines[1].vanished = True
         ends[0][0].sendto(b"lost", places.peer_for(0, 1))
         await asyncio.sleep(0.1)
-        machines[1].vanished, posts.doubled = False, 1.0
+        machines[1].vanished, between.paths.doubled = False, 1.0
         ends[0][0].sendto(b"twice", places.peer_for(0, 1))
         await asyncio.sleep(0.1)
         assert [data for data, _ in ends[1][1].got].count(b"twice") == 2
--- a/tests/test_trial.py
+++ b/tests/test_trial.py
@@ -1,5 +1,6 @@
 """Trials: files read strictly, figures beside a plain count, and small fleets that lose power in virtual time."""
 
+import asyncio
 import json
 import os
 import subprocess
@@ -8,6 +9,10 @@
 import pytest
 
 from lupinreach.bed.ways import virtual
+from lupinreach.bed.ways.loop import VirtualLoop
+from lupinreach.bed.ways.memory import MemoryNet, MemorySockets
+from lupinreach.bed.world.chance import stream
+from lupinreach.bed.world.network import Machine, Paths
 from lupinreach.bed.world.spec import read as read_world
 from lupinreach.config import BadConfig
 from lupinreach.trial import figures, play, spec
@@ -150,3 +155,73 @@
     assert found.returncode == 0 and line["verdict"] == "kept" and line["seeds"] == [4]
     assert "<svg" in (tmp_path / "trial-one.html").read_text()
     assert len(json.loads((tmp_path / "out.json").read_text())["runs"][0]["seconds"]) >= 6
+
+
+PEERS = SMALL | {"limits": {"peers": True}}
+
+
+class Post(asyncio.DatagramProtocol):
+    def __init__(self):
+        self.got = []
+
+    def datagram_received(self, data, addr):
+        self.got.append((data, addr))
+
+
+def posted(change, messages=200):
+    """What one of three agents hears of what another sends, so many a second apart by 1 ms."""
+    loop = VirtualLoop()
+    paths = Paths(1.0, 1.0, 0.0, 0.0, stream(1, "paths"))
+    net = MemoryNet(loop, paths)
+    net.everybody = ("all", 1)
+    posts = []
+    for n in range(3):
+        with loop.owned_by(n + 1):
+            one = Post()
+            posts.append(one)
+            loop.run_until_complete(MemorySockets(net, Machine(f"agent {n}", n % 2)).datagrams(lambda one=one: one, (str(n), 1)))
+    change(paths)
+    for i in range(messages):
+        loop.call_later(i / 1000, net.tell, net.posts["0", 1].machine, ("0", 1), ("1", 1) if i % 2 else ("all", 1), b"%d" % i)
+    loop.call_later(messages / 2000, net.die, 3)
+    loop.run_until_complete(asyncio.sleep(5))
+    loop.end()
+    return [[int(data) for data, addr in post.got if addr == ("0", 1)] for post in posts]
+
+
+def test_datagrams_in_virtual_time_come_to_one_or_all_and_never_to_a_process_that_is_gone():
+    own, other, gone = posted(lambda paths: None)
+    assert own == [] and other == list(range(200)) and gone == [i for i in range(0, 99, 2)]
+    assert posted(lambda paths: paths.refused.add(1))[1] == []
+
+
+def test_datagrams_are_doubled_and_held_back_past_later_ones_as_a_trial_says():
+    _, twice, _ = posted(lambda paths: setattr(paths, "doubled", 0.5))
+    assert 260 < len(twice) < 340 and set(twice) == set(range(200))
+
+    def late(paths):
+        paths.late, paths.late_by = 0.25, 50.0
+
+    _, held, _ = posted(late)
+    assert sorted(held) == list(range(200)) and 30 < sum(a > b for a, b in zip(held, held[1:])) < 70
+    one = spec.read(PEERS | {"troubles": [{"kind": "datagrams-late", "at": 1, "strength": 500, "share": 0.4},
+                                          {"kind": "datagrams-doubled", "at": 1, "strength": 0.2}]})
+    assert play.run(one, 3).verdict == "kept"
+
+
+def test_a_cut_that_resets_leaves_no_connection_across_it_and_heals():
+    cut = {"kind": "cut-reset", "at": 3, "seconds": 3, "targets": ["a"]}
+    played = play.run(spec.read(SMALL | {"seconds": 9, "troubles": [cut]}), 3)
+    assert played.verdict == "kept" and played.recovery.whole > 0.9
+    ran = virtual.play(read_world(SMALL | {"seconds": 9, "troubles": [cut]}), 3)
+    zones = {r[2]: r[8] for r in ran.records if r[0] == "state"}
+    begin = next(r[1] for r in ran.records if r[0] == "trouble")
+    across = [r for r in ran.records if r[0] == "sent" and r[2] % 2 != zones[r[4]]]
+    during = [r for r in across if begin + 50_000 < r[1] < begin + 2_950_000]
+    assert during == [] and any(r[1] > begin + 3_000_000 for r in across)
+
+
+def test_a_second_process_with_an_agents_disk_serves_nobody_and_breaks_nothing():
+    twin = {"kind": "twin-agents", "at": 2, "seconds": 4, "targets": [1]}
+    played = play.run(spec.read(SMALL | {"agents": {"count": 4, "carry_s": 60}, "troubles": [twin]}), 3)
+    assert played.verdict == "kept" and played.recovery.whole > 0.95
