--- a/lupinreach/bed/judging/check.py
+++ b/lupinreach/bed/judging/check.py
@@ -131,6 +131,9 @@
         if kind in ("busy-agents", "sleep-agents") and what == "begins":
             for agent in targets:
                 self._held_up[agent].append((at, at + trouble.length + max(trouble.strength, LATE)))
+        elif kind == "sleep-agents":
+            for agent in targets:  # with processes it may sleep for longer than it was to
+                self._held_up[agent].append((at - LATE, at + LATE))
 
     def _on_told(self, at: float, agent: int, life: int, version: int, entries: list[tuple[int, str]],
                  whole: bool) -> None:
