Module as it was: speeds of former lives are worth nothing to a cold fleet; boot times judge what was learnt

Backends idle in 10 to 13% of the samples and hold 2.4 in line while capacity is short (small ones 4.4, over 4 in 35%, where they choke): what agents don't know is each other's shots, not speeds. The store asks no clock: a figure counts for the same process of a backend, by its boot time.

--- a/lupinreach/balance.py
+++ b/lupinreach/balance.py
@@ -262,8 +262,9 @@
         self._cold = rules.cold or 1.0
         self._when_few = max(1.0, rules.fall_multiple * FALL_USE)
         self._start = rules.start_capacity
-        self._must_ask, self._ask_wait = settings.must_ask, ASK_FIRST * rules.ask_within
+        self._must_ask = settings.must_ask
         self._ask_first, self._ask_most = ASK_FIRST * rules.ask_within, ASK_MOST * rules.ask_within
+        self._ask_wait = self._ask_first
         self._asked_at = 0.0
         self._fractions = [c.fraction for c in settings.customers]
         self._over = [0.0] * len(settings.customers)  # API calls beyond the share, drained by each one taken
@@ -290,7 +291,8 @@
         self._live: dict[Call, None] = {}  # API calls with shots out; each leaves when its last shot ended
         self._line: list[Call] = []  # API calls waiting for room; each leaves after its patience at last
         self._cost = 0.0  # mean cost hint; 0 = none seen
-        self._budget, self._trials = BUDGET_MAX / 2, 1.0
+        self._budget = BUDGET_MAX / 2
+        self._trials = 1.0
         self._taken = self._taken_at = 0.0  # API calls taken within a hold, smoothed
         self._rate = 0.0  # work (API calls of mean cost) per ms to a warm backend, smoothed over `fall`
         self._earned_at = 0.0
@@ -301,7 +303,6 @@
         self._lanes = FIRST_BOUND  # shots in flight that each of mean size may then hold, of all agents
         self._looks_at = inf  # when the next look is due
         self._recalled: dict[int, Met] = {}  # by name; each leaves as it is listed, all as a list comes
-        self._sure = True
         # For the operators, beside the front's own counters; grows with nothing.
         self.counts = {"cold shots": 0, "bound full": 0, "empty list": 0, "no turn": 0, "late or used up": 0}
 
@@ -312,22 +313,20 @@
         return Learnt(
             self._slos, self._tells,
             tuple((t.typical, t.recent, t.ease, t.base) for t in self._targets),
-            tuple(Met(b.name, b.boot_time, b.listed, tuple(b.figure if self._sure else
-                      [f or g for f, g in zip(b.figure, b.guess, strict=True)]), b.ill) for b in self._ring))
+            tuple(Met(b.name, b.boot_time, b.listed, tuple(b.figure), b.ill) for b in self._ring))
 
-    def recall(self, learnt: Learnt, sure: bool = True) -> bool:
-        """Begin with that, as a guess if not `sure`, before any list; false if it means something else."""
+    def recall(self, learnt: Learnt) -> bool:
+        """Begin with that, before the first list; false, with nothing taken, if it means something else."""
         if learnt.slos != self._slos or learnt.live_weights is not self._tells:
             return False
         for t, (typical, recent, ease, base) in zip(self._targets, learnt.usual, strict=True):
             t.typical, t.recent, t.ease, t.base = typical, recent or t.recent, ease or t.ease, base or t.base
-        self._recalled, self._sure = {met.name: met for met in learnt.backends}, sure
+        self._recalled = {met.name: met for met in learnt.backends}
         return True
 
     def _remember(self, now: float, b: Backend, e: Listing) -> None:
         met = self._recalled.pop(e.name, None)
-        b.guess = list(met.figures) if met else b.guess
-        if met is None or not self._sure or met.boot_time != e.boot_time or e.state is not State.READY:
+        if met is None or met.boot_time != e.boot_time or e.state is not State.READY:
             return
         b.figure, b.ill = list(met.figures), met.ill
         b.listed = met.listed if self._tells else 0.0
@@ -427,8 +426,6 @@
         for b in self._backends.values():
             if b.state is State.READY and b.index not in known:
                 self._ring.insert(int(self._chance() * (len(self._ring) + 1)), b)
-        if not known:
-            self._ring.sort(key=lambda b: not any(b.guess))  # as the life before did
         self._mean = mean = sum(b.listed for b in self._ring) / len(self._ring) if self._ring else 1.0
         for b in self._ring:
             # Guards against a list of changes, whose few raw sizes would mix with shares of the mean.
@@ -476,8 +473,8 @@
 
     def _restarted(self, b: Backend) -> None:
         """What was known of the old process says nothing of the new one."""
-        b.guess = b.guess if None in b.figure else b.figure  # but the machine is the same
-        b.figure, b.held = [None] * len(self._targets), [0.0] * len(self._targets)
+        b.figure = [None] * len(self._targets)
+        b.held = [0.0] * len(self._targets)
         b.rest_until, b.refusals = 0.0, 0
         b.credit = self._first_credit()
 
@@ -504,9 +501,10 @@
     def woke(self, now: float, mark: str) -> None:
         if mark == "ask":
             self._ask(now)
-        elif mark == "look" and now >= self._looks_at:
-            self._looks_at = inf
-            self._sweep(now)
+        elif mark == "look":
+            if now >= self._looks_at:
+                self._looks_at = inf
+                self._sweep(now)
 
     def avoided(self, now: float) -> int:
         """How many listed backends get no turn now: draining, at rest, silent, or ejected for every SLO."""
@@ -755,7 +753,7 @@
         Guards against many agents with a shot or two out each: none sees by its own shots in flight that a
         slow backend holds more than others, and even counts would drive it to the edge of its SLO.
         """
-        figure = b.figure[target.index] or b.guess[target.index]
+        figure = b.figure[target.index]
         return target.recent if figure is None else max(figure, target.recent / MOST_SHARE)
 
     # Cold backends.
@@ -938,7 +936,8 @@
         # Counted by how many are late and not by how much, so that a few long ones don't narrow it.
         # An agent with a shot or two a second must not need twenty of them to see that the fleet is full.
         weight = min(SUDDEN, max(SOON, (now - self._felt_at) / self._span))
-        self._felt_at, self._fullness = now, self._fullness + weight * (slow - self._fullness)
+        self._felt_at = now
+        self._fullness += weight * (slow - self._fullness)
         if self._fullness > FULL_SHARE:
             if now >= self._narrowed_at + self._pace():
                 self._narrowed_at = now
--- a/lupinreach/config.py
+++ b/lupinreach/config.py
@@ -231,7 +231,7 @@
     settings: Settings
     mgmt: Address | None = None  # where operators connect; None: nowhere
     store: str | None = None  # file of what goes from one process to the next; None: by none
-    carry_age: float | None = None  # ms; what is older starts nobody. None: it starts as a guess
+    carry_age: float | None = None  # ms; what is older starts nobody. None: no clock is asked
     inherited: int | None = None  # the descriptor on which clients connect, already listening; None: `listen`
 
 
--- a/lupinreach/known.py
+++ b/lupinreach/known.py
@@ -8,7 +8,7 @@
 class Backend:
     """What this agent knows of one backend. Emptied when the directory drops it and nothing is out."""
 
-    __slots__ = ("index", "name", "zone", "cell", "listed", "size", "load", "state", "boot_time", "figure", "guess",
+    __slots__ = ("index", "name", "zone", "cell", "listed", "size", "load", "state", "boot_time", "figure",
                  "held", "trial", "silent_since", "flight", "rest_until", "refusals", "turn", "credit",
                  "back_at", "sent", "ill", "since", "down", "doubted",
                  "heard")
@@ -26,7 +26,6 @@
         self.doubted = False  # for what was seen of others, not of it
         self.heard = False  # anything has come from it, in this agent's life
         self.figure: list[float | None] = [None] * targets  # smoothed latency per SLO, None = unsampled
-        self.guess: list[float | None] = [None] * targets  # what it was in a former life of either: tells how quick its machine is, and no more
         self.held: list[float] = [0.0] * targets  # per SLO: 0 = in the pool, else when a trial is due
         self.trial: Shot | None = None
         self.silent_since = 0.0  # with shots out: the last answer, or the first send after it
--- a/lupinreach/ops/carry.py
+++ b/lupinreach/ops/carry.py
@@ -74,7 +74,10 @@
     """What is handed on, as one process does it."""
 
     def __init__(self, agent: Agent, store: Store, most_age: float | None) -> None:
-        """What is older than `most_age` ms starts nobody; with None it starts as a guess, whatever the clock says."""
+        """What is older than `most_age` ms by the wall clock starts nobody.
+
+        With None no clock is asked: a figure counts for the same process of a backend, by its boot time, and for no other.
+        """
         self._agent = agent
         self._store = store
         self._most_age = most_age
@@ -85,16 +88,16 @@
         if found.lost:
             log.event("store lost", bytes=found.lost, why=found.why)
         try:
-            learnt, age, sure = self._read(found)
+            learnt, age = self._read(found)
         except Unfit as why:
             log.event("carried nothing", why=str(why))
             return
-        if not self._agent.balancer.recall(learnt, sure):
+        if not self._agent.balancer.recall(learnt):
             log.event("carried nothing", why="other SLOs or another kind of weights")
             return
-        log.event("carried", backends=len(learnt.backends), age_ms=round(age), sure=sure)
+        log.event("carried", backends=len(learnt.backends), age_ms=round(age))
 
-    def _read(self, found: Found) -> tuple[Learnt, float, bool]:
+    def _read(self, found: Found) -> tuple[Learnt, float]:
         raw = trust.believed(found.state).get(LEARNT)
         if raw is None:
             raise Unfit(found.why or "nothing learnt")
@@ -103,7 +106,7 @@
         most = self._most_age
         if most is not None and not 0 <= age <= most:
             raise Unfit(f"{age / 1000:.0f} s old")
-        return learnt, age, most is not None
+        return learnt, age
 
     async def leave(self) -> None:
         """Put it for the process that comes next; the event loop serves on while the disk syncs."""
