Agents that know of each other: lives, membership, what is asked at a return, which list is believed

lupinreach/fleet (pure) and ops/returning (I/O), off without the keys fleet and store; half a configuration is refused by name. Deaf and late agents doubt themselves. A registry below the floor (two peers' word, or this agent's disk) takes no backend away and makes none that drains ready; below it for three times ask_within it was reset. One peer alone holds back a quarter of the ready backends at most. Found: a deaf agent's own first list was booked as told only when it could hear again.

--- a/lupinreach/__main__.py
+++ b/lupinreach/__main__.py
@@ -45,13 +45,9 @@
         succession = Succession(os.environ.get("TMPDIR"), agent.config.name)
     carry = None
     if agent.config.store is not None:
-        from lupinreach.ops.carry import Carry  # nor one that hands nothing on
-        from lupinreach.store.store import Store
+        from lupinreach.ops.outlives import take_up  # nor one that hands nothing on
 
-        store = Store(agent.config.store, agent.config.name, failed=lambda why: agent.log.event("store failed", why=why))
-        carry = Carry(agent, store, agent.config.carry_age)
-        carry.take(store.open())
-        agent.tasks.spawn("carry", carry.leave_on())
+        carry = take_up(agent)
     await agent.start(HEAR_FIRST if succession and succession.other() else 0.0)
     if succession is not None and not succession.take_over():
         agent.log.event("no succession", why="TMPDIR can't be written")
--- a/lupinreach/bed/judging/check.py
+++ b/lupinreach/bed/judging/check.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from math import inf
+from typing import Any
 
 from lupinreach.bed.peers.backend import SLACK
 from lupinreach.bed.world.ledger import Record
@@ -16,7 +17,7 @@
 HELD_AT = 0.9  # of a client's wait: a refusal that comes later, though nothing
 HELD_SINCE = 0.5  # of it was out, was held
 MOST_TOLD = 50  # breaches that a verdict tells in full
-RULES = ("answered", "effects", "drains", "cold", "held", "faults")
+RULES = ("answered", "effects", "drains", "cold", "held", "lives", "faults")
 
 
 @dataclass(frozen=True)
@@ -75,6 +76,7 @@
         self._groups: dict[int, tuple[int, int]] = {}  # backend: zone, cell
         self._came: dict[int, deque[tuple[float, float]]] = defaultdict(deque)
         self._sum: Counter[int] = Counter()
+        self._said: set[tuple[int, int, int]] = set()  # lives, by agent
         self._tipped: set[tuple[int, float]] = set()
 
     def _breach(self, rule: str, name: str, at: float, what: str) -> None:
@@ -183,6 +185,13 @@
         found = [s for s in self.tries[name].shots if s.backend == backend] if name in self.tries else []
         return ([s for s in found if s.ended == inf and not s.ran] or found[-1:])[:1]
 
+    def _on_said(self, at: float, agent: int, event: str, fields: dict[str, Any]) -> None:
+        if event == "asked":
+            life = (agent if agent >= 0 else -1 - agent, *fields["life"])  # a second process is below 0
+            if life in self._said:
+                self._breach("lives", "life twice", at, f"agent {life[0]}, life {life[1]}")
+            self._said.add(life)
+
     def _on_fault(self, at: float, what: str) -> None:
         self._breach("faults", "fault", at, what)
 
--- a/lupinreach/bed/peers/servers.py
+++ b/lupinreach/bed/peers/servers.py
@@ -272,8 +272,14 @@
 
     def told(self, agent: int, version: int, entries: list[Entry], whole: bool, line: RegistryLine | None = None,
              ) -> None:
-        """Book what an agent is told: once it can get there, and if the connection it goes by lasts until then."""
+        """Book what an agent is told: once it can get there, and if the connection it goes by lasts until then.
+
+        With no line it is the list that it starts with, which it has on its own machine.
+        """
         word = self.life_of(agent), version, [[e.backend, e.state] for e in entries], whole
+        if line is None:
+            self.ground.ledger.note(books.TOLD, self.ground.now(), agent, *word)
+            return
         self._untold[agent].append((line, word))
         if len(self._untold[agent]) == 1:
             self._tell(agent)
@@ -283,7 +289,7 @@
         if self.ground.paths.reaches(self.machine, self.machine_of(agent)):
             while waiting:
                 line, word = waiting.popleft()
-                if line is None or line.lasts:
+                if line.lasts:
                     self.ground.ledger.note(books.TOLD, self.ground.now(), agent, *word)
         else:
             # Guards against a word that hangs before a cut zone and would pass for heard.
--- a/lupinreach/bed/ways/loopback.py
+++ b/lupinreach/bed/ways/loopback.py
@@ -231,6 +231,8 @@
             event = json.loads(line)
             if event["event"] == "started":
                 up.set()
+            elif event["event"] in books.BOOKED:
+                self.ledger.note(books.SAID, self.now(), number, event.pop("event"), event)
             elif event["event"] == "fault":
                 self.ended_badly.append(f"agent {number}: {event.get('why')}")
         code = await agent.wait()
--- a/lupinreach/bed/ways/stage.py
+++ b/lupinreach/bed/ways/stage.py
@@ -18,7 +18,7 @@
 from lupinreach.bed.peers.servers import SAMPLE, BackendHost, BackendLine, RegistryHost, RegistryLine
 from lupinreach.bed.world.spec import Trouble, World, plain
 from lupinreach.bed.world.traffic import arrivals
-from lupinreach.config import Address
+from lupinreach.config import ASK, BEAT, Address
 from lupinreach.model import Group, Kind
 
 READY_WITHIN = 5.0  # s for an agent to listen
@@ -185,6 +185,8 @@
                     "peers": [text(at.peer(i)) for i in range(self.world.agents)]}
         if self.world.store:
             raw["store"] = {"file": self.ground.carried(n)}
+        if self.world.in_touch:
+            raw["fleet"] = {"beat_ms": BEAT, "ask_ms": ASK}
         if self.world.carry:
             raw["carry"] = {"file": self.ground.carried(n), "most_age_s": self.world.carry}
         return raw
@@ -467,7 +469,8 @@
                 # Where nobody sends and with a registry that refuses: what it can touch is the disk.
                 where = self.ground.addresses.twin(n)
                 raw = self._told(n, self._raw(n, 0)) | {"listen": text(where), "discovery": text((where[0], NOBODY))}
-                raw.pop("peer_listen", None)
+                if "peer_listen" in raw:
+                    raw["peer_listen"] = text((where[0], where[1] + 1))
                 self._run(self.ground.start_twin(n, raw))
             else:
                 self.ground.stop_twin(n)
--- a/lupinreach/bed/ways/virtual.py
+++ b/lupinreach/bed/ways/virtual.py
@@ -24,12 +24,11 @@
 from lupinreach.bed.ways.policies import POLICIES, TrueState
 from lupinreach.bed.world.spec import World
 from lupinreach.bed.ways.stage import Stage
-from lupinreach.config import Address, AgentConfig, Section, read_settings
+from lupinreach.config import Address, AgentConfig, FleetConfig, Section, read_settings
 from lupinreach.net.agent import Agent
 from lupinreach.net.clock import Clock
 from lupinreach.net.log import Log
-from lupinreach.ops.carry import Carry
-from lupinreach.store.store import Store
+from lupinreach.ops.outlives import take_up
 
 NAME = b"Req-Id: "
 
@@ -47,14 +46,16 @@
 
 
 class VirtualLog(Log):
-    """Drops events: what is judged stands in the ledger, and faults are counted by the agent."""
+    """Books what an agent says of its store and its fleet, and drops the rest: faults are counted by the agent."""
 
-    def __init__(self) -> None:
+    def __init__(self, say: Callable[[str, dict[str, object]], None]) -> None:
         logging.Handler.__init__(self, logging.ERROR)
         self.dropped = 0
+        self._say = say
 
     def event(self, event: str, **fields: object) -> None:
-        pass
+        if event in books.BOOKED:
+            self._say(event, fields)
 
 
 class Life:
@@ -169,7 +170,7 @@
     async def _begin(self, number: int, life: int, raw: dict[str, Any], ahead: float = 0.0, drift: float = 0.0) -> Life:
         owner = len(self._owners) + 1
         self._owners[owner] = number, life
-        log = VirtualLog()
+        log = VirtualLog(lambda event, fields: self.ledger.note(books.SAID, self.now(), number, event, fields))
         with self.loop.owned_by(owner):
             sockets = MemorySockets(self.net, self._machines(number), raw["limits"]["sockets"])
             agent = Agent(_config(raw), log, VirtualClock(self.loop, ahead, drift), sockets, self._decide)
@@ -178,11 +179,7 @@
                 self._lives[number] = begun  # one that is killed while it starts has an owner too
             if isinstance(agent.balancer, TrueState):
                 agent.balancer.truth = Seen(self, self._machines(number), agent)
-            if agent.config.store is not None:
-                store = Store(agent.config.store, agent.config.name, self.disk(number))
-                carry = Carry(agent, store, agent.config.carry_age)
-                carry.take(store.open())
-                agent.tasks.spawn("carry", carry.leave_on())
+            take_up(agent, self.disk(number), agent.config.seed & 0xFFFFFFFF)
             await self.loop.create_task(agent.start())
         return begun
 
@@ -251,7 +248,8 @@
         tuple(Section({"peer": t}).address("peer") for t in raw.get("peers", ())), top.address("peers_all") if "peers_all" in raw else None,
         raw["known"], read_settings(raw["settings"], "settings"),
         store=raw["carry"]["file"] if "carry" in raw else raw["store"]["file"] if "store" in raw else None,
-        carry_age=1000 * raw["carry"]["most_age_s"] if "carry" in raw else None)
+        carry_age=1000 * raw["carry"]["most_age_s"] if "carry" in raw else None,
+        fleet=FleetConfig(raw["fleet"]["beat_ms"], raw["fleet"]["ask_ms"]) if "fleet" in raw else None)
 
 
 def play(world: World, seed: int, progress: Callable[[float], None] | None = None) -> Ledger:
--- a/lupinreach/bed/world/spec.py
+++ b/lupinreach/bed/world/spec.py
@@ -252,6 +252,7 @@
     fault: str  # a planted one, empty for none
     carry: float  # s that an agent's carried file may be old; 0: agents carry nothing by it
     store: bool  # agents have a store
+    in_touch: bool  # and know of each other
     agents: int
     zones: tuple[str, ...]
     sockets: int
@@ -370,6 +371,7 @@
         sockets=agents.whole("sockets", 1024, low=32),
         carry=agents.number("carry_s", 0.0, low=0.0),
         store=agents.flag("store"),
+        in_touch=agents.flag("fleet"),
         backends=kinds,
         products=products,
         customers=customers,
@@ -385,6 +387,8 @@
     )
     agents.done()
     top.done()
+    if world.in_touch and not (world.store and world.limits.peers):
+        raise BadConfig("agents.fleet: needs agents.store and limits.peers")
     if world.traffic.calls_per_s * world.length / 1000 > MOST_CALLS:
         raise BadConfig(f"traffic.calls_per_s: more than {MOST_CALLS} API calls in all")
     most = {"backends": world.fleet, "agents": world.agents, "zones": len(zones), "none": 0}
@@ -527,7 +531,8 @@
     return {
         "name": world.name, "seconds": world.length / 1000, "seeds": list(world.seeds), "mode": world.mode,
         "policy": world.policy, "fault": world.fault, "zones": list(world.zones), "measure": list(world.measure),
-        "agents": {"count": world.agents, "sockets": world.sockets, "carry_s": world.carry, "store": world.store, "zipf": world.traffic.agent_zipf},
+        "agents": {"count": world.agents, "sockets": world.sockets, "carry_s": world.carry, "store": world.store,
+                   "fleet": world.in_touch, "zipf": world.traffic.agent_zipf},
         "traffic": traffic, "clients": some(world.clients), "backend": some(world.backend),
         "registry": some(world.registry), "network": some(world.network), "rules": some(world.rules),
         "limits": some(world.limits),
--- a/lupinreach/config.py
+++ b/lupinreach/config.py
@@ -25,6 +25,7 @@
 MOST_CONFIG_BYTES = 16 << 20
 LEAST_MEMORY = 32  # MB
 CARRY_AGE = 60.0  # s
+BEAT, ASK = 1000.0, 300.0  # ms between two words of an agent to the fleet, and for which one that stands up asks it
 FEWEST_SOCKETS = 32  # below it there is no room for a client, a backend and the agent's own
 
 NEEDED: Any = object()  # in place of a default: the key must be there
@@ -205,6 +206,32 @@
     )
 
 
+@dataclass(frozen=True)
+class FleetConfig:
+    """How agents of one fleet keep in touch, in ms."""
+
+    beat: float
+    ask: float
+
+
+def _fleet(top: Section, settings: Settings) -> FleetConfig | None:
+    """Off without its key; with it, what it can't be without has to be there."""
+    if top._get("fleet", None) is None:
+        return None
+    own = top.section("fleet")
+    if _store(top) is None:
+        raise BadConfig("fleet: needs store.file")
+    if not settings.limits.peers:
+        raise BadConfig("fleet: needs settings.ceilings.peer_messages")
+    if not top.text("peer_listen", ""):
+        raise BadConfig("fleet: needs peer_listen")
+    if len(top.texts("peers")) != settings.agents:
+        raise BadConfig(f"fleet: needs one address in peers for each of settings.fleet_size {settings.agents}")
+    if settings.me >= settings.agents:
+        raise BadConfig(f"settings.me: {settings.me} is out of range")
+    return FleetConfig(own.number("beat_ms", BEAT, low=50.0, high=60_000.0), own.number("ask_ms", ASK, low=10.0, high=10_000.0))
+
+
 def _store(top: Section) -> str | None:
     """The one file; `carry` and `store` may both name it, but not two."""
     carried = top.section("carry").text("file") if top.mapping("carry") else None
@@ -232,6 +259,7 @@
     mgmt: Address | None = None  # where operators connect; None: nowhere
     store: str | None = None  # file of what goes from one process to the next; None: by none
     carry_age: float | None = None  # ms; what is older starts nobody. None: no clock is asked
+    fleet: FleetConfig | None = None  # None: the agent is alone
     inherited: int | None = None  # the descriptor on which clients connect, already listening; None: `listen`
 
 
@@ -277,5 +305,6 @@
         known=top.mapping("known"),
         store=_store(top),
         carry_age=1000 * top.section("carry").number("most_age_s", CARRY_AGE, low=1.0) if top.mapping("carry") else None,
-        settings=read_settings(top.mapping("settings", NEEDED), "settings"),
+        settings=(settings := read_settings(top.mapping("settings", NEEDED), "settings")),
+        fleet=_fleet(top, settings),
     )
--- a/lupinreach/fleet/__init__.py
+++ b/lupinreach/fleet/__init__.py
@@ -1,1 +1,1 @@
-"""What agents of one fleet know of each other and decide together: pure, no I/O."""
+"""What agents of one fleet know of each other, and how they return together: decisions alone, no I/O."""
--- /dev/null
+++ b/lupinreach/fleet/recovery.py
@@ -0,0 +1,231 @@
+"""How an agent returns: what it asks, how answers are merged, which list it believes, in which order it serves. Pure."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from enum import IntEnum
+from math import inf
+
+from lupinreach.fleet.life import Life
+from lupinreach.fleet.wire import Drain, Message
+
+ASKED = 5  # peers that an agent which stands up asks
+LONE = 0.25  # share of the ready backends that the word of one peer alone may hold back
+RESET_AFTER = 3.0  # x the time within which a registry has to be asked: below the floor for so long, it was reset
+MOST_DRAINS = 1024
+
+
+# What others say.
+
+@dataclass
+class Answer:
+    revision: int
+    remembers: bool
+    standing: int
+    known: Life
+    drains: set[Drain] = field(default_factory=set)
+    parts: set[int] = field(default_factory=set)
+    of: int = 1
+
+    @property
+    def whole(self) -> bool:
+        return len(self.parts) == self.of
+
+
+class Asking:
+    """The question of one that stands up, to a few peers; over when all have answered whole, or after `within` ms.
+
+    A fleet in which nobody remembers doesn't wait: who has just stood up says so at once, in one part.
+    """
+
+    def __init__(self, now: float, peers: Iterable[int], nonce: int, within: float) -> None:
+        self.peers = tuple(peers)
+        self.nonce = nonce
+        self._until = now + within
+        self.answers: dict[int, Answer] = {}  # by peer
+
+    def hear(self, m: Message) -> bool:
+        """An answer's part; false where nobody asked for it."""
+        if m.nonce != self.nonce or m.sender not in self.peers:
+            return False
+        one = self.answers.setdefault(m.sender, Answer(m.revision, m.remembers, m.standing, m.known, of=m.parts))
+        one.parts.add(m.part)
+        one.drains.update(m.drains)
+        return True
+
+    def over(self, now: float) -> bool:
+        return now >= self._until or (len(self.answers) == len(self.peers) and all(a.whole for a in self.answers.values()))
+
+    def standing(self) -> int:
+        """How many agents stand, by the median of who remembers; 0: nobody does."""
+        counts = sorted(a.standing for a in self.answers.values() if a.remembers)
+        return counts[len(counts) // 2] if counts else 0
+
+
+# Which list is believed.
+
+class Floor:
+    """The highest revision that is surely the registry's, and if a list is older than that.
+
+    A registry that was reset on purpose stays below for good, one that came back with an old list catches up or is
+    mended: told apart by time alone, `RESET_AFTER` times what the settings give an agent to ask within. Until then no
+    backend is given up on the old list's word, and none that drains gets anything new.
+    """
+
+    def __init__(self, revision: int, within: float) -> None:
+        """`within` in ms."""
+        self.revision = revision
+        self._patience = RESET_AFTER * within
+        self._below_since: float | None = None
+        self._claims: dict[int, int] = {}  # by peer: the highest it has seen; no more than there are peers
+
+    def raised(self, revision: int) -> None:
+        """This agent has it from the registry, or from its own disk."""
+        self.revision = max(self.revision, revision)
+
+    def claimed(self, peer: int, revision: int) -> None:
+        """A peer says that it has seen this revision: it counts as soon as a second one has.
+
+        Good news from one alone waits: a lone claim of 2^60 makes no list old.
+        """
+        self._claims[peer] = revision
+        claims = sorted(self._claims.values(), reverse=True)
+        if len(claims) > 1:
+            self.raised(claims[1])
+
+    def older(self, now: float, revision: int) -> bool:
+        """The registry has spoken: is it older than what is known of it?"""
+        if revision >= self.revision:
+            self.revision, self._below_since = revision, None
+            return False
+        if self._below_since is None:
+            self._below_since = now
+        if now - self._below_since < self._patience:
+            return True
+        self.revision, self._below_since = revision, None
+        self._claims.clear()  # they were of before
+        return False
+
+
+class Drains:
+    """Backend processes that get nothing new whatever an older list says. Emptied as they restart, go or are lifted."""
+
+    def __init__(self, kept: Iterable[Drain] = ()) -> None:
+        self._own: dict[Drain, None] = dict.fromkeys(kept)  # told by the registry, in this life or a former one
+        self._claims: dict[Drain, set[int]] = {}  # by peers
+
+    def told(self, drain: Drain) -> bool:
+        """The registry says so; true if that is new."""
+        if drain in self._own or len(self._own) >= MOST_DRAINS:
+            return False
+        self._own[drain] = None
+        return True
+
+    def lifted(self, backend: int, boot: int) -> bool:
+        """The registry, not older than the floor, says that it is ready, or gone; true if it was held to drain."""
+        struck = [d for d in (*self._own, *self._claims) if d.backend == backend and d.boot <= boot]
+        for d in struck:
+            self._own.pop(d, None)
+            self._claims.pop(d, None)
+        return bool(struck)
+
+    def claimed(self, peer: int, drains: Iterable[Drain]) -> None:
+        for d in drains:
+            if d in self._claims or len(self._claims) < MOST_DRAINS:
+                self._claims.setdefault(d, set()).add(peer)
+
+    def all(self) -> list[Drain]:
+        """What this agent says to others: what it has of the registry itself, not what it has of hearsay."""
+        return list(self._own)
+
+    def held(self, ready: Iterable[Drain]) -> set[int]:
+        """Which of these ready backends (name and boot) get nothing new.
+
+        Bad news counts at once, but one peer's word alone holds back at most `LONE` of them: guards against a peer
+        that says of all that they drain.
+        """
+        ready = list(ready)
+        found = {d.backend for d in ready if d in self._own or len(self._claims.get(d, ())) > 1}
+        room = int(LONE * len(ready))
+        for d in sorted(ready, key=lambda d: (d.backend, d.boot)):
+            if room > 0 and d.backend not in found and d in self._claims:
+                found.add(d.backend)
+                room -= 1
+        return found
+
+
+# The order of return.
+
+class Stage(IntEnum):
+    DARK = 0
+    STANDING = 1
+    LISTENING = 2
+    TRYING = 3
+    RISING = 4
+    FULL = 5
+
+
+@dataclass(frozen=True)
+class Facts:
+    """What is known at one look."""
+
+    read: bool = False  # the store was read, or there is none
+    asked: bool = False  # the question to peers is over
+    listed: int = 0  # ready backends in the list that is followed
+    registry: bool = False  # the registry itself has spoken, and is not older than the floor
+    answered: bool = False  # a backend has answered a shot of this life
+    cold: bool = True  # at least half of the listed backends are cold
+
+
+@dataclass(frozen=True)
+class Step:
+    stage: Stage
+    ready: bool  # what `/health/ready` says
+    ends: Callable[[Facts], bool]
+    longest: str  # its longest stay, as a name of `Stays`
+    meanwhile: str
+
+
+@dataclass(frozen=True)
+class Stays:
+    """The longest stays, ms."""
+
+    read: float
+    ask: float
+    hold: float
+    cold: float
+    none: float = inf
+
+
+TABLE = (
+    Step(Stage.DARK, False, lambda f: f.read, "read", "errored at once"),
+    Step(Stage.STANDING, False, lambda f: f.asked, "ask", "by the list of before, if any; else errored at once"),
+    Step(Stage.LISTENING, True, lambda f: f.listed > 0, "none", "rate-limited at once"),
+    Step(Stage.TRYING, True, lambda f: f.answered, "hold", "as far as backends answer; the rest rate-limited at once"),
+    Step(Stage.RISING, True, lambda f: f.registry and not f.cold, "cold", "as far as cold credit goes; the rest the same"),
+)
+
+
+class Return:
+    """Where an agent is on its way back; goes forward alone, several steps at one look if it can."""
+
+    def __init__(self, now: float, stays: Stays) -> None:
+        self.stage = Stage.DARK
+        self._since = now
+        self._stays = stays
+
+    @property
+    def ready(self) -> bool:
+        return self.stage is Stage.FULL or TABLE[self.stage].ready
+
+    def look(self, now: float, facts: Facts) -> list[tuple[Stage, float]]:
+        """The stages that end now, each with how long it took in ms."""
+        passed = []
+        while self.stage is not Stage.FULL:
+            step = TABLE[self.stage]
+            if not (step.ends(facts) or now - self._since >= getattr(self._stays, step.longest)):
+                break
+            passed.append((self.stage, now - self._since))
+            self.stage, self._since = Stage(self.stage + 1), now
+        return passed
--- a/lupinreach/net/agent.py
+++ b/lupinreach/net/agent.py
@@ -67,6 +67,9 @@
         port = AgentPort(self.clock, self.log, settings.limits, self.woke, self.directory.ask, self._probe,
                          self.peers.tell)
         self.balancer = decide(settings, config.seed, port)
+        # Where agents of a fleet know of each other: who takes datagrams, and lists before the module does.
+        self.hears: Callable[[int, bytes], None] | None = None
+        self.sees: Callable[[News, list[Listing], bool], list[Listing]] | None = None
         self.serving = Serving(settings, self.clock, self.counters, self.tasks, self.standing, self.pool,
                                self.directory, self.balancer,
                                Kept(int(KEPT_EACH * config.memory),
@@ -176,8 +179,10 @@
 
     # News for the module that belongs to no API call.
 
-    def _listed(self, news: News, entries: list[Listing]) -> None:
+    def _listed(self, news: News, entries: list[Listing], older: bool) -> None:
         try:
+            if self.sees is not None and news is not News.FAILED:
+                entries = self.sees(news, entries, older)
             self.balancer.listed(self.clock.now(), news, entries)
         except Exception as fault:
             self.tasks.fault("listed", fault)
@@ -188,7 +193,10 @@
 
     def _heard(self, sender: int, message: bytes) -> None:
         try:
-            self.balancer.heard(self.clock.now(), sender, message)
+            if self.hears is not None:
+                self.hears(sender, message)
+            else:
+                self.balancer.heard(self.clock.now(), sender, message)
         except Exception as fault:
             self.tasks.fault("heard", fault)
 
--- a/lupinreach/net/directory.py
+++ b/lupinreach/net/directory.py
@@ -40,7 +40,7 @@
     """Follows the directory and tells the module; holds the address of each backend."""
 
     def __init__(self, config: AgentConfig, clock: Clock, log: Log, counters: Counters, tasks: Tasks,
-                 sockets: Sockets, pool: Pool, listed: Callable[[News, list[Listing]], None]) -> None:
+                 sockets: Sockets, pool: Pool, listed: Callable[[News, list[Listing], bool], None]) -> None:
         self._seed = config.seed
         self._clock = clock
         self._log = log
@@ -60,6 +60,8 @@
         self._next = 0
         self._heard_at: float | None = None  # when the directory last said anything, a beat included
         self.heard = asyncio.Event()  # it has told its list at least once
+        # If what speaks with this version is older than what is known of it; without a fleet nothing is.
+        self.older: Callable[[int], bool] | None = None
         self._home = config.directory  # the address of the directory that is followed
         self._task: asyncio.Task[None] | None = None
         self._moving: asyncio.Task[None] | None = None  # to another directory, until its list has come
@@ -67,6 +69,11 @@
     def place(self, backend: int) -> Place:
         return self._by_index[backend]
 
+    @property
+    def version(self) -> int:
+        """Of the list as held; 0: there is none."""
+        return self._version or 0
+
     @property
     def listed(self) -> int:
         """Backends in the list as it stands, draining ones too."""
@@ -145,7 +152,7 @@
             await asyncio.sleep(protocol.BEAT / 1000)
             self.ask(True)
         else:
-            self._listed(News.FAILED, [])
+            self._listed(News.FAILED, [], False)
 
     async def _list(self, address: Address, within: float) -> http.Slice | bytes:
         """The text of the whole list, in so many s."""
@@ -217,6 +224,9 @@
         if news is News.CHANGES and self._version is not None and version < self._version:
             raise BadConfig(f"{top.at(protocol.VERSION)}: {version} comes after {self._version}")
         read = [self._entry(e) for e in top.sections(protocol.ENTRIES, NEEDED)]
+        older = news is not News.CACHED and self.older is not None and self.older(version)
+        if older and news is News.FULL:
+            news = News.CHANGES  # guards against backends that are given up since an old list doesn't name them yet
         now, pool = self._clock.now(), self._pool
         for uid, address, listing in read:
             entry = self._entries.get(uid)
@@ -241,7 +251,7 @@
         self._version = version
         self._counters.directory[f"news: {news.name.lower()}"] += 1
         listings = [replace(listing, backend=self._entries[uid].place.backend) for uid, _, listing in read]
-        self._listed(news, listings)
+        self._listed(news, listings, older)
         if news is not News.CACHED:
             self.heard.set()
         for uid, entry in list(self._entries.items()):
--- a/lupinreach/net/peers.py
+++ b/lupinreach/net/peers.py
@@ -17,6 +17,7 @@
 
     def __init__(self, peers: tuple[Address, ...], everybody: Address | None, counters: Counters,
                  heard: Callable[[int, bytes], None]) -> None:
+        self._addresses = peers
         self._numbers = {address: number for number, address in enumerate(peers)}
         self._everybody = everybody
         self._counters = counters
@@ -48,6 +49,15 @@
         self._counters.others["datagrams sent"] += 1
         self._transport.sendto(message, self._everybody)
 
+    def send(self, number: int, message: bytes) -> None:
+        """Send to one peer; to a number that there is none of, nothing goes."""
+        if self._transport is None or not 0 <= number < len(self._addresses) or len(message) > MOST_DATAGRAM:
+            self._counters.others["datagrams not sent"] += 1
+            return
+        self._counters.others["datagrams sent"] += 1
+        self._counters.others["datagram bytes sent"] += len(message)
+        self._transport.sendto(message, self._addresses[number])
+
     def close(self) -> None:
         if self._transport is not None:
             self._transport.close()
--- a/lupinreach/net/standing.py
+++ b/lupinreach/net/standing.py
@@ -32,6 +32,7 @@
 
     def __init__(self) -> None:
         self.listed = False
+        self.returning = False  # after a start, until the fleet's order of return lets it serve
         self.accepting = False  # clients can connect to this process
         self.stopping = False
         self.succeeded = False  # set before `stopping`: another process takes the clients
@@ -43,7 +44,7 @@
             return State.SUCCEEDED if self.succeeded else State.STOPPING
         if self.drained_at is not None:
             return State.DRAINED
-        return State.SERVING if self.listed else State.UNLISTED
+        return State.SERVING if self.listed and not self.returning else State.UNLISTED
 
     @property
     def ready(self) -> bool:
--- /dev/null
+++ b/lupinreach/ops/outlives.py
@@ -0,0 +1,38 @@
+"""What of an agent goes on from process to process: its store, what it learnt, and its part in the fleet."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from lupinreach.net.agent import Agent
+from lupinreach.ops.carry import Carry
+from lupinreach.store.files import Disk
+from lupinreach.store.store import Store
+
+
+@dataclass
+class Outlives:
+    carry: Carry
+
+    async def leave(self) -> None:
+        await self.carry.leave()
+
+
+def take_up(agent: Agent, disk: Disk | None = None, token: int | None = None) -> Outlives | None:
+    """Begin with what the process before has left, before the agent starts; None where nothing is configured.
+
+    `disk` and `token` are the system's unless given.
+    """
+    config = agent.config
+    if config.store is None:
+        return None
+    store = Store(config.store, config.name, disk, lambda why: agent.log.event("store failed", why=why))
+    found = store.open()
+    carry = Carry(agent, store, config.carry_age)
+    carry.take(found)
+    agent.tasks.spawn("carry", carry.leave_on())
+    if config.fleet is not None:
+        from lupinreach.ops.returning import Returning  # an agent that is alone doesn't load it
+
+        agent.tasks.spawn("returning", Returning(agent, store, found, config.fleet, token).run())
+    return Outlives(carry)
--- /dev/null
+++ b/lupinreach/ops/returning.py
@@ -0,0 +1,239 @@
+"""An agent's return and its place among the others, on sockets: what the pure modules of `fleet` decide is done here.
+
+Everything it changes in the agent goes through hooks that are empty without it: which list is believed, which backends are
+held to drain, and what `/health/ready` says.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+from collections.abc import Iterable
+from dataclasses import replace
+from zlib import crc32
+
+from lupinreach.config import FleetConfig
+from lupinreach.fleet import wire
+from lupinreach.fleet.life import Own
+from lupinreach.fleet.membership import Members, Selfhood
+from lupinreach.fleet.recovery import ASKED, Asking, Drains, Facts, Floor, Return, Stage, Stays
+from lupinreach.fleet.wire import Drain, Message
+from lupinreach.model import Listing, News, State
+from lupinreach.net.agent import Agent
+from lupinreach.store import trust
+from lupinreach.store.records import Found
+from lupinreach.store.store import Store
+
+HOLD = 4.0  # x longest SLO: as long as the module holds a backend, so long a try may take
+READ = 1000.0  # ms: the store is read before anything else, at once or not at all
+JITTER = 0.2  # of a beat, so that a fleet that stood up together doesn't speak together
+SPREAD = 0.5  # x the time to ask: agents that stand up together ask over as long
+
+
+class Returning:
+    """One agent's part in the fleet, from its start to its end. Its tables are bounded by agents, backends and drains."""
+
+    def __init__(self, agent: Agent, store: Store, found: Found, config: FleetConfig, token: int | None = None) -> None:
+        """`token` tells two lives with one number apart; the system's chance unless given."""
+        settings = agent.config.settings
+        self._agent = agent
+        self._store = store
+        self._config = config
+        self._me = settings.me
+        self._seed = agent.config.seed
+        self._drawn = 0
+        now = agent.clock.now()
+        kept = trust.believed(found.state)
+        self._token = token if token is not None else int.from_bytes(os.urandom(4), "big")
+        self.own = Own(_whole(kept.get("life")), self._token)
+        self.members = Members(self._me, settings.agents, config.beat, self._chance)
+        self.floor = Floor(_whole(kept.get("floor")), settings.rules.ask_within)
+        self.drains = Drains(_drains(kept))
+        self.returned = Return(now, Stays(READ, config.ask * (1 + SPREAD), HOLD * max(p.slo for p in settings.products),
+                                          settings.rules.cold))
+        self._cold = settings.rules.cold
+        self._raw: dict[int, Listing] = {}  # by index, as the registry last said; each leaves as it goes
+        self._held: set[int] = set()  # indices that the module was told to drain, though a list says ready
+        self._registry = False
+        self._asking: Asking | None = None
+        self._asked = False
+        store.put("life", self.own.life.number)
+        agent.hears, agent.sees = self.hear, self.see
+        agent.directory.older = self.older
+        agent.standing.returning = not self.returned.ready
+
+    def _chance(self) -> float:
+        self._drawn += 1
+        return crc32(b"fleet:%d:%d" % (self._seed, self._drawn)) * 2654435761 % 2**32 / 2**32
+
+    # What is believed of lists.
+
+    def older(self, version: int) -> bool:
+        """If the registry that speaks with this version is older than what is known of it."""
+        before = self.floor.revision
+        older = self.floor.older(self._agent.clock.now(), version)
+        if older:
+            self._agent.counters.others["fleet: older lists"] += 1
+        elif self.floor.revision < before:
+            self._agent.log.event("registry reset", floor=before, revision=version)
+        self._registry = self._registry or not older
+        return older
+
+    def see(self, news: News, entries: list[Listing], older: bool) -> list[Listing]:
+        """A list as the module is to have it: what drains doesn't become ready by an older one."""
+        if news is News.CACHED:
+            self.floor.raised(self._agent.directory.version)
+        spoken = news is not News.CACHED and not older
+        if news is News.FULL:
+            named = {e.backend for e in entries}
+            for gone in [e for e in self._raw.values() if e.backend not in named]:
+                del self._raw[gone.backend]
+                self._lifted(gone)
+        for e in entries:
+            if e.state is State.GONE:
+                self._raw.pop(e.backend, None)
+            else:
+                self._raw[e.backend] = e
+            if e.state is State.DRAINING:
+                drain = _drain(e)
+                if self.drains.told(drain):
+                    self._store.put(f"drain/{drain.backend}", drain.boot)
+            elif spoken:
+                self._lifted(e)
+        if spoken:
+            self._store.put("floor", self.floor.revision)
+        self._held = self._to_hold()
+        return [replace(e, state=State.DRAINING) if e.backend in self._held and e.state is State.READY else e for e in entries]
+
+    def _lifted(self, e: Listing) -> None:
+        if self.drains.lifted(e.name, int(e.boot_time)):
+            self._store.put(f"drain/{e.name}", None)
+
+    def _to_hold(self) -> set[int]:
+        ready = {_drain(e): e.backend for e in self._raw.values() if e.state is State.READY}
+        names = self.drains.held(ready)
+        return {index for drain, index in ready.items() if drain.backend in names}
+
+    def _hold(self) -> None:
+        """Tell the module what has changed by others' word."""
+        held, before = self._to_hold(), self._held
+        self._held = held
+        changed = [replace(self._raw[i], state=State.DRAINING if i in held else State.READY)
+                   for i in sorted(held ^ before) if i in self._raw and self._raw[i].state is State.READY]
+        if changed:
+            self._agent.counters.others["fleet: held by others' word"] += sum(e.state is State.DRAINING for e in changed)
+            self._agent.balancer.listed(self._agent.clock.now(), News.CHANGES, changed)
+
+    # Datagrams.
+
+    def hear(self, sender: int, data: bytes) -> None:
+        """A datagram has come from the address of that peer's."""
+        others, now = self._agent.counters.others, self._agent.clock.now()
+        try:
+            m = wire.read(data)
+        except wire.Malformed:
+            others["fleet: malformed"] += 1
+            return
+        if m.sender != sender or sender == self._me:
+            # Guards against a word that is believed of another than who sent it.
+            others["fleet: from a wrong address"] += 1
+            return
+        self.members.heard(now, sender, m.life, m.beat, m.members)
+        if m.remembers:
+            self.floor.claimed(sender, m.revision)
+        mine = [e.life for e in m.members if e.agent == self._me]
+        if m.kind == wire.TELL and m.known.number:
+            mine.append(m.known)
+        for life in mine:
+            if self.own.hear(sender, life):
+                self._store.put("life", self.own.life.number)
+        if m.kind == wire.ASK and not self.own.superseded:
+            self._answer(m)
+        elif m.kind == wire.TELL and self._asking is not None and self._asking.hear(m):
+            self.drains.claimed(sender, m.drains)
+
+    def _message(self, kind: int, **more: object) -> Message:
+        return Message(kind, self._me, self.own.life, self.members.beat, self.floor.revision > 0,
+                       self.floor.revision, **more)  # type: ignore[arg-type]
+
+    def _send(self, peer: int, message: Message) -> None:
+        self._agent.peers.send(peer, wire.written(message))
+
+    def _answer(self, m: Message) -> None:
+        drains = self.drains.all()[:wire.DRAINS * wire.MOST_PARTS]
+        parts = [tuple(drains[i:i + wire.DRAINS]) for i in range(0, len(drains), wire.DRAINS)] or [()]
+        known = self.members.life(m.sender) or m.life
+        for i, part in enumerate(parts):
+            self._send(m.sender, self._message(
+                wire.TELL, nonce=m.nonce, part=i, parts=len(parts), standing=self.members.count(self._agent.clock.now()),
+                known=known, drains=part))
+
+    # From start to end.
+
+    async def run(self) -> None:
+        """Return, and then keep in touch for as long as the process lasts."""
+        log, clock = self._agent.log, self._agent.clock
+        try:
+            # Guards against a word under a number that a power loss would take back; and against a disk that hangs.
+            async with asyncio.timeout(self._config.ask / 1000):
+                await self._store.flush()
+        except TimeoutError:
+            self._agent.counters.others["fleet: life not synced in time"] += 1
+        await asyncio.sleep(SPREAD * self._config.ask * self._chance() / 1000)
+        self._asking = Asking(clock.now(), self._some(ASKED), self._token, self._config.ask)
+        self._step()
+        for peer in self._asking.peers:
+            self._send(peer, self._message(wire.ASK, nonce=self._token))
+        while not self._asking.over(clock.now()):
+            await asyncio.sleep(self._config.ask / 20000)
+        self._conclude()
+        log.event("asked", peers=len(self._asking.peers), answered=len(self._asking.answers), life=[self.own.life.number, self.own.life.token],
+                  floor=self.floor.revision, standing=self._asking.standing(), held=len(self._held))
+        said = Selfhood.SOUND, False
+        while True:
+            await asyncio.sleep(self._config.beat * (1 + JITTER * (self._chance() - 0.5)) / 1000)
+            now = clock.now()
+            self.members.look(now)
+            self._step()
+            if (self.members.own(now), self.own.superseded) != said:
+                said = self.members.own(now), self.own.superseded
+                log.event("fleet", self=said[0].value, superseded=said[1], standing=self.members.count(now))
+            if not self.own.superseded:
+                for peer in self.members.targets():
+                    self._send(peer, self._message(wire.BEAT, members=self.members.digest(now)))
+            await self._store.flush()
+
+    def _some(self, most: int) -> list[int]:
+        others = [n for n in range(self._agent.config.settings.agents) if n != self._me]
+        return [others.pop(int(self._chance() * len(others))) for _ in range(min(most, len(others)))]
+
+    def _conclude(self) -> None:
+        self._asked = True
+        self.own.settled = True
+        self._hold()
+        self._step()
+
+    def _step(self) -> None:
+        now = self._agent.clock.now()
+        ready = [e for e in self._raw.values() if e.state is State.READY]
+        cold = sum(e.boot_time > 0 and now < e.boot_time + self._cold for e in ready)
+        facts = Facts(True, self._asked, len(ready), self._registry, self._agent.counters.answered["fulfilled"] > 0,
+                      2 * cold >= len(ready))
+        for stage, took in self.returned.look(now, facts):
+            self._agent.log.event("returned", stage=stage.name.lower(), took_ms=round(took), to=Stage(stage + 1).name.lower())
+        self._agent.standing.returning = not self.returned.ready
+
+
+def _drain(e: Listing) -> Drain:
+    return Drain(e.name, int(e.boot_time))
+
+
+def _whole(value: object) -> int:
+    return value if type(value) is int and 0 <= value <= wire.MOST_REVISION else 0
+
+
+def _drains(kept: dict[str, object]) -> Iterable[Drain]:
+    for key, boot in kept.items():
+        name, _, number = key.partition("/")
+        if name == "drain" and number.isdecimal() and int(number) < 1 << 32:
+            yield Drain(int(number), _whole(boot))
--- a/lupinreach/trial/figures.py
+++ b/lupinreach/trial/figures.py
@@ -14,6 +14,7 @@
 from typing import Any
 
 from lupinreach.bed.judging import service
+from lupinreach.bed.judging.check import LATE
 from lupinreach.bed.world.ledger import Record
 from lupinreach.bed.world.spec import World
 
@@ -50,6 +51,7 @@
     back_after: float  # ms until it is at 0.95 of the possible for 3 s; infinite: never
     wasted: float  # share of the shots since then
     queries: int  # most in one second since then
+    to_draining: int  # shots to a backend that drains, past the grace and the registry's lag, whatever a list said
     cold_load: float  # greatest work on a cold backend over what the rule allows; 1 is the rule's edge
 
     def plain(self) -> dict[str, Any]:
@@ -191,13 +193,29 @@
     shots = sum(s.shots for s in after)
     return Recovery(over(after[:10]), over(after[:20]), over(after), done(after[:10]), done(after[:20]), max(0.0, back),
                     sum(s.wasted for s in after) / shots if shots else 0.0,
-                    max((s.queries for s in after), default=0), cold_load(world, records))
+                    max((s.queries for s in after), default=0), to_draining(world, records, since), cold_load(world, records))
 
 
 def _over(part: float, whole: float) -> float:
     return min(1.0, part / whole) if whole > FEW else 1.0
 
 
+def to_draining(world: World, records: Iterable[Record], begin: float) -> int:
+    """Shots from then on (ms) to a draining backend by an agent whose fleet was told long ago: by an older list, or none."""
+    late = world.rules.drain_grace + world.registry.lag.most + LATE
+    since: dict[int, float] = {}
+    found = 0
+    for r in records:
+        if r[0] == "state":
+            if r[4] == "Terminating":
+                since[r[2]] = r[1] / 1000
+            else:
+                since.pop(r[2], None)
+        elif r[0] == "sent" and r[4] in since:
+            found += r[1] / 1000 > max(begin, since[r[4]] + late)
+    return found
+
+
 def cold_load(world: World, records: Iterable[Record]) -> float:
     """The most work that came to a cold backend within the rule's time, over what pushes it over."""
     lives: dict[int, tuple[float, float, float, float]] = {}
--- a/lupinreach/trial/play.py
+++ b/lupinreach/trial/play.py
@@ -106,6 +106,7 @@
         **{name: mean(name) for name in ("first_10s", "first_20s", "whole", "done_10s", "done_20s", "wasted")},
         "back_after_s": None if inf in backs else round(max(backs) / 1000, 1),
         "queries_in_a_second": max(p.recovery.queries for p in runs),
+        "to_draining": sum(p.recovery.to_draining for p in runs),
         "cold_load": round(max(p.recovery.cold_load for p in runs), 3),
         "rig_late_ms": round(max(p.late for p in runs), 2),
         "answers": total["answers"], "service": total["service"], "calls": total["calls"], "digest": total["digest"],
--- a/lupinreach/trial/spec.py
+++ b/lupinreach/trial/spec.py
@@ -19,8 +19,8 @@
 TRIALS = Path(__file__).parent / "trials"
 FOLDERS = (TRIALS, beds.WORLDS)
 NEVER = 86_400.0  # s: longer than any run
-FIGURES = ("first_10s", "first_20s", "whole", "done_10s", "done_20s", "back_after", "cold_load")
-AT_MOST = ("back_after", "cold_load")  # what is expected of these is a most, of the others a least
+FIGURES = ("first_10s", "first_20s", "whole", "done_10s", "done_20s", "back_after", "to_draining", "cold_load")
+AT_MOST = ("back_after", "to_draining", "cold_load")  # what is expected of these is a most, of the others a least
 
 
 @dataclass(frozen=True)
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -9,6 +9,7 @@
 import sys
 import time
 from pathlib import Path
+from types import SimpleNamespace
 
 import pytest
 
@@ -293,7 +294,7 @@
         await role.open()
         await role.do_plane(cut=[], refused=[], deaf=["agent 1"], dumb=[], parted=[])
         for agent in range(3):
-            role.host.told(agent, 5, [], True)
+            role.host.told(agent, 5, [], True, SimpleNamespace(lasts=True))
         assert [r[2] for r in role.ground.ledger.of("told")] == [0, 2]
         await role.do_plane(cut=[], refused=[], deaf=[], dumb=[], parted=[])
         await asyncio.sleep(0.1)
