What peers claim of drains ends: after three times ask_within, and not as soon as a registry is past the floor

Claims of peers were lifted by a list alone, and a list that doesn't change names nobody: one liar's quarter stayed out for good.

--- a/lupinreach/fleet/recovery.py
+++ b/lupinreach/fleet/recovery.py
@@ -135,6 +135,16 @@
             if d in self._claims or len(self._claims) < MOST_DRAINS:
                 self._claims.setdefault(d, set()).add(peer)
 
+    def settled(self) -> bool:
+        """What peers claimed counts no more; true if anything did.
+
+        Guards against a lie, or a late word, that no change of the list would ever lift. Not done as soon as the registry
+        is past the floor: one that came back with an old list counts on from there, and its drains are still missing.
+        """
+        any_claims = bool(self._claims)
+        self._claims.clear()
+        return any_claims
+
     def all(self) -> list[Drain]:
         """What this agent says to others: what it has of the registry itself, not what it has of hearsay."""
         return list(self._own)
--- a/lupinreach/ops/returning.py
+++ b/lupinreach/ops/returning.py
@@ -10,13 +10,14 @@
 import os
 from collections.abc import Iterable
 from dataclasses import replace
+from math import inf
 from zlib import crc32
 
 from lupinreach.config import FleetConfig
 from lupinreach.fleet import wire
 from lupinreach.fleet.life import Own
 from lupinreach.fleet.membership import Members, Selfhood
-from lupinreach.fleet.recovery import ASKED, Asking, Drains, Facts, Floor, Return, Stage, Stays
+from lupinreach.fleet.recovery import ASKED, RESET_AFTER, Asking, Drains, Facts, Floor, Return, Stage, Stays
 from lupinreach.fleet.wire import Drain, Message
 from lupinreach.model import Listing, News, State
 from lupinreach.net.agent import Agent
@@ -59,6 +60,7 @@
         self._withheld = "life" not in kept
         self._asking: Asking | None = None
         self._asked = False
+        self._claims_until = inf  # ms: from then on the registry's word counts against others'
         store.put("life", self.own.life.number)
         agent.hears, agent.sees = self.hear, self.see
         agent.directory.older = self.older
@@ -164,6 +166,8 @@
             self._answer(m)
         elif m.kind == wire.TELL and self._asking is not None and self._asking.hear(m):
             self.drains.claimed(sender, m.drains)
+            if self._asked:
+                self._hold()
 
     def _message(self, kind: int, **more: object) -> Message:
         return Message(kind, self._me, self.own.life, self.members.beat, self.floor.revision > 0,
@@ -222,12 +226,17 @@
 
     def _conclude(self) -> None:
         self._asked = True
+        self._claims_until = self._agent.clock.now() + RESET_AFTER * self._agent.config.settings.rules.ask_within
         self.own.settled = True
         self._hold()
         self._step()
 
     def _step(self) -> None:
-        now = self._agent.clock.now()
+        now, directory = self._agent.clock.now(), self._agent.directory
+        current = directory.age is not None and directory.version >= self.floor.revision
+        self._registry = self._registry or current
+        if current and now >= self._claims_until and self.drains.settled():
+            self._hold()
         ready = [e for e in self._raw.values() if e.state is State.READY]
         cold = sum(e.boot_time > 0 and now < e.boot_time + self._cold for e in ready)
         facts = Facts(True, self._asked, len(ready), self._registry, self._agent.counters.answered["fulfilled"] > 0,
--- a/tests/test_returning.py
+++ b/tests/test_returning.py
@@ -122,7 +122,7 @@
 def one(state=None, agents=6, config=FleetConfig(1000.0, 300.0)):
     agent = SimpleNamespace(
         clock=SimpleNamespace(now=lambda: 5_000.0), counters=SimpleNamespace(others=Counter(), answered=Counter()),
-        directory=SimpleNamespace(older=None, version=60), standing=SimpleNamespace(returning=False, listed=False), listed=[], sent=[],
+        directory=SimpleNamespace(older=None, version=60, age=None), standing=SimpleNamespace(returning=False, listed=False), listed=[], sent=[],
         log=SimpleNamespace(event=lambda *a, **k: None), config=SimpleNamespace(seed=5, settings=SimpleNamespace(
             me=2, agents=agents, products=[SimpleNamespace(slo=100.0)], rules=SimpleNamespace(ask_within=10_000.0, cold=4000.0))))
     agent.balancer = SimpleNamespace(listed=lambda now, news, entries: agent.listed.append((news, entries)))
@@ -177,6 +177,16 @@
     asyncio.run(asyncio.wait_for(work(), 10))
     assert [(news, [(e.backend, e.state) for e in entries]) for news, entries in agent.listed] == [
         (News.CHANGES, [(1, State.DRAINING)])]
+    # Lifted after three times the time to ask within, if the registry's own word is as new as the fleet's by then.
+    agent.directory.age = 5.0
+    part._step()
+    agent.clock.now = lambda: 6_000.0 + 3 * 10_000.0
+    agent.directory.age = None
+    part._step()
+    assert len(agent.listed) == 1
+    agent.directory.age = 5.0
+    part._step()
+    assert [[(e.backend, e.state) for e in entries] for _, entries in agent.listed[1:]] == [[(1, State.READY)]]
 
 
 def test_an_agent_whose_disk_remembers_nothing_serves_by_no_list_of_before_until_it_has_asked():
