The fleet's part in /_vars; a disk that hangs silences nobody and forgets nothing

The first writing of a life was broken off after ask_ms where the disk hung, and what it was to write was forgotten with it; beats waited for each sync. Writings now go on beside the beats. Trouble disk-hangs in virtual time: rules kept with half of the disks hanging for 3 s.

--- a/lupinreach/bed/ways/disk.py
+++ b/lupinreach/bed/ways/disk.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import errno
 import os
 from collections.abc import Callable, Iterator
@@ -28,6 +29,7 @@
         self._kept: dict[str, _File] = {}  # names that were synced
         self._number = 0
         self.stuck = False  # read-only, or full
+        self._hangs_until = 0.0  # s, by the loop's clock
 
     def read(self, path: str, most: int) -> bytes:
         if path not in self._names:
@@ -59,8 +61,14 @@
         self._kept = dict(self._names)
 
     async def away(self, work: Callable[[], bool]) -> bool:
+        while (left := self._hangs_until - asyncio.get_running_loop().time()) > 0:
+            await asyncio.sleep(left)
         return work()
 
+    def hang(self, ms: float) -> None:
+        """From now on for so long nothing that is written comes to its end."""
+        self._hangs_until = asyncio.get_running_loop().time() + ms / 1000
+
     def lose_power(self) -> None:
         """Of a name that was not synced either state may be there; of bytes that were not, any first part."""
         found = {}
--- a/lupinreach/bed/ways/stage.py
+++ b/lupinreach/bed/ways/stage.py
@@ -521,6 +521,10 @@
         for n in targets:
             self.ground.disk(n).stuck = on
 
+    def _disk_hangs(self, t: Trouble, targets: list[int], on: bool) -> None:
+        for n in targets if on else ():
+            self.ground.disk(n).hang(t.length)
+
     def _drift_agents(self, t: Trouble, targets: list[int], on: bool) -> None:
         for n in targets:
             self._drift[n] = t.strength if on else 0.0
--- a/lupinreach/bed/world/spec.py
+++ b/lupinreach/bed/world/spec.py
@@ -56,6 +56,7 @@
     "disk-lost": ("agents", 0.0, 0.0, 0.0),  # power is lost: what was not synced may be gone, or torn
     "disk-older": ("agents", 5.0, 0.0, 1e5),  # the copy of so many s before is put back
     "disk-other": ("agents", 0.0, 0.0, 0.0),  # the copy of the next agent's disk takes its place
+    "disk-hangs": ("agents", 0.0, 0.0, 0.0),  # what is written waits until the end
     "disk-stuck": ("agents", 0.0, 0.0, 0.0),  # can't be written, as one that is full or read-only
     "drift-agents": ("agents", 0.01, -0.2, 0.2),  # what the clock of one that starts meanwhile gains of each second
     "busy-agents": ("agents", 50.0, 0.0, 10_000.0),  # ms for which the event loop is held up, once a second
--- a/lupinreach/fleet/membership.py
+++ b/lupinreach/fleet/membership.py
@@ -124,6 +124,10 @@
         return Standing.THERE if silent <= self.silence else \
             Standing.SUSPECTED if silent <= 2 * self.silence else Standing.GONE
 
+    def all(self, now: float) -> list[tuple[int, Life, Standing]]:
+        """Every agent that was heard of, by number."""
+        return [(a, row.life, self.standing(now, a) or Standing.GONE) for a, row in sorted(self._rows.items())]
+
     def count(self, now: float) -> int:
         """How many stand, this one among them."""
         return 1 + sum(self.standing(now, a) is Standing.THERE for a in self._rows)
--- a/lupinreach/net/agent.py
+++ b/lupinreach/net/agent.py
@@ -69,6 +69,7 @@
         self.balancer = decide(settings, config.seed, port)
         # Where agents of a fleet know of each other: who takes datagrams, and lists before the module does.
         self.hears: Callable[[int, bytes], None] | None = None
+        self.tells: Callable[[], dict[str, object]] | None = None  # and what operators see of it
         self.sees: Callable[[News, list[Listing], bool], list[Listing]] | None = None
         self.serving = Serving(settings, self.clock, self.counters, self.tasks, self.standing, self.pool,
                                self.directory, self.balancer,
--- a/lupinreach/ops/door.py
+++ b/lupinreach/ops/door.py
@@ -161,8 +161,8 @@
     def _vars(self) -> Said:
         agent = self._agent
         products = [product.name for product in agent.config.settings.products]
-        return Said(200, figures=figures.report(products, agent.counters, agent.directory.listed,
-                                                agent.balancer.avoided(agent.clock.now())))
+        found = figures.report(products, agent.counters, agent.directory.listed, agent.balancer.avoided(agent.clock.now()))
+        return Said(200, figures=found if agent.tells is None else found | {"fleet": agent.tells()})
 
     def _drain(self, on: bool) -> Said:
         self._agent.drain(on)
--- a/lupinreach/ops/returning.py
+++ b/lupinreach/ops/returning.py
@@ -62,7 +62,7 @@
         self._asked = False
         self._claims_until = inf  # ms: from then on the registry's word counts against others'
         store.put("life", self.own.life.number)
-        agent.hears, agent.sees = self.hear, self.see
+        agent.hears, agent.sees, agent.tells = self.hear, self.see, self.figures
         agent.directory.older = self.older
         agent.standing.returning = not self.returned.ready
 
@@ -185,16 +185,25 @@
                 wire.TELL, nonce=m.nonce, part=i, parts=len(parts), standing=self.members.count(self._agent.clock.now()),
                 known=known, drains=part))
 
+    def figures(self) -> dict[str, object]:
+        """What operators see: where it is on its way back, who it is, whom it knows, what it believes."""
+        now = self._agent.clock.now()
+        return {
+            "stage": self.returned.stage.name.lower(), "life": self.own.life.number, "superseded": self.own.superseded,
+            "own": self.members.own(now).value, "standing": self.members.count(now),
+            "agents": {str(n): [life.number, standing.value] for n, life, standing in self.members.all(now)},
+            "floor": self.floor.revision, "list": self._agent.directory.version,
+            "drains": [d.backend for d in self.drains.all()], "held": len(self._held), "store": self._store.well}
+
     # From start to end.
 
     async def run(self) -> None:
         """Return, and then keep in touch for as long as the process lasts."""
         log, clock = self._agent.log, self._agent.clock
-        try:
-            # Guards against a word under a number that a power loss would take back; and against a disk that hangs.
-            async with asyncio.timeout(self._config.ask / 1000):
-                await self._store.flush()
-        except TimeoutError:
+        # Guards against a word under a number that a power loss would take back; and against a disk that hangs: the
+        # writing goes on by itself, since one that is broken off would forget what it was to write.
+        synced = self._agent.tasks.spawn("store", self._flush())
+        if not (await asyncio.wait({synced}, timeout=self._config.ask / 1000))[0]:
             self._agent.counters.others["fleet: life not synced in time"] += 1
         await asyncio.sleep(SPREAD * self._config.ask * self._chance() / 1000)
         self._asking = Asking(clock.now(), self._some(ASKED), self._token, self._config.ask)
@@ -218,7 +227,12 @@
             if not self.own.superseded:
                 for peer in self.members.targets():
                     self._send(peer, self._message(wire.BEAT, members=self.members.digest(now)))
-            await self._store.flush()
+            if synced.done():
+                synced = self._agent.tasks.spawn("store", self._flush())
+
+    async def _flush(self) -> None:
+        """Beside the beats: guards against a disk that hangs and would silence the agent."""
+        await self._store.flush()
 
     def _some(self, most: int) -> list[int]:
         others = [n for n in range(self._agent.config.settings.agents) if n != self._me]
--- a/lupinreach/trial/rig/stage.py
+++ b/lupinreach/trial/rig/stage.py
@@ -387,6 +387,9 @@
         return f"backends: at most {MOST_BACKENDS} with processes"
     if world.fault and FAULTS[world.fault].decide is None:
         return f"fault: {world.fault} can be planted in virtual time only"
+    for i, trouble in enumerate(world.troubles):
+        if trouble.kind == "disk-hangs":
+            return f"troubles[{i}].kind: a disk that hangs can be played in virtual time only"
     if world.policy == "true-state":
         return "policy: true-state sees the models, which is so in virtual time only"
     return ""
--- a/tests/test_disk.py
+++ b/tests/test_disk.py
@@ -40,6 +40,11 @@
         self._step()
         return super().write(folder, text, sync)
 
+    def append(self, path, text, sync):
+        self._step()
+        super().append(path, text, sync and self.steps >= 1)  # the sync is a step of its own
+        self._step()
+
     def rename(self, fresh, path):
         self._step()
         super().rename(fresh, path)
--- a/tests/test_mistakes.py
+++ b/tests/test_mistakes.py
@@ -49,6 +49,8 @@
 
 def test_what_can_be_played_in_virtual_time_only_is_refused_by_its_key():
     assert fits(spec.read(RIG | {"fault": "answers-twice"}).world).startswith("fault: ")
+    hangs = {"troubles": [{"kind": "disk-hangs"}]}
+    assert fits(spec.read(RIG | hangs).world).startswith("troubles[0].kind: ")
     assert fits(spec.read(RIG | {"policy": "true-state"}).world).startswith("policy: ")
     assert fits(spec.read(RIG | {"fault": "sends-to-draining"}).world) == ""
 
--- a/tests/test_returning.py
+++ b/tests/test_returning.py
@@ -41,6 +41,8 @@
     "clocks a day ahead at a third": {"faults": [POWER], "troubles": [DRAIN, {"kind": "clock-agents", "at": 4, "seconds": 9, "targets": [0, 3]}]},
     "power lost three times": {"faults": [POWER | {"at": 4 + 2 * n, "agents": 0.6, "registry": 0.8} for n in range(3)], "troubles": [DRAIN]},
     "a second process on one disk": {"faults": [POWER], "troubles": [DRAIN, {"kind": "twin-agents", "at": 5.5, "seconds": 4, "targets": [2]}]},
+    "disks that hang for three seconds": {"faults": [POWER], "troubles": [
+        DRAIN, {"kind": "disk-hangs", "at": 4.5, "seconds": 3, "share": 0.5}]},
     "datagrams lost, doubled, late": {"faults": [POWER], "troubles": [
         DRAIN, {"kind": "datagrams-doubled", "at": 0, "seconds": 14, "strength": 0.3},
         {"kind": "datagrams-late", "at": 0, "seconds": 14, "share": 0.3, "strength": 500}]},
@@ -123,6 +125,7 @@
     agent = SimpleNamespace(
         clock=SimpleNamespace(now=lambda: 5_000.0), counters=SimpleNamespace(others=Counter(), answered=Counter()),
         directory=SimpleNamespace(older=None, version=60, age=None), standing=SimpleNamespace(returning=False, listed=False), listed=[], sent=[],
+        tasks=SimpleNamespace(spawn=lambda what, work: asyncio.get_running_loop().create_task(work)),
         log=SimpleNamespace(event=lambda *a, **k: None), config=SimpleNamespace(seed=5, settings=SimpleNamespace(
             me=2, agents=agents, products=[SimpleNamespace(slo=100.0)], rules=SimpleNamespace(ask_within=10_000.0, cold=4000.0))))
     agent.balancer = SimpleNamespace(listed=lambda now, news, entries: agent.listed.append((news, entries)))
@@ -141,6 +144,8 @@
     assert agent.counters.others == {"fleet: from a wrong address": 2, "fleet: malformed": 1}
     part.hear(4, forged)
     assert part.members.life(4) == Life(9, 9)
+    told = part.figures()
+    assert (told["stage"], told["agents"], told["standing"], told["floor"], told["own"]) == ("dark", {"4": [9, "there"]}, 2, 0, "sound")
 
 
 def test_what_is_told_of_drains_is_kept_passed_on_and_lifted_by_a_list_that_is_not_older():
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -13,6 +13,7 @@
 from lupinreach.store.records import HEAD, record, whole
 from lupinreach.store.store import Store
 from lupinreach.store.trust import ITEMS, Trust, believed
+from test_disk import Stops
 
 PUTS = [("life", 3), ("drain/b-1", [5, 1000]), ("life", 4), ("drain/b-1", None), ("floor", 77)]
 
@@ -90,38 +91,10 @@
 
 # Power losses: each point at which one can come, and all that the disk may then hold.
 
-class Stops(MemoryDisk):
-    def __init__(self, steps):
-        super().__init__(stream(1, "disk"))
-        self.steps = steps
-
-    def _step(self):
-        self.steps -= 1
-        if self.steps < 0:
-            raise OSError("no power")
-
-    def write(self, folder, text, sync):
-        self._step()
-        return super().write(folder, text, sync)
-
-    def append(self, path, text, sync):
-        self._step()
-        super().append(path, text, sync and self.steps >= 1)  # the sync is a step of its own
-        self._step()
-
-    def rename(self, fresh, path):
-        self._step()
-        super().rename(fresh, path)
-
-    def sync(self, folder):
-        self._step()
-        super().sync(folder)
-
-
 def test_after_a_power_loss_at_any_step_what_was_flushed_is_there_and_nothing_that_was_not_put():
     outcomes = 0
     for steps in range(30):
-        disk, safe, put = Stops(steps), {}, [{}]
+        disk, safe, put = Stops(stream(1, "disk"), steps), {}, [{}]
         store = Store(CARRIED, "a", disk)
         state = {}
         for life in range(1, 4):
