--- a/lupinreach/ops/returning.py
+++ b/lupinreach/ops/returning.py
@@ -88,8 +88,8 @@
         if news is News.CACHED:
             self.floor.raised(self._agent.directory.version)
         spoken = news is not News.CACHED and not older
+        named = {e.backend for e in entries}
         if news is News.FULL:
-            named = {e.backend for e in entries}
             for gone in [e for e in self._raw.values() if e.backend not in named]:
                 del self._raw[gone.backend]
                 self._lifted(gone)
@@ -106,11 +106,13 @@
                 self._lifted(e)
         if spoken:
             self._store.put("floor", self.floor.revision)
-        self._held = self._to_hold()
+        before, self._held = self._held, self._to_hold()
         if news is News.CACHED and self._withheld:
             return []
         self._withheld = False
-        return self._as_held(entries)
+        # What others' word may hold back is a share of the ready ones: with their number it changes for those not named.
+        also = [self._raw[i] for i in sorted(self._held ^ before) if i in self._raw and i not in named]
+        return self._as_held([*entries, *also])
 
     def _as_held(self, entries: Iterable[Listing]) -> list[Listing]:
         return [replace(e, state=State.DRAINING) if e.backend in self._held and e.state is State.READY else e for e in entries]
--- a/tests/test_returning.py
+++ b/tests/test_returning.py
@@ -194,6 +194,16 @@
     assert [[(e.backend, e.state) for e in entries] for _, entries in agent.listed[1:]] == [[(1, State.READY)]]
 
 
+def test_what_one_peer_s_word_holds_back_shrinks_with_the_ready_backends_and_the_module_hears_of_it():
+    agent, part = one(state={"life": 4})
+    part.see(News.CACHED, [Listing(i, State.READY, 9.0, name=70 + i) for i in range(8)], False)
+    part.drains.claimed(3, [Drain(70, 9), Drain(71, 9)])
+    part._hold()
+    gone = [Listing(i, State.GONE, 9.0, name=70 + i) for i in range(4, 8)]
+    assert [(e.backend, e.state) for e in part.see(News.CHANGES, gone, False)[4:]] == [(1, State.READY)]
+    assert agent.listed[0][1][0].state is State.DRAINING and part._held == {0}
+
+
 def test_an_agent_whose_disk_remembers_nothing_serves_by_no_list_of_before_until_it_has_asked():
     # Found on drawn losses 101 and 130: another's disk, an old list, and 0.3 s of shots to a backend that drained.
     agent, part = one(config=FleetConfig(50.0, 10.0))
