--- a/lupinreach/ops/returning.py
+++ b/lupinreach/ops/returning.py
@@ -56,9 +56,11 @@
         self._raw: dict[int, Listing] = {}  # by index, as the registry last said; each leaves as it goes
         self._held: set[int] = set()  # indices that the module was told to drain, though a list says ready
         self._registry = False
-        # Guards against a list of before that calls ready what drains, where the disk remembers no drains either.
-        self._withheld = "life" not in kept
+        # Guards against a list of before that calls ready what drains, beside a disk that remembers no drain: an older
+        # copy looks like a sound one. Until peers were asked the module has the registry's own word alone.
+        self._withheld = True
         self._asking: Asking | None = None
+        self._synced: asyncio.Task[None] | None = None  # the last writing
         self._asked = False
         self._claims_until = inf  # ms: from then on the registry's word counts against others'
         store.put("life", self.own.life.number)
@@ -102,6 +104,7 @@
                 drain = _drain(e)
                 if self.drains.told(drain):
                     self._store.put(f"drain/{drain.backend}", drain.boot)
+                    self._sync()  # guards against a power loss before the next beat: others have it of their disks alone
             elif spoken:
                 self._lifted(e)
         if spoken:
@@ -204,8 +207,7 @@
         log, clock = self._agent.log, self._agent.clock
         # Guards against a word under a number that a power loss would take back; and against a disk that hangs: the
         # writing goes on by itself, since one that is broken off would forget what it was to write.
-        synced = self._agent.tasks.spawn("store", self._flush())
-        if not (await asyncio.wait({synced}, timeout=self._config.ask / 1000))[0]:
+        if not (await asyncio.wait({self._sync()}, timeout=self._config.ask / 1000))[0]:
             self._agent.counters.others["fleet: life not synced in time"] += 1
         await asyncio.sleep(SPREAD * self._config.ask * self._chance() / 1000)
         self._asking = Asking(clock.now(), self._some(ASKED), self._token, self._config.ask)
@@ -229,11 +231,15 @@
             if not self.own.superseded:
                 for peer in self.members.targets():
                     self._send(peer, self._message(wire.BEAT, members=self.members.digest(now)))
-            if synced.done():
-                synced = self._agent.tasks.spawn("store", self._flush())
+            self._sync()
+
+    def _sync(self) -> asyncio.Task[None]:
+        """Write what was put, beside the beats: guards against a disk that hangs and would silence the agent."""
+        if self._synced is None or self._synced.done():
+            self._synced = self._agent.tasks.spawn("store", self._flush())
+        return self._synced
 
     async def _flush(self) -> None:
-        """Beside the beats: guards against a disk that hangs and would silence the agent."""
         await self._store.flush()
 
     def _some(self, most: int) -> list[int]:
