--- a/tests/test_trial.py
+++ b/tests/test_trial.py
@@ -101,7 +101,8 @@
     assert any(r[0] == "came" and r[4] in asked for r in inside)
     assert not any(r[0] == "got" and r[2] in asked and r[3] == 200 for r in inside)
     assert not any(r[0] == "told" and r[2] == 1 for r in inside)
-    assert any(r[0] == "told" and r[2] == 1 for r in records if r[1] >= begin + 8e6)
+    healed = next(r[1] for r in records if r[0] == "trouble" and r[3:5] == ("deaf-agents", "ends"))
+    assert any(r[0] == "told" and r[2] == 1 for r in records if r[1] >= healed)
     assert play.run(one, 3).verdict == play.KEPT
 
 
