Relay: shots and tries are booked by two callbacks, each searched for once; a wrapper of one field goes

Read over: both kinds of door shared one callback that each filtered by what had passed, so that every shot's id was looked for twice and one result thrown away; ops/outlives wrapped Carry in a class that only called it.

--- a/lupinreach/ops/outlives.py
+++ b/lupinreach/ops/outlives.py
@@ -2,25 +2,17 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-
 from lupinreach.net.agent import Agent
 from lupinreach.ops.carry import Carry
 from lupinreach.store.files import Disk
 from lupinreach.store.store import Store
 
 
-@dataclass
-class Outlives:
-    carry: Carry
-
-    async def leave(self) -> None:
-        await self.carry.leave()
-
-
-def take_up(agent: Agent, disk: Disk | None = None, token: int | None = None) -> Outlives | None:
+def take_up(agent: Agent, disk: Disk | None = None, token: int | None = None) -> Carry | None:
     """Begin with what the process before has left, before the agent starts; None where nothing is configured.
 
+    What is returned leaves it to the next.
+
     `disk` and `token` are the system's unless given.
     """
     config = agent.config
@@ -35,4 +27,4 @@
         from lupinreach.ops.returning import Returning  # an agent that is alone doesn't load it
 
         agent.tasks.spawn("returning", Returning(agent, store, found, config.fleet, token).run())
-    return Outlives(carry)
+    return carry
--- a/lupinreach/trial/rig/host.py
+++ b/lupinreach/trial/rig/host.py
@@ -216,7 +216,7 @@
             await self.plane.door(places.registry_for(n), agent, self.machines["registry"], places.registry(n))
             for b, _ in backends:
                 await self.plane.door(places.backend_for(n, b), agent, self.machines[f"backend {b}"], places.backend(b),
-                                      lambda what, name, n=n, b=b: self._sent(what, name, n, b))  # type: ignore[misc]
+                                      sent=lambda name, n=n, b=b: self._sent(name, n, b))  # type: ignore[misc]
         self.posts = Posts(self.plane, lambda n: self.machines[f"agent {n}"], places.peer)
         if self.world.limits.peers:
             everyone = range(self.world.agents)
@@ -228,13 +228,11 @@
                             await self.posts.pair(n, other, places.peer_for(n, other))
 
     def _passed(self, what: str, name: str) -> None:
-        if what != books.SENT:
-            self.ground.ledger.note(what, self.ground.now(), name)
+        self.ground.ledger.note(what, self.ground.now(), name)
 
-    def _sent(self, what: str, name: str, agent: int, backend: int) -> None:
-        if what == books.SENT:
-            # As it leaves the agent: what a cut holds back for seconds was sent in time.
-            self.ground.ledger.note(books.SENT, self.ground.now(), agent, 0, backend, name)
+    def _sent(self, name: str, agent: int, backend: int) -> None:
+        # As it leaves the agent: what a cut holds back for seconds was sent in time.
+        self.ground.ledger.note(books.SENT, self.ground.now(), agent, 0, backend, name)
 
     async def do_plane(self, cut: list[int], refused: list[int], loss: float, posts: list[float], deaf: list[str],
                        dumb: list[str], parted: list[tuple[str, str]], machines: dict[str, dict[str, Any]]) -> None:
--- a/lupinreach/trial/rig/relay.py
+++ b/lupinreach/trial/rig/relay.py
@@ -14,14 +14,15 @@
 from typing import Any
 
 from lupinreach.bed.world.chance import Stream
-from lupinreach.bed.world.ledger import REACHED, REPLIED, SENT
+from lupinreach.bed.world.ledger import REACHED, REPLIED
 from lupinreach.bed.world.network import Machine, Paths
 from lupinreach.config import Address
 
 BACKLOG = 256
 RESET = struct.pack("ii", 1, 0)  # SO_LINGER: a close is a reset
 NAME = b"Req-Id: "
-Book = Callable[[str, str], None]  # what has passed (SENT, REACHED, REPLIED), and the try's name
+Book = Callable[[str, str], None]  # what has passed (REACHED, REPLIED), and the try's name
+Sent = Callable[[str], None]  # the try that its near side has begun to send
 HELD_MOST = 4 << 20  # bytes that a cut connection may hold in one direction
 
 
@@ -89,9 +90,10 @@
 class Link:
     """A connection of `near`'s to `far`, as two."""
 
-    def __init__(self, plane: Plane, near: Machine, far: Machine, address: Address, book: Book | None = None) -> None:
+    def __init__(self, plane: Plane, near: Machine, far: Machine, address: Address, book: Book | None = None,
+                 sent: Sent | None = None) -> None:
         self._plane = plane
-        self._book = book
+        self._book, self._sent = book, sent
         self._asked = ""  # the try that is under way, where it is booked
         self.near, self.far = near, far
         self._address = address
@@ -117,8 +119,8 @@
             self.reset()
 
     def came(self, first: bool, data: bytes | None) -> None:
-        if first and data and self._book is not None and (name := name_in(data)):
-            self._book(SENT, name)
+        if first and data and self._sent is not None and (name := name_in(data)):
+            self._sent(name)
         if first and data and self.far.breaks and self._plane.chance.random() < self.far.breaks:
             self._ways[0].put(data[:len(data) // 2])
             self._plane.loop.call_later(0.001, self.reset)
@@ -191,7 +193,7 @@
         self.waiting: dict[Way, None] = {}  # with something held; emptied by `mended`
         self.ends: dict[Link, None] = {}  # that closed on one side, unheard on the other; emptied by `mended`
         self._tasks: set[asyncio.Task[None]] = set()
-        self._doors: list[tuple[Address, Machine, Machine, Address, Book | None]] = []
+        self._doors: list[tuple[Address, Machine, Machine, Address, Book | None, Sent | None]] = []
         self._open: dict[Address, asyncio.Server] = {}
 
     def spawn(self, work: Any) -> None:
@@ -199,29 +201,31 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def door(self, at: Address, near: Machine, far: Machine, address: Address, book: Book | None = None) -> None:
-        """Connections that `near` makes to `at` go to `far`, at its own address; `book` hears of tries that pass."""
-        self._doors.append((at, near, far, address, book))
-        await self._unlock(at, near, far, address, book)
+    async def door(self, at: Address, near: Machine, far: Machine, address: Address, book: Book | None = None,
+                   sent: Sent | None = None) -> None:
+        """Connections that `near` makes to `at` go to `far`, at its own address; `book` and `sent` hear of tries."""
+        self._doors.append((at, near, far, address, book, sent))
+        await self._unlock(at, near, far, address, book, sent)
 
-    async def _unlock(self, at: Address, near: Machine, far: Machine, address: Address, book: Book | None) -> None:
+    async def _unlock(self, at: Address, near: Machine, far: Machine, address: Address, book: Book | None,
+                      sent: Sent | None) -> None:
         if at not in self._open:
-            self._open[at] = await self.loop.create_server(lambda: Link(self, near, far, address, book).sides[0], *at,
-                                                           backlog=BACKLOG, reuse_address=True)
+            self._open[at] = await self.loop.create_server(lambda: Link(self, near, far, address, book, sent).sides[0],
+                                                           *at, backlog=BACKLOG, reuse_address=True)
 
     async def shut(self, name: str, on: bool) -> None:
         """A machine's process is gone: connections to it are refused, those that it had are reset."""
-        for _, _, far, _, _ in self._doors:
+        for _, _, far, *_ in self._doors:
             if far.name == name:
                 far.shut = on
         await self.doors(lambda near, far: far.name == name)
 
     async def doors(self, some: Callable[[Machine, Machine], bool] = lambda near, far: True) -> None:
         """Bring those doors and links to what the machines and paths are now."""
-        for at, near, far, address, book in self._doors:
+        for at, near, far, address, book, sent in self._doors:
             if some(near, far):
                 if not (far.shut or self.paths.refuses(near, far)):
-                    await self._unlock(at, near, far, address, book)
+                    await self._unlock(at, near, far, address, book, sent)
                 elif at in self._open:
                     self._open.pop(at).close()
                 await asyncio.sleep(0)  # guards against a relay that stands still while a whole fleet comes and goes
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -173,7 +173,8 @@
         between, near, far = plane()
         server = await asyncio.start_server(echo, "127.0.0.1", 0)
         door, booked = ("127.0.0.1", free()), []
-        await between.door(door, near, far, server.sockets[0].getsockname(), lambda what, name: booked.append((what, name)))
+        await between.door(door, near, far, server.sockets[0].getsockname(), lambda what, name: booked.append((what, name)),
+                           lambda name: booked.append(("sent", name)))
         reader, writer = await asyncio.open_connection(*door)
         for name in ("a1.0", "a1.1"):
             writer.write(b"GET / HTTP/1.1\r\nReq-Id: %s\r\n\r\n" % name.encode())
