Payments that clients send once more over a power loss run once: their ids are synced first

Cause: an agent knows an id for two client timeouts, but only as long as its process lives.

store.ran (off): the id is synced before the module has the API call; ids that come during a sync go with the next. A disk that hangs has payments rate-limited at once (nothing of them has run), one that can't be written serves on and counts it. Tests: virtual time, processes, hanging disk, full store, two turns.

--- a/benchmarks/drawn_losses.py
+++ b/benchmarks/drawn_losses.py
@@ -54,9 +54,10 @@
                        ("loss", {"at": 4.0, "strength": 0.05}), ("cut", {"at": 5.0, "targets": ["b"]})):
         if often(0.2):
             troubles.append({"kind": kind, "seconds": round(among(1.0, 4.0), 2)} | more)
+    replays = often(0.5)
     return {
         "name": f"drawn-{number}", "mode": "loopback" if processes else "virtual", "seconds": length, "zones": ["a", "b"],
-        "agents": {"count": agents, "store": touch, "fleet": touch}, "limits": {"peers": touch},
+        "agents": {"count": agents, "store": touch, "fleet": touch, "ran": touch}, "clients": {"replays": replays and touch}, "limits": {"peers": touch},
         "backends": [{"count": backends, "cores": cores, "speed": [0.6, 1.5]}],
         "products": [{"name": "look", "work": 30, "slo": 500, "timeout": 1500},
                      {"name": "pay", "kind": "non-idempotent", "work": 30, "slo": 500, "timeout": 1500, "value": 5}],
--- a/lupinreach/bed/peers/clients.py
+++ b/lupinreach/bed/peers/clients.py
@@ -19,6 +19,7 @@
 from lupinreach.net.http import Head
 
 REFUSED = (429, 503)
+DIAL_AGAIN = 100.0  # ms until a client that sends once more dials an agent that isn't there again
 
 
 @dataclass(eq=False, slots=True)
@@ -73,9 +74,14 @@
             if line.usable:
                 line.send(one, self.message(one))
                 return
-        line = ClientLine(self)
-        line.wanted = one
-        self.ground.connect(self.machine, line, self.address)
+        self.dial(one)
+
+    def dial(self, one: Try) -> None:
+        """Ask it on a new connection."""
+        if not one.over:
+            line = ClientLine(self)
+            line.wanted = one
+            self.ground.connect(self.machine, line, self.address)
 
     def message(self, one: Try) -> bytes:
         arrival, world = one.arrival, self.world
@@ -210,14 +216,15 @@
         fresh, self.wanted = self.wanted is not None, None
         if one is None or one.over:
             return
-        if fresh:
+        if fresh and one.again and host.world.clients.replays:
+            host.ground.loop.call_later(DIAL_AGAIN / 1000, host.dial, one)  # until it has waited long enough
+        elif fresh:
             host.lost(one, "refused")
-        elif self._used and not self._reader.begun and not one.again:
-            # Closed between two requests, and this one crossed with that: once more on a new connection.
+        elif (self._used or host.world.clients.replays) and not self._reader.begun and not one.again:
+            # Closed between two requests, and this one crossed with that: once more on a new connection. Some do so
+            # whenever a connection breaks with no answer.
             one.again = True
             host.lines.pop(one.call, None)
-            fresh_line = ClientLine(host)
-            fresh_line.wanted = one
-            host.ground.connect(host.machine, fresh_line, host.address)
+            host.dial(one)
         else:
             host.lost(one, "reset" if exc else "closed")
--- a/lupinreach/bed/ways/stage.py
+++ b/lupinreach/bed/ways/stage.py
@@ -184,7 +184,7 @@
             raw |= {"peer_listen": text(at.peer(n)), "peers_all": text(at.everybody()),
                     "peers": [text(at.peer(i)) for i in range(self.world.agents)]}
         if self.world.store:
-            raw["store"] = {"file": self.ground.carried(n)}
+            raw["store"] = {"file": self.ground.carried(n)} | ({"ran": True} if self.world.ran else {})
         if self.world.in_touch:
             raw["fleet"] = {"beat_ms": BEAT, "ask_ms": ASK}
         if self.world.carry:
--- a/lupinreach/bed/world/spec.py
+++ b/lupinreach/bed/world/spec.py
@@ -165,6 +165,7 @@
     honours: bool  # waits as long as Retry-After says
     marks: bool  # marks retries
     connections: int  # kept to its agent
+    replays: bool  # sends what lost its connection once more, by the same id, as some libraries do
 
 
 @dataclass(frozen=True)
@@ -253,6 +254,7 @@
     fault: str  # a planted one, empty for none
     carry: float  # s that an agent's carried file may be old; 0: agents carry nothing by it
     store: bool  # agents have a store
+    ran: bool  # and sync in it the ids of what may run once only
     in_touch: bool  # and know of each other
     agents: int
     zones: tuple[str, ...]
@@ -372,6 +374,7 @@
         sockets=agents.whole("sockets", 1024, low=32),
         carry=agents.number("carry_s", 0.0, low=0.0),
         store=agents.flag("store"),
+        ran=agents.flag("ran"),
         in_touch=agents.flag("fleet"),
         backends=kinds,
         products=products,
@@ -390,6 +393,8 @@
     top.done()
     if world.in_touch and not (world.store and world.limits.peers):
         raise BadConfig("agents.fleet: needs agents.store and limits.peers")
+    if world.ran and not (world.store and any(p.kind is Kind.NON_IDEMPOTENT for p in products)):
+        raise BadConfig("agents.ran: needs agents.store and a non-idempotent product")
     if world.traffic.calls_per_s * world.length / 1000 > MOST_CALLS:
         raise BadConfig(f"traffic.calls_per_s: more than {MOST_CALLS} API calls in all")
     most = {"backends": world.fleet, "agents": world.agents, "zones": len(zones), "none": 0}
@@ -444,7 +449,7 @@
 
 def _clients(s: Strict) -> ClientSpec:
     clients = ClientSpec(s.whole("retries", 1, high=20), s.number("wait", 50.0), s.number("try_share", 0.7, low=0.01,
-                         high=1.0), s.flag("honours", True), s.flag("marks"), s.whole("connections", 64, low=1))
+                         high=1.0), s.flag("honours", True), s.flag("marks"), s.whole("connections", 64, low=1), s.flag("replays"))
     s.done()
     return clients
 
@@ -532,7 +537,7 @@
     return {
         "name": world.name, "seconds": world.length / 1000, "seeds": list(world.seeds), "mode": world.mode,
         "policy": world.policy, "fault": world.fault, "zones": list(world.zones), "measure": list(world.measure),
-        "agents": {"count": world.agents, "sockets": world.sockets, "carry_s": world.carry, "store": world.store,
+        "agents": {"count": world.agents, "sockets": world.sockets, "carry_s": world.carry, "store": world.store, "ran": world.ran,
                    "fleet": world.in_touch, "zipf": world.traffic.agent_zipf},
         "traffic": traffic, "clients": some(world.clients), "backend": some(world.backend),
         "registry": some(world.registry), "network": some(world.network), "rules": some(world.rules),
--- a/lupinreach/config.py
+++ b/lupinreach/config.py
@@ -241,6 +241,15 @@
     return stored or carried
 
 
+def _ran(top: Section, settings: Settings) -> bool:
+    """If ids of what may have run are synced before it does."""
+    if not top.mapping("store") or not top.section("store").flag("ran"):
+        return False
+    if not any(p.kind is Kind.NON_IDEMPOTENT for p in settings.products):
+        raise BadConfig("store.ran: no category of settings is non-idempotent")
+    return True
+
+
 @dataclass(frozen=True)
 class AgentConfig:
     """What one agent on sockets is told at its start."""
@@ -260,6 +269,7 @@
     store: str | None = None  # file of what goes from one process to the next; None: by none
     carry_age: float | None = None  # ms; what is older starts nobody. None: no clock is asked
     fleet: FleetConfig | None = None  # None: the agent is alone
+    ran: bool = False  # ids of non-idempotent API calls outlive the process
     inherited: int | None = None  # the descriptor on which clients connect, already listening; None: `listen`
 
 
@@ -307,4 +317,5 @@
         carry_age=1000 * top.section("carry").number("most_age_s", CARRY_AGE, low=1.0) if top.mapping("carry") else None,
         settings=(settings := read_settings(top.mapping("settings", NEEDED), "settings")),
         fleet=_fleet(top, settings),
+        ran=_ran(top, settings),
     )
--- a/lupinreach/net/call.py
+++ b/lupinreach/net/call.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import re
-from collections.abc import Sequence
+from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass, replace
 from typing import Protocol
 from zlib import crc32
@@ -120,6 +120,8 @@
             self.ask = replace(self.ask, only=upload.place.backend)
         self._product = serving.settings.products[self.ask.product].name
         self._overdue = (self.ask.until + until) / 2
+        runs_once = serving.settings.products[self.ask.product].kind is Kind.NON_IDEMPOTENT
+        self._remember = serving.remember if runs_once else None
         self._id = request.headers[protocol.ID]
         if not serving.ids.begin(self._id):
             raise BadRequest("Req-Id is open already, or was a moment ago", COPY)
@@ -133,6 +135,8 @@
         overdue = asyncio.get_running_loop().call_at(serving.clock.on_loop(self._overdue),
                                                      self.orders.put_nowait, Overdue())
         try:
+            if self._remember is not None and not await self._remembered(self._remember):
+                return
             call = serving.balancer.take(now(), self.ask)
             while not (self.answered.done() and call.closed):
                 match await self.orders.get():
@@ -160,8 +164,7 @@
                             lines = http.passed_on(answer, protocol.BETWEEN_BACKEND_AND_AGENT)
                             self._answer("fulfilled", protocol.SERVED, answer.body, lines)
                     case RateLimit(retry_after):
-                        wait = protocol.RETRY_AFTER_LINE % (retry_after / 1000) if retry_after > 0 else b""
-                        self._answer("rate-limited", RATE_LIMITED, b"", [wait])
+                        self._rate_limit(retry_after)
                     case GiveUp():
                         self._answer("errored", ERRORED)
                     case Left():
@@ -192,6 +195,19 @@
                 self._upload.let_go()
             request.body = b""  # guards against a long one that lives until the collector comes by
 
+    async def _remembered(self, remember: Callable[[bytes], Awaitable[bool]]) -> bool:
+        """Have it known to the next life before anything of it runs; false if it was answered in place of that."""
+        known = await remember(self._id)
+        match None if self.orders.empty() else self.orders.get_nowait():
+            case Left():
+                self._close("left")
+            case Overdue():
+                self._answer("errored", ERRORED)
+            case _ if not known:
+                limits = self._serving.settings.limits
+                self._rate_limit(min(self._serving.longest_wait, limits.max_retry_after) if limits.retry_after else 0.0)
+        return not self.answered.done()
+
     async def _settle(self, call: Call, shots: list[Out]) -> None:
         """After a fault: end what is out, so that the module's books stay right."""
         for number in range(len(call.shots)):
@@ -245,6 +261,10 @@
             self._answers.whole(status, headers, body)
             self._close(what)
 
+    def _rate_limit(self, retry_after: float) -> None:
+        wait = protocol.RETRY_AFTER_LINE % (retry_after / 1000) if retry_after > 0 else b""
+        self._answer("rate-limited", RATE_LIMITED, b"", [wait])
+
     def _close(self, what: str) -> None:
         if not self.answered.done():
             self._serving.counters.told(what, self._product)
--- a/lupinreach/net/ids.py
+++ b/lupinreach/net/ids.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
 
 class Ids:
     """Guards against a copy of a request, which would run it once more.
@@ -21,6 +23,10 @@
         self._open.add(name)
         return True
 
+    def recall(self, names: Iterable[bytes]) -> None:
+        """Know these of a life before, as if they had just ended."""
+        self._ended.update(names)
+
     def end(self, name: bytes) -> None:
         self._open.discard(name)
         self._ended.add(name)
--- a/lupinreach/net/serving.py
+++ b/lupinreach/net/serving.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
 from lupinreach.balance import Balancer
@@ -30,6 +31,9 @@
     balancer: Balancer
     kept: Kept
     ids: Ids = field(default_factory=Ids)
+    # Where ids of what may have run outlive the process: awaited before the module has a non-idempotent API call; false
+    # is for one that must not run now.
+    remember: Callable[[bytes], Awaitable[bool]] | None = None
 
     def __post_init__(self) -> None:
         self.products = {p.name.encode(): (i, p) for i, p in enumerate(self.settings.products)}
--- /dev/null
+++ b/lupinreach/ops/ran.py
@@ -0,0 +1,71 @@
+"""Ids of non-idempotent API calls that may have run, kept over a power loss by the agent's store.
+
+A client that loses its connection under a request may send it once more, by the same id. An agent that was never down knows
+the id (`net/ids.py`); one that lost power in between would run a payment twice. So the id is synced before the module has
+the API call, and with it before any shot; ids that come while a sync is out go with the next one.
+
+What follows for a disk: one that hangs has its payments rate-limited, at once and truthfully, since nothing of them has run;
+one that can't be written at all has them served as by an agent without this, which the log says once (`store failed`) and
+the counters count. An id leaves the file between one and two longest client timeouts after it came.
+"""
+
+from __future__ import annotations
+
+import asyncio
+
+from lupinreach.model import Kind
+from lupinreach.net.agent import Agent
+from lupinreach.store import trust
+from lupinreach.store.records import Found
+from lupinreach.store.store import Store
+
+PATIENCE = 0.2  # x the shortest client timeout of a non-idempotent product: for a sync
+PREFIX = "ran/"
+
+
+class Ran:
+    """One process's part. Its tables hold the ids of two longest client timeouts, and no more than the store's keys."""
+
+    def __init__(self, agent: Agent, store: Store, found: Found) -> None:
+        self._agent = agent
+        self._store = store
+        kept = [key for key in trust.believed(found.state) if key.startswith(PREFIX)]
+        agent.serving.ids.recall(key.removeprefix(PREFIX).encode("latin-1") for key in kept)
+        self._fresh: list[str] = kept  # keys put since the last turn
+        self._older: list[str] = []  # and before it
+        waits = [p.timeout for p in agent.config.settings.products if p.kind is Kind.NON_IDEMPOTENT]
+        self._patience = PATIENCE * min(waits, default=0.0) / 1000
+        self._hangs: asyncio.Task[bool] | None = None  # a sync that took longer
+        if waits:
+            agent.serving.remember = self.keep
+        if kept:
+            agent.log.event("ran recalled", ids=len(kept))
+
+    async def keep(self, name: bytes) -> bool:
+        """That API call may run from now on, and will be known; false: it must not, for now."""
+        counted = self._agent.counters.others
+        if self._hangs is not None and not self._hangs.done():
+            counted["ran: refused, the disk hangs"] += 1
+            return False
+        self._hangs = None
+        key = PREFIX + name.decode("latin-1")
+        if not self._store.put(key, 1):
+            counted["ran: refused, no room"] += 1
+            return False
+        self._fresh.append(key)
+        writing = self._agent.tasks.spawn("ran", self._store.flush())
+        # Guards against a disk that hangs: the writing goes on by itself, the API call doesn't.
+        if not (await asyncio.wait({writing}, timeout=self._patience))[0]:
+            self._hangs = writing
+            counted["ran: refused, the disk hangs"] += 1
+            return False
+        counted["ran: kept" if writing.result() else "ran: not kept"] += 1
+        return True
+
+    async def run(self) -> None:
+        """Forget, turn by turn; what is dropped is written with what comes next."""
+        while True:
+            await asyncio.sleep(self._agent.serving.longest_wait / 1000)
+            for key in self._older:
+                self._store.put(key, None)
+            self._older, self._fresh = self._fresh, []
--- /dev/null
+++ b/tests/test_ran.py
@@ -0,0 +1,104 @@
+"""Payments that clients send once more, by the same id, over a power loss of their agent."""
+
+import asyncio
+from types import SimpleNamespace
+
+import pytest
+from test_config import RAW
+from test_config import read as read_file
+from test_rig import SMALL as RIG
+from test_rig import surely
+from test_trial import SMALL
+
+from lupinreach.bed.ways import virtual
+from lupinreach.bed.ways.disk import MemoryDisk
+from lupinreach.bed.world.chance import stream
+from lupinreach.config import BadConfig
+from lupinreach.model import Kind
+from lupinreach.net.ids import Ids
+from lupinreach.ops.ran import Ran
+from lupinreach.store.store import Store
+from lupinreach.trial import play, spec
+
+TWICE = {"clients": {"replays": True}, "faults": [{"kind": "power", "at": 3, "agents": 0.3}, {"kind": "power", "at": 6, "agents": 0.3}]}
+AGENTS = {"agents": {"count": 4, "store": True, "ran": True}}
+
+
+def test_a_payment_that_is_sent_once_more_after_a_power_loss_runs_once():
+    played = [play.run(spec.read(SMALL | TWICE | AGENTS), seed) for seed in (3, 4)]
+    assert [p.verdict for p in played] == [play.KEPT] * 2
+    for p in played:
+        assert 0 < p.result.figures["answers"]["errored"] < 10 and p.recovery.first_10s > 0.95
+    forgets = play.run(spec.read(SMALL | TWICE | {"agents": {"count": 4, "store": True}}), 3)
+    assert {b.name for b in forgets.result.breaches} == {"effect twice"}
+
+
+def test_and_so_with_processes():
+    played = surely(spec.read(RIG | TWICE | {"seconds": 9} | AGENTS))
+    assert played.result.rules == {rule: "kept" for rule in played.result.rules}, played.result.breaches[:3]
+
+
+def test_a_disk_that_hangs_has_payments_rate_limited_at_once_and_the_rest_served():
+    hangs = {"kind": "disk-hangs", "at": 4, "seconds": 3, "share": 1.0}
+    ledger = virtual.play((trial := spec.read(SMALL | AGENTS | {"troubles": [hangs]})).world, 3)
+    played = play.judge(trial, 3, ledger)
+    assert played.verdict == play.KEPT, played.result.breaches[:3]
+    began = next(r[1] for r in ledger.records if r[0] == "asked")
+    asked = {r[2]: (r[1], r[6]) for r in ledger.records if r[0] == "asked"}
+    late = [(asked[r[2]][1], r[3], (r[1] - asked[r[2]][0]) / 1000) for r in ledger.records
+            if r[0] == "got" and 4.5e6 < asked[r[2]][0] - began < 6.5e6]
+    # Those that come first wait for what the sync may take, the others not at all.
+    assert max(took for product, status, took in late if product == "pay" and status == 429) < 5
+    assert not [status for product, status, _ in late if product == "pay" and status == 200]
+    assert sum(status == 200 for product, status, _ in late if product == "look") > 40
+
+
+def part(store, found=None):
+    """The part alone, beside an agent that is none."""
+    product = SimpleNamespace(kind=Kind.NON_IDEMPOTENT, timeout=1000.0)
+    agent = SimpleNamespace(serving=SimpleNamespace(ids=Ids(), remember=None, longest_wait=40.0), log=SimpleNamespace(event=lambda *_, **__: None),
+                            counters=SimpleNamespace(others=virtual.Counter()), config=SimpleNamespace(settings=SimpleNamespace(products=[product])),
+                            tasks=SimpleNamespace(spawn=lambda _, work: asyncio.ensure_future(work)))
+    return agent, Ran(agent, store, found or store.open())
+
+
+def test_an_id_is_safe_before_it_counts_and_goes_after_two_turns():
+    async def work():
+        disk = MemoryDisk(stream(1, "disk"))
+        _, ran = part(Store("/a/carried", "a", disk))
+        assert await asyncio.gather(*(ran.keep(b"id-%d" % n) for n in range(50))) == [True] * 50
+        disk.lose_power()
+        agent, after = part(store := Store("/a/carried", "a", disk))
+        assert not any(agent.serving.ids.begin(b"id-%d" % n) for n in range(50)) and agent.serving.ids.begin(b"other")
+        turns = asyncio.ensure_future(after.run())
+        await asyncio.sleep(0.06)  # one turn of 40 ms
+        assert sum(key.startswith("ran/") for key in store.state) == 50
+        await asyncio.sleep(0.04)
+        assert not [key for key in store.state if key.startswith("ran/")]
+        turns.cancel()
+    asyncio.run(work())
+
+
+def test_a_disk_that_can_t_be_written_and_a_full_store():
+    async def work():
+        disk = MemoryDisk(stream(1, "disk"))
+        agent, ran = part(store := Store("/a/carried", "a", disk))
+        disk.stuck = True
+        assert await ran.keep(b"a") and agent.counters.others["ran: not kept"] == 1  # as without it
+        disk.stuck = False
+        while store.put(f"drain/{len(store.state)}", 1):
+            pass
+        assert not await ran.keep(b"b") and agent.counters.others["ran: refused, no room"] == 1
+    asyncio.run(work())
+
+
+def test_a_configuration_that_has_nothing_to_keep_is_refused_by_its_key(tmp_path):
+    raw = RAW | {"store": {"file": "/tmp/x", "ran": True}}
+    assert read_file(tmp_path, raw).ran and not read_file(tmp_path, RAW).ran
+    repeatable = {"categories": [{"give_up": 5, "semantics": "repeatable"}]}
+    with pytest.raises(BadConfig, match=r"store\.ran: no category"):
+        read_file(tmp_path, raw | {"settings": repeatable})
+    with pytest.raises(BadConfig, match=r"store\.ran: 'yes'"):
+        read_file(tmp_path, raw | {"store": {"file": "/tmp/x", "ran": "yes"}})
+    with pytest.raises(BadConfig, match=r"agents\.ran"):
+        spec.read(SMALL | {"agents": {"ran": True}})
