An older disk is found out by what others keep of its beats; who was cut off asks again

Now each agent syncs the beat that it will tell next and the beats of the three agents before it; a TELL says as which life and beat the asker was known before it asked. Behind that, or with a file that lost bytes, payments are errored for one longest client timeout; with a fleet, until peers were asked.

--- a/lupinreach/fleet/life.py
+++ b/lupinreach/fleet/life.py
@@ -32,15 +32,24 @@
 class Own:
     """The life of this process: raised by what is heard while it returns, never after."""
 
-    def __init__(self, kept: int, token: int) -> None:
+    def __init__(self, kept: int, token: int, kept_beat: int = 0) -> None:
+        """`kept` and `kept_beat` are the life that the disk knows of, and a beat that this life hadn't told before."""
         self.life = Life(believed(kept, ()) + 1, token)
         self.settled = False  # the time to ask is over: from here on a higher life is another process
         self.superseded = False
         self._claims: dict[int, int] = {}  # by peer; no more than there are peers
-        self._kept = kept
+        self._kept = kept, kept_beat
+        self._met = (0, 0)  # the latest life and beat of this agent's that peers have met
 
-    def hear(self, peer: int, other: Life) -> bool:
+    @property
+    def behind(self) -> bool:
+        """If peers have met more of a former life than the disk knows of: it is an older one."""
+        return self._met > self._kept
+
+    def hear(self, peer: int, other: Life, beat: int = 0) -> bool:
         """A peer knows that life of this agent's; true if this one's number was raised for it."""
+        if other.token != self.life.token and not self.settled:
+            self._met = max(self._met, (other.number, beat))
         if other <= self.life or other.token == self.life.token:
             return False
         if self.settled:
@@ -48,7 +57,7 @@
             self.superseded = self.superseded or other.number <= self.life.number + MOST_JUMP
             return False
         self._claims[peer] = max(other.number, self._claims.get(peer, 0))
-        number = believed(self._kept, list(self._claims.values())) + 1
+        number = believed(self._kept[0], list(self._claims.values())) + 1
         raised = number > self.life.number
         if raised:
             self.life = Life(number, self.life.token)
--- a/lupinreach/fleet/membership.py
+++ b/lupinreach/fleet/membership.py
@@ -23,6 +23,7 @@
 FAN = 2  # peers that each beat goes to
 AGE = 100.0  # ms in a step of an age
 SILENT = 16.0  # beats without a newer one: in 12 to 100 agents, nothing lost, the oldest of 400,000 was 10.5
+NOBODY = Life(0, 0), 0
 LATE = 2.0  # beats between two looks, from which on this agent was late itself
 
 
@@ -108,10 +109,10 @@
         if row is None or (life, beat) > (row.life, row.beat):
             self._rows[agent] = Row(life, beat, max(since, row.heard if row else since))
 
-    def life(self, agent: int) -> Life | None:
-        """The newest life known of an agent."""
+    def met(self, agent: int) -> tuple[Life, int]:
+        """The newest life known of an agent, and its last beat; nothing is below all."""
         row = self._rows.get(agent)
-        return row.life if row else None
+        return (row.life, row.beat) if row else NOBODY
 
     def standing(self, now: float, agent: int) -> Standing | None:
         """None: never heard of."""
--- a/lupinreach/fleet/wire.py
+++ b/lupinreach/fleet/wire.py
@@ -3,7 +3,8 @@
     head    form (1 byte), kind (1), sender (2), life number (4), token (4), beat (4), flags (1), revision (8)
     BEAT    head, then members: agent (2), life number (4), token (4), beat (4), age of that beat in 0.1 s (2), each 16 bytes
     ASK     head, nonce (4)
-    TELL    head, nonce (4), part (1), parts (1), members that stand (2), life that the asker is known by (8), then drains:
+    TELL    head, nonce (4), part (1), parts (1), members that stand (2), life that the asker is known by (8) and its beat
+            (4), then drains:
             backend (4), boot in ms (8), each 12 bytes
 
 Network byte order. A revision of 0 is none. Readers refuse another form and whatever doesn't add up, and take a longer head
@@ -21,7 +22,7 @@
 MOST = 256  # bytes
 BEAT, ASK, TELL = 1, 2, 3
 HEAD = struct.Struct("!BBHIIIBQ")
-MEMBER, DRAIN, NONCE, PART = struct.Struct("!HIIIH"), struct.Struct("!IQ"), struct.Struct("!I"), struct.Struct("!IBBHII")
+MEMBER, DRAIN, NONCE, PART = struct.Struct("!HIIIH"), struct.Struct("!IQ"), struct.Struct("!I"), struct.Struct("!IBBHIII")
 REMEMBERS = 1  # flag: the sender knows more than it was told since it stood up
 MEMBERS = (MOST - HEAD.size) // MEMBER.size  # that one BEAT names
 DRAINS = (MOST - HEAD.size - PART.size) // DRAIN.size  # that one TELL names
@@ -66,6 +67,7 @@
     parts: int = 1
     standing: int = 0
     known: Life = field(default=Life(0, 0))  # as which the asker is known; (0, 0): not at all
+    known_beat: int = 0  # of that life, the last one heard
     drains: tuple[Drain, ...] = ()
 
 
@@ -78,7 +80,7 @@
     elif m.kind == ASK:
         text += NONCE.pack(m.nonce)
     else:
-        text += PART.pack(m.nonce, m.part, m.parts, m.standing, m.known.number, m.known.token)
+        text += PART.pack(m.nonce, m.part, m.parts, m.standing, m.known.number, m.known.token, m.known_beat & 0xFFFFFFFF)
         text += b"".join(DRAIN.pack(d.backend, d.boot) for d in m.drains)
     if len(text) > MOST:
         raise ValueError(f"{len(text)} bytes")
@@ -102,9 +104,9 @@
     if kind == ASK and len(rest) == NONCE.size:
         return Message(**head, nonce=NONCE.unpack(rest)[0])
     if kind == TELL and len(rest) >= PART.size and (len(rest) - PART.size) % DRAIN.size == 0:
-        nonce, part, parts, standing, known, known_token = PART.unpack_from(rest)
+        nonce, part, parts, standing, known, known_token, known_beat = PART.unpack_from(rest)
         if not part < parts <= MOST_PARTS:
             raise Malformed("parts")
-        return Message(**head, nonce=nonce, part=part, parts=parts, standing=standing, known=Life(known, known_token),
+        return Message(**head, nonce=nonce, part=part, parts=parts, standing=standing, known=Life(known, known_token), known_beat=known_beat,
                        drains=tuple(Drain(b, boot) for b, boot in DRAIN.iter_unpack(rest[PART.size:])))
     raise Malformed(f"kind {kind}")
--- a/lupinreach/net/call.py
+++ b/lupinreach/net/call.py
@@ -14,6 +14,7 @@
 from lupinreach.net import http, protocol
 from lupinreach.net.counters import Counters
 from lupinreach.net.ends import ENDINGS, End
+from lupinreach.net.ids import Remembered
 from lupinreach.net.reply import Reply
 from lupinreach.net.serving import Serving
 from lupinreach.net.shot import Shot, read_load
@@ -195,7 +196,7 @@
                 self._upload.let_go()
             request.body = b""  # guards against a long one that lives until the collector comes by
 
-    async def _remembered(self, remember: Callable[[bytes], Awaitable[bool]]) -> bool:
+    async def _remembered(self, remember: Callable[[bytes], Awaitable[Remembered]]) -> bool:
         """Have it known to the next life before anything of it runs; false if it was answered in place of that."""
         known = await remember(self._id)
         match None if self.orders.empty() else self.orders.get_nowait():
@@ -203,7 +204,9 @@
                 self._close("left")
             case Overdue():
                 self._answer("errored", ERRORED)
-            case _ if not known:
+            case _ if known is Remembered.UNSURE:
+                self._answer("errored", ERRORED)
+            case _ if known is Remembered.NOT_NOW:
                 limits = self._serving.settings.limits
                 self._rate_limit(min(self._serving.longest_wait, limits.max_retry_after) if limits.retry_after else 0.0)
         return not self.answered.done()
--- a/lupinreach/net/ids.py
+++ b/lupinreach/net/ids.py
@@ -3,6 +3,15 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from enum import Enum
+
+
+class Remembered(Enum):
+    """If an API call that may run once only will be known to the next life."""
+
+    KEPT = "kept"
+    NOT_NOW = "not now"  # nothing of it has run: rate-limited
+    UNSURE = "unsure"  # a former life may have run it, and nobody remembers: errored
 
 
 class Ids:
--- a/lupinreach/net/serving.py
+++ b/lupinreach/net/serving.py
@@ -10,7 +10,7 @@
 from lupinreach.net.clock import Clock
 from lupinreach.net.counters import Counters
 from lupinreach.net.directory import Directory
-from lupinreach.net.ids import Ids
+from lupinreach.net.ids import Ids, Remembered
 from lupinreach.net.kept import Kept
 from lupinreach.net.pool import Pool
 from lupinreach.net.standing import Standing
@@ -31,9 +31,8 @@
     balancer: Balancer
     kept: Kept
     ids: Ids = field(default_factory=Ids)
-    # Where ids of what may have run outlive the process: awaited before the module has a non-idempotent API call; false
-    # is for one that must not run now.
-    remember: Callable[[bytes], Awaitable[bool]] | None = None
+    # Where ids of what may have run outlive the process: awaited before the module has a non-idempotent API call.
+    remember: Callable[[bytes], Awaitable[Remembered]] | None = None
 
     def __post_init__(self) -> None:
         self.products = {p.name.encode(): (i, p) for i, p in enumerate(self.settings.products)}
--- a/lupinreach/ops/outlives.py
+++ b/lupinreach/ops/outlives.py
@@ -23,12 +23,14 @@
     carry = Carry(agent, store, config.carry_age)
     carry.take(found)
     agent.tasks.spawn("carry", carry.leave_on())
+    ran = None
     if config.ran:
         from lupinreach.ops.ran import Ran  # nor one that has nothing to keep of this
 
-        agent.tasks.spawn("ran", Ran(agent, store, found).run())
+        ran = Ran(agent, store, found)
+        agent.tasks.spawn("ran", ran.run())
     if config.fleet is not None:
         from lupinreach.ops.returning import Returning  # an agent that is alone doesn't load it
 
-        agent.tasks.spawn("returning", Returning(agent, store, found, config.fleet, token).run())
+        agent.tasks.spawn("returning", Returning(agent, store, found, config.fleet, token, ran.asked if ran else lambda _: None).run())
     return carry
--- a/lupinreach/ops/ran.py
+++ b/lupinreach/ops/ran.py
@@ -6,7 +6,8 @@
 
 What follows for a disk: one that hangs has its payments rate-limited, at once and truthfully, since nothing of them has run;
 one that can't be written at all has them served as by an agent without this, which the log says once (`store failed`) and
-the counters count. An id leaves the file between one and two longest client timeouts after it came.
+the counters count. One that lies, as far as that can be told, has them errored for a client timeout: they may have run.
+An id leaves the file between one and two longest client timeouts after it came.
 """
 
 from __future__ import annotations
@@ -15,6 +16,7 @@
 
 from lupinreach.model import Kind
 from lupinreach.net.agent import Agent
+from lupinreach.net.ids import Remembered
 from lupinreach.store import trust
 from lupinreach.store.records import Found
 from lupinreach.store.store import Store
@@ -38,29 +40,42 @@
         self._hangs: asyncio.Task[bool] | None = None  # a sync that took longer
         if waits:
             agent.serving.remember = self.keep
+        # What is sent once more comes within a client timeout, so a disk that can't tell is in doubt for as long: one that
+        # was cut or is another's; with a fleet each one until peers were asked, since an older copy looks sound.
+        self._lost = found.lost > 0
+        doubtful = self._lost or agent.config.fleet is not None
+        self._unsure_until = agent.clock.now() + agent.serving.longest_wait if doubtful else 0.0
         if kept:
             agent.log.event("ran recalled", ids=len(kept))
 
-    async def keep(self, name: bytes) -> bool:
-        """That API call may run from now on, and will be known; false: it must not, for now."""
+    def asked(self, behind: bool) -> None:
+        """Peers were asked; `behind`: they have met a later life than this disk knows of."""
+        if not (behind or self._lost):
+            self._unsure_until = 0.0
+
+    async def keep(self, name: bytes) -> Remembered:
+        """Have it known to the next life that this API call may run from now on."""
         counted = self._agent.counters.others
+        if self._agent.clock.now() < self._unsure_until:
+            counted["ran: errored, the disk can't tell"] += 1
+            return Remembered.UNSURE
         if self._hangs is not None and not self._hangs.done():
             counted["ran: refused, the disk hangs"] += 1
-            return False
+            return Remembered.NOT_NOW
         self._hangs = None
         key = PREFIX + name.decode("latin-1")
         if not self._store.put(key, 1):
             counted["ran: refused, no room"] += 1
-            return False
+            return Remembered.NOT_NOW
         self._fresh.append(key)
         writing = self._agent.tasks.spawn("ran", self._store.flush())
         # Guards against a disk that hangs: the writing goes on by itself, the API call doesn't.
         if not (await asyncio.wait({writing}, timeout=self._patience))[0]:
             self._hangs = writing
             counted["ran: refused, the disk hangs"] += 1
-            return False
+            return Remembered.NOT_NOW
         counted["ran: kept" if writing.result() else "ran: not kept"] += 1
-        return True
+        return Remembered.KEPT
 
     async def run(self) -> None:
         """Forget, turn by turn; what is dropped is written with what comes next."""
--- a/lupinreach/ops/returning.py
+++ b/lupinreach/ops/returning.py
@@ -8,15 +8,15 @@
 
 import asyncio
 import os
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import replace
 from math import inf
 from zlib import crc32
 
 from lupinreach.config import FleetConfig
 from lupinreach.fleet import wire
-from lupinreach.fleet.life import Own
-from lupinreach.fleet.membership import Members, Selfhood
+from lupinreach.fleet.life import Life, Own
+from lupinreach.fleet.membership import NOBODY, Members, Selfhood
 from lupinreach.fleet.recovery import ASKED, RESET_AFTER, Asking, Drains, Facts, Floor, Return, Stage, Stays
 from lupinreach.fleet.wire import Drain, Message
 from lupinreach.model import Listing, News, State
@@ -28,14 +28,20 @@
 HOLD = 4.0  # x longest SLO: as long as the module holds a backend, so long a try may take
 READ = 1000.0  # ms: the store is read before anything else, at once or not at all
 JITTER = 0.2  # of a beat, so that a fleet that stood up together doesn't speak together
+ASK_AGAIN = 2  # beats between two questions to who hasn't answered, while answers count
+WITNESSES = 3  # agents that keep the beats of one, and whom it asks among others
 SPREAD = 0.5  # x the time to ask: agents that stand up together ask over as long
 
 
 class Returning:
     """One agent's part in the fleet, from its start to its end. Its tables are bounded by agents, backends and drains."""
 
-    def __init__(self, agent: Agent, store: Store, found: Found, config: FleetConfig, token: int | None = None) -> None:
-        """`token` tells two lives with one number apart; the system's chance unless given."""
+    def __init__(self, agent: Agent, store: Store, found: Found, config: FleetConfig, token: int | None = None,
+                 asked: Callable[[bool], None] = lambda _: None) -> None:
+        """`token` tells two lives with one number apart; the system's chance unless given.
+
+        `asked` hears when peers were, and if they have met a later life than the disk knows of.
+        """
         settings = agent.config.settings
         self._agent = agent
         self._store = store
@@ -46,7 +52,8 @@
         now = agent.clock.now()
         kept = trust.believed(found.state)
         self._token = token if token is not None else int.from_bytes(os.urandom(4), "big")
-        self.own = Own(_whole(kept.get("life")), self._token)
+        life = _whole(kept.get("life"))
+        self.own = Own(life, self._token, _beat(kept.get("beat"), life))
         self.members = Members(self._me, settings.agents, config.beat, self._chance)
         self.floor = Floor(_whole(kept.get("floor")), settings.rules.ask_within)
         self.drains = Drains(_drains(kept))
@@ -59,11 +66,14 @@
         # Guards against a list of before that calls ready what drains, beside a disk that remembers no drain: an older
         # copy looks like a sound one. Until peers were asked the module has the registry's own word alone.
         self._withheld = True
+        self._told_asked = asked
+        self._seen = dict(_seen(kept.get("seen"), settings.agents))  # of the agents before it, as far as `WITNESSES`
         self._asking: Asking | None = None
         self._synced: asyncio.Task[None] | None = None  # the last writing
         self._asked = False
         self._claims_until = inf  # ms: from then on the registry's word counts against others'
         store.put("life", self.own.life.number)
+        self._put_beat()
         agent.hears, agent.sees, agent.tells = self.hear, self.see, self.figures
         agent.directory.older = self.older
         agent.standing.returning = not self.returned.ready
@@ -158,17 +168,19 @@
             # Guards against a word that is believed of another than who sent it.
             others["fleet: from a wrong address"] += 1
             return
+        known = self._known(sender)  # before this word, which is of its new life
         self.members.heard(now, sender, m.life, m.beat, m.members)
         if m.remembers:
             self.floor.claimed(sender, m.revision)
-        mine = [e.life for e in m.members if e.agent == self._me]
+        mine = [(e.life, e.beat) for e in m.members if e.agent == self._me]
         if m.kind == wire.TELL and m.known.number:
-            mine.append(m.known)
-        for life in mine:
-            if self.own.hear(sender, life):
+            mine.append((m.known, m.known_beat))
+        for life, beat in mine:
+            if self.own.hear(sender, life, beat):
                 self._store.put("life", self.own.life.number)
+                self._put_beat()
         if m.kind == wire.ASK and not self.own.superseded:
-            self._answer(m)
+            self._answer(m, known)
         elif m.kind == wire.TELL and self._asking is not None and self._asking.hear(m):
             self.drains.claimed(sender, m.drains)
             if self._asked:
@@ -181,14 +193,13 @@
     def _send(self, peer: int, message: Message) -> None:
         self._agent.peers.send(peer, wire.written(message))
 
-    def _answer(self, m: Message) -> None:
+    def _answer(self, m: Message, known: tuple[Life, int]) -> None:
         drains = self.drains.all()[:wire.DRAINS * wire.MOST_PARTS]
         parts = [tuple(drains[i:i + wire.DRAINS]) for i in range(0, len(drains), wire.DRAINS)] or [()]
-        known = self.members.life(m.sender) or m.life
         for i, part in enumerate(parts):
             self._send(m.sender, self._message(
                 wire.TELL, nonce=m.nonce, part=i, parts=len(parts), standing=self.members.count(self._agent.clock.now()),
-                known=known, drains=part))
+                known=known[0], known_beat=known[1], drains=part))
 
     def figures(self) -> dict[str, object]:
         """What operators see: where it is on its way back, who it is, whom it knows, what it believes."""
@@ -210,10 +221,9 @@
         if not (await asyncio.wait({self._sync()}, timeout=self._config.ask / 1000))[0]:
             self._agent.counters.others["fleet: life not synced in time"] += 1
         await asyncio.sleep(SPREAD * self._config.ask * self._chance() / 1000)
-        self._asking = Asking(clock.now(), self._some(ASKED), self._token, self._config.ask)
+        self._asking = Asking(clock.now(), self._to_ask(), self._token, self._config.ask)
         self._step()
-        for peer in self._asking.peers:
-            self._send(peer, self._message(wire.ASK, nonce=self._token))
+        self._ask()
         while not self._asking.over(clock.now()):
             await asyncio.sleep(self._config.ask / 20000)
         self._conclude()
@@ -224,6 +234,10 @@
             await asyncio.sleep(self._config.beat * (1 + JITTER * (self._chance() - 0.5)) / 1000)
             now = clock.now()
             self.members.look(now)
+            self._put_beat()
+            self._bear_witness()
+            if not self.own.superseded and now < self._claims_until and self.members.beat % ASK_AGAIN == 0:
+                self._ask()  # guards against a cut that was there while it asked: what drains is known behind it
             self._step()
             if (self.members.own(now), self.own.superseded) != said:
                 said = self.members.own(now), self.own.superseded
@@ -242,14 +256,39 @@
     async def _flush(self) -> None:
         await self._store.flush()
 
-    def _some(self, most: int) -> list[int]:
-        others = [n for n in range(self._agent.config.settings.agents) if n != self._me]
-        return [others.pop(int(self._chance() * len(others))) for _ in range(min(most, len(others)))]
+    def _put_beat(self) -> None:
+        """The next one, so that by the time it is told it is synced: peers know of none that the disk doesn't."""
+        self._store.put("beat", [self.own.life.number, self.members.beat + 1])
+
+    def _known(self, agent: int) -> tuple[Life, int]:
+        return max(self.members.met(agent), self._seen.get(agent, NOBODY))
+
+    def _bear_witness(self) -> None:
+        """Keep what is known of a few others: where all lose power, their disks are held against it."""
+        agents = self._agent.config.settings.agents
+        for agent in {(self._me - step) % agents for step in range(1, WITNESSES + 1)} - {self._me}:
+            if (known := self._known(agent)) != NOBODY:
+                self._seen[agent] = known
+        self._store.put("seen", [[agent, life.number, life.token, beat] for agent, (life, beat) in sorted(self._seen.items())])
+
+    def _ask(self) -> None:
+        """Those that haven't answered."""
+        for peer in self._asking.peers if self._asking else ():
+            if peer not in self._asking.answers:
+                self._send(peer, self._message(wire.ASK, nonce=self._token))
+
+    def _to_ask(self) -> list[int]:
+        """Its witnesses, and any others."""
+        agents = self._agent.config.settings.agents
+        first = [n for step in range(1, min(WITNESSES, agents - 1) + 1) if (n := (self._me + step) % agents) != self._me]
+        others = [n for n in range(agents) if n != self._me and n not in first]
+        return first + [others.pop(int(self._chance() * len(others))) for _ in range(min(ASKED - len(first), len(others)))]
 
     def _conclude(self) -> None:
         self._asked = True
         self._claims_until = self._agent.clock.now() + RESET_AFTER * self._agent.config.settings.rules.ask_within
         self.own.settled = True
+        self._told_asked(self.own.behind)
         self._hold()
         self._step()
 
@@ -276,6 +315,17 @@
     return value if type(value) is int and 0 <= value <= wire.MOST_REVISION else 0
 
 
+def _beat(value: object, life: int) -> int:
+    """The beat kept of that life; of another one it says nothing."""
+    return _whole(value[1]) if isinstance(value, list) and len(value) == 2 and value[0] == life else 0
+
+
+def _seen(value: object, agents: int) -> Iterable[tuple[int, tuple[Life, int]]]:
+    for row in value[:WITNESSES] if isinstance(value, list) else ():
+        if isinstance(row, list) and len(row) == 4 and all(type(n) is int and 0 <= n < 1 << 32 for n in row) and row[0] < agents:
+            yield row[0], (Life(row[1], row[2]), row[3])
+
+
 def _drains(kept: dict[str, object]) -> Iterable[Drain]:
     for key, boot in kept.items():
         name, _, number = key.partition("/")
--- a/lupinreach/store/trust.py
+++ b/lupinreach/store/trust.py
@@ -29,6 +29,8 @@
 
 ITEMS = {item.name: item for item in (
     Item("life", Trust.AS_IT_IS, "a higher one that peers have heard", "a number must never come twice"),
+    Item("beat", Trust.AS_IT_IS, "a later one of that life that peers have heard", "who is behind it has an older disk"),
+    Item("seen", Trust.AS_IT_IS, "a later beat of theirs", "what others have told they have told"),
     Item("floor", Trust.AS_IT_IS, "a registry that is told to be reset on purpose",
          "what the registry has said at that revision it has said"),
     Item("drain", Trust.AS_IT_IS, "the registry above the floor, or a restart of that backend",
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -8,7 +8,7 @@
 
 from lupinreach.fleet import wire
 from lupinreach.fleet.life import MOST_JUMP, Life, Own, believed
-from lupinreach.fleet.membership import SILENT, Members, Selfhood, Standing
+from lupinreach.fleet.membership import NOBODY, SILENT, Members, Selfhood, Standing
 from lupinreach.fleet.recovery import (
     LONE, MOST_DRAINS, RESET_AFTER, TABLE, Asking, Drains, Facts, Floor, Return, Stage, Stays)
 from lupinreach.fleet.wire import ASK, BEAT, TELL, Drain, Malformed, Member, Message
@@ -213,7 +213,7 @@
     table.look(0.0)
     table.heard(1.0, 1, Life(5, 1), 2, ())
     table.heard(2.0, 2, Life(1, 1), 1, (Member(1, Life(4, 9), 400), Member(0, Life(9, 9), 1), Member(7, Life(1, 1), 1)))
-    assert table.life(1) == Life(5, 1) and table.life(0) is None and table.life(7) is None
+    assert table.met(1)[0] == Life(5, 1) and table.met(0) == table.met(7) == NOBODY
 
 
 # Which list is believed.
--- a/tests/test_ran.py
+++ b/tests/test_ran.py
@@ -10,12 +10,15 @@
 from test_rig import surely
 from test_trial import SMALL
 
+from benchmarks.drawn_losses import drawn
+
 from lupinreach.bed.ways import virtual
 from lupinreach.bed.ways.disk import MemoryDisk
 from lupinreach.bed.world.chance import stream
 from lupinreach.config import BadConfig
 from lupinreach.model import Kind
-from lupinreach.net.ids import Ids
+from lupinreach.net.ids import Ids, Remembered
+from lupinreach.ops import returning
 from lupinreach.ops.ran import Ran
 from lupinreach.store.store import Store
 from lupinreach.trial import play, spec
@@ -53,11 +56,27 @@
     assert sum(status == 200 for product, status, _ in late if product == "look") > 40
 
 
+def test_an_older_disk_is_found_out_by_what_others_keep_of_its_beats(monkeypatch):
+    # All agents lost power, half of the disks came back two seconds old, and a payment ran twice.
+    trial = spec.read(drawn(5027, True, False))
+    assert play.run(trial, 5027).verdict == play.KEPT
+    monkeypatch.setattr(returning, "WITNESSES", 0)
+    assert {b.name for b in play.run(trial, 5027).result.breaches} == {"effect twice"}
+
+
+def test_who_was_cut_off_while_it_asked_asks_again_and_hears_what_drains(monkeypatch):
+    trial = spec.read(drawn(5060, True, False))
+    assert play.run(trial, 5060).recovery.to_draining <= 2  # while it was cut off
+    monkeypatch.setattr(returning, "ASK_AGAIN", 10**6)
+    assert play.run(trial, 5060).recovery.to_draining > 10
+
+
 def part(store, found=None):
     """The part alone, beside an agent that is none."""
     product = SimpleNamespace(kind=Kind.NON_IDEMPOTENT, timeout=1000.0)
     agent = SimpleNamespace(serving=SimpleNamespace(ids=Ids(), remember=None, longest_wait=40.0), log=SimpleNamespace(event=lambda *_, **__: None),
-                            counters=SimpleNamespace(others=virtual.Counter()), config=SimpleNamespace(settings=SimpleNamespace(products=[product])),
+                            counters=SimpleNamespace(others=virtual.Counter()), config=SimpleNamespace(settings=SimpleNamespace(products=[product]), fleet=None),
+                            clock=SimpleNamespace(now=lambda: 0.0),
                             tasks=SimpleNamespace(spawn=lambda _, work: asyncio.ensure_future(work)))
     return agent, Ran(agent, store, found or store.open())
 
@@ -66,7 +85,7 @@
     async def work():
         disk = MemoryDisk(stream(1, "disk"))
         _, ran = part(Store("/a/carried", "a", disk))
-        assert await asyncio.gather(*(ran.keep(b"id-%d" % n) for n in range(50))) == [True] * 50
+        assert await asyncio.gather(*(ran.keep(b"id-%d" % n) for n in range(50))) == [Remembered.KEPT] * 50
         disk.lose_power()
         agent, after = part(store := Store("/a/carried", "a", disk))
         assert not any(agent.serving.ids.begin(b"id-%d" % n) for n in range(50)) and agent.serving.ids.begin(b"other")
@@ -84,11 +103,11 @@
         disk = MemoryDisk(stream(1, "disk"))
         agent, ran = part(store := Store("/a/carried", "a", disk))
         disk.stuck = True
-        assert await ran.keep(b"a") and agent.counters.others["ran: not kept"] == 1  # as without it
+        assert await ran.keep(b"a") is Remembered.KEPT and agent.counters.others["ran: not kept"] == 1  # as without it
         disk.stuck = False
         while store.put(f"drain/{len(store.state)}", 1):
             pass
-        assert not await ran.keep(b"b") and agent.counters.others["ran: refused, no room"] == 1
+        assert await ran.keep(b"b") is Remembered.NOT_NOW and agent.counters.others["ran: refused, no room"] == 1
     asyncio.run(work())
 
 
--- a/tests/test_returning.py
+++ b/tests/test_returning.py
@@ -19,6 +19,7 @@
 from lupinreach.config import BadConfig, FleetConfig
 from lupinreach.fleet import wire
 from lupinreach.fleet.life import Life
+from lupinreach.fleet.membership import NOBODY
 from lupinreach.fleet.recovery import Floor
 from lupinreach.fleet.wire import BEAT, TELL, Drain, Message
 from lupinreach.model import Listing, News, State
@@ -149,10 +150,10 @@
     part.hear(3, forged)
     part.hear(2, wire.written(Message(BEAT, 2, Life(9, 9), 5, True, 900)))
     part.hear(3, forged[:-1])
-    assert part.members.life(4) is None and part.own.life == Life(1, 77)
+    assert part.members.met(4) == NOBODY and part.own.life == Life(1, 77)
     assert agent.counters.others == {"fleet: from a wrong address": 2, "fleet: malformed": 1}
     part.hear(4, forged)
-    assert part.members.life(4) == Life(9, 9)
+    assert part.members.met(4)[0] == Life(9, 9)
     told = part.figures()
     assert (told["stage"], told["agents"], told["standing"], told["floor"], told["own"]) == ("dark", {"4": [9, "there"]}, 2, 0, "sound")
 
