--- a/lupinreach/balance.py
+++ b/lupinreach/balance.py
@@ -30,7 +30,8 @@
 
 from lupinreach.known import Backend, Shot
 from lupinreach.model import (
-    NEVER_RAN, Ask, Ending, Group, Kind, Learnt, Listing, Load, Met, News, Port, Product, Settings, State,
+    NEVER_RAN, Ask, Ending, Group, Kind, Learnt, Listing, Load, Met, News, Port, Product, Settings, Shared,
+    State,
 )
 
 CUT_OFF = frozenset({Ending.UNREACHABLE, Ending.REFUSED})
@@ -293,6 +294,8 @@
         self._cost = 0.0  # mean cost hint; 0 = none seen
         self._budget = BUDGET_MAX / 2
         self._trials = 1.0
+        self._trial_rate: float | None = None  # of the fleet's trials, a ms, where shared
+        self._told_over: frozenset[int] | None = None  # customers over their share, where counts are shared
         self._taken = self._taken_at = 0.0  # API calls taken within a hold, smoothed
         self._rate = 0.0  # work (API calls of mean cost) per ms to a warm backend, smoothed over `fall`
         self._earned_at = 0.0
@@ -361,7 +364,8 @@
         call = Call(self, now, ask, work, room)
         self._fresh += work
         self._budget = min(BUDGET_MAX, self._budget + BUDGET)
-        self._trials = min(1.0, self._trials + TRIALS)
+        part = TRIALS if self._trial_rate is None else self._trial_rate * (now - self._taken_at)
+        self._trials = min(1.0, self._trials + min(TRIALS, part))
         self._taken = 1 + self._taken * max(0.0, 1 - (now - self._taken_at) / self._hold)
         self._taken_at = now
         self.place(now, call)
@@ -506,6 +510,21 @@
                 self._looks_at = inf
                 self._sweep(now)
 
+    # Where agents share what they have met; without, nothing of this is called.
+
+    def evidence(self) -> list[tuple[Backend, float]]:
+        """Each ready backend and its figure as a share of the first SLO; of one not met, what is usual."""
+        t = self._targets[0]
+        return [(b, (t.recent if b.figure[0] is None else b.figure[0]) / t.slo) for b in self._ring]
+
+    def shared(self, now: float, told: Shared) -> None:
+        """What others' word makes of own figures: turns move, trials come sooner, nothing is ejected."""
+        self._told_over, self._trial_rate = told.over, told.trials
+        for b in self._ring:
+            b.dearer = told.dearer.get(b.name, 1.0)
+            if b.name in told.due and b.trial is None:
+                b.held = [min(h, now) for h in b.held]
+
     def avoided(self, now: float) -> int:
         """How many listed backends get no turn now: draining, at rest, silent, or ejected for every SLO."""
         least = min(t.slo for t in self._targets)
@@ -754,7 +773,7 @@
         slow backend holds more than others, and even counts would drive it to the edge of its SLO.
         """
         figure = b.figure[target.index]
-        return target.recent if figure is None else max(figure, target.recent / MOST_SHARE)
+        return b.dearer * (target.recent if figure is None else max(figure, target.recent / MOST_SHARE))
 
     # Cold backends.
 
@@ -895,6 +914,7 @@
         Guards against agents with little traffic that would learn of a slow backend once for each product.
         """
         b, own, failed = shot.backend, call.target, ending is not Ending.FULFILLED
+        b.met_at = now
         # Guards against a wave of cold backends, slow by their age, that would narrow what the warm ones get.
         # But with hardly a warm one left it is the cold that tell, each by what it would have taken warm.
         cold = self._is_cold(now, b)
@@ -1038,6 +1058,8 @@
         """If this customer has asked this agent for more than its share of what the agent was asked."""
         if not self._fractions:
             return False
+        if self._told_over is not None:
+            return customer in self._told_over
         for i, fraction in enumerate(self._fractions):
             self._over[i] = max(0.0, self._over[i] - fraction)
         self._over[customer] = min(BUDGET_MAX * 2, self._over[customer] + 1)
--- a/lupinreach/bed/ways/stage.py
+++ b/lupinreach/bed/ways/stage.py
@@ -186,7 +186,7 @@
         if self.world.store:
             raw["store"] = {"file": self.ground.carried(n)} | ({"ran": True} if self.world.ran else {})
         if self.world.in_touch:
-            raw["fleet"] = {"beat_ms": BEAT, "ask_ms": ASK}
+            raw["fleet"] = {"beat_ms": BEAT, "ask_ms": ASK, "share_ms": self.world.share}
         if self.world.carry:
             raw["carry"] = {"file": self.ground.carried(n), "most_age_s": self.world.carry}
         return raw
--- a/lupinreach/bed/ways/virtual.py
+++ b/lupinreach/bed/ways/virtual.py
@@ -250,7 +250,7 @@
         store=raw["carry"]["file"] if "carry" in raw else raw["store"]["file"] if "store" in raw else None,
         carry_age=1000 * raw["carry"]["most_age_s"] if "carry" in raw else None,
         ran=raw.get("store", {}).get("ran", False),
-        fleet=FleetConfig(raw["fleet"]["beat_ms"], raw["fleet"]["ask_ms"]) if "fleet" in raw else None)
+        fleet=FleetConfig(raw["fleet"]["beat_ms"], raw["fleet"]["ask_ms"], raw["fleet"]["share_ms"]) if "fleet" in raw else None)
 
 
 def play(world: World, seed: int, progress: Callable[[float], None] | None = None) -> Ledger:
--- a/lupinreach/bed/world/ledger.py
+++ b/lupinreach/bed/world/ledger.py
@@ -41,7 +41,7 @@
 
 
 # Events of an agent's log that are booked.
-BOOKED = frozenset({"returned", "asked", "fleet", "store lost", "store failed", "registry reset", "ran recalled"})
+BOOKED = frozenset({"returned", "asked", "fleet", "store lost", "store failed", "registry reset", "ran recalled", "shared"})
 
 
 class Ledger:
--- a/lupinreach/bed/world/spec.py
+++ b/lupinreach/bed/world/spec.py
@@ -256,6 +256,7 @@
     store: bool  # agents have a store
     ran: bool  # and sync in it the ids of what may run once only
     in_touch: bool  # and know of each other
+    share: float  # ms between two words of what they share; 0: nothing is
     agents: int
     zones: tuple[str, ...]
     sockets: int
@@ -376,6 +377,7 @@
         store=agents.flag("store"),
         ran=agents.flag("ran"),
         in_touch=agents.flag("fleet"),
+        share=agents.number("share_ms", 0.0, high=60_000.0),
         backends=kinds,
         products=products,
         customers=customers,
@@ -393,6 +395,8 @@
     top.done()
     if world.in_touch and not (world.store and world.limits.peers):
         raise BadConfig("agents.fleet: needs agents.store and limits.peers")
+    if world.share and not world.in_touch:
+        raise BadConfig("agents.share_ms: needs agents.fleet")
     if world.ran and not (world.store and any(p.kind is Kind.NON_IDEMPOTENT for p in products)):
         raise BadConfig("agents.ran: needs agents.store and a non-idempotent product")
     if world.traffic.calls_per_s * world.length / 1000 > MOST_CALLS:
@@ -538,7 +542,7 @@
         "name": world.name, "seconds": world.length / 1000, "seeds": list(world.seeds), "mode": world.mode,
         "policy": world.policy, "fault": world.fault, "zones": list(world.zones), "measure": list(world.measure),
         "agents": {"count": world.agents, "sockets": world.sockets, "carry_s": world.carry, "store": world.store, "ran": world.ran,
-                   "fleet": world.in_touch, "zipf": world.traffic.agent_zipf},
+                   "fleet": world.in_touch, "share_ms": world.share, "zipf": world.traffic.agent_zipf},
         "traffic": traffic, "clients": some(world.clients), "backend": some(world.backend),
         "registry": some(world.registry), "network": some(world.network), "rules": some(world.rules),
         "limits": some(world.limits),
--- a/lupinreach/config.py
+++ b/lupinreach/config.py
@@ -212,6 +212,7 @@
 
     beat: float
     ask: float
+    share: float = 0.0  # between two words of what is shared; 0: nothing is
 
 
 def _fleet(top: Section, settings: Settings) -> FleetConfig | None:
@@ -229,7 +230,8 @@
         raise BadConfig(f"fleet: needs one address in peers for each of settings.fleet_size {settings.agents}")
     if settings.me >= settings.agents:
         raise BadConfig(f"settings.me: {settings.me} is out of range")
-    return FleetConfig(own.number("beat_ms", BEAT, low=50.0, high=60_000.0), own.number("ask_ms", ASK, low=10.0, high=10_000.0))
+    return FleetConfig(own.number("beat_ms", BEAT, low=50.0, high=60_000.0), own.number("ask_ms", ASK, low=10.0, high=10_000.0),
+                       own.number("share_ms", 0.0, high=60_000.0))
 
 
 def _store(top: Section) -> str | None:
--- /dev/null
+++ b/lupinreach/fleet/evidence.py
@@ -0,0 +1,168 @@
+"""Evidence on backends, passed on among agents: what each has met itself, never what it concluded from others. Pure.
+
+A row is one agent's figure of one backend process: its smoothed latency as a share of the first latency SLO, and how long ago the
+last sample was. Rows are merged by agent and age, so that one which comes twice, late or out of order changes nothing. What
+is concluded is a factor on what a turn at the backend costs, and no more:
+
+    factor(b) = 1 + follow x fade x (min(MOST, median / own) - 1)
+
+The median is the lower one, of the agents of the same zone that met the backend lately, `QUORUM` at least; `follow` is drawn by
+agent and backend between a half and one, so that agents don't move in step; `fade` falls to nothing as the rows age. Own
+samples as fresh as the rows overrule. At most `SHARE` of the ready backends have a factor, the slowest first. So, whoever lies and
+however many, the part of an agent's turns that hearsay moves away is
+
+    harm() = SHARE x (1 - 1 / MOST)
+
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass
+from zlib import crc32
+
+QUORUM = 3  # agents that must have met a backend for their word to count
+SHARE = 0.25  # of the ready backends that hearsay may make dearer
+MOST = 4.0  # x: the most that a turn becomes dearer by it
+BAD = 2.0  # x the median of the agent's own figures: from there on a figure is news
+TELLERS = 6  # rows kept for a backend: the newest
+MOST_BACKENDS = 512  # with rows
+LASTS = 6.0  # x the longest latency SLO: age from which on a row counts for nothing
+HIGHEST = 4.0  # x SLO: a figure above is absurd, since a miss counts for two
+STEP = 64  # steps of a figure in one SLO
+
+
+def harm() -> float:
+    """The largest part of an agent's turns that hearsay can move, whatever is said."""
+    return SHARE * (1 - 1 / MOST)
+
+
+@dataclass(frozen=True)
+class Met:
+    """What one agent has met of one backend process itself."""
+
+    teller: int
+    zone: int
+    backend: int  # its name, alike at all agents
+    boot: int  # 16 bits of its boot time
+    figure: float  # smoothed latency as a share of the SLO
+    age: float  # ms since its last sample
+
+
+@dataclass
+class _Row:
+    met: Met
+    at: float  # ms, by this agent's clock: its last sample
+    told: int = 0  # times since it came
+
+
+def boot_mark(boot_time: float) -> int:
+    """Tells processes of one backend apart."""
+    return crc32(b"%d" % int(boot_time)) & 0xFFFF
+
+
+class Evidence:
+    """One agent's rows. Bounded by `MOST_BACKENDS` and `TELLERS`; a row leaves when it has aged or its backend goes."""
+
+    def __init__(self, me: int, zone: int, slo: float, chance: Callable[[], float]) -> None:
+        """`slo` is the longest latency SLO, ms; `chance` draws from 0 to 1."""
+        self.me = me
+        self.zone = zone
+        self.lasts = LASTS * slo
+        self._chance = chance
+        self._rows: dict[tuple[int, int], dict[int, _Row]] = {}
+        self._said: set[tuple[int, int]] = set()  # own news that isn't taken back yet
+        self.refused = 0  # absurd rows
+
+    # What comes in.
+
+    def own(self, now: float, mets: Iterable[Met]) -> None:
+        """What this agent has met, once a look; only what is news goes on to others."""
+        mets = list(mets)
+        figures = sorted(m.figure for m in mets)
+        usual = figures[len(figures) // 2] if figures else 0.0
+        alike = sum(m.figure >= BAD * usual for m in mets) if usual else 0
+        # Guards against an agent that finds most backends bad, whose trouble is its own: it says nothing new.
+        doubts_itself = sum(f >= 1.0 for f in figures) > len(figures) / 2
+        for m in mets:
+            key = m.backend, m.boot
+            bad = m.figure >= max(BAD * usual, 0.5) and not doubts_itself and alike <= len(mets) / 2
+            if bad or key in self._said:
+                # Once it was said to be bad, that it isn't any more is said for as long as others may believe it.
+                self._put(now, m)
+                self._said.add(key)
+        self._said &= self._rows.keys()
+
+    def heard(self, now: float, mets: Iterable[Met]) -> None:
+        for m in mets:
+            if not 0 <= m.figure <= HIGHEST or m.age < 0:
+                self.refused += 1
+            elif m.teller != self.me:
+                self._put(now, m)
+
+    def _put(self, now: float, m: Met) -> None:
+        at = now - m.age
+        if now - at >= self.lasts:
+            return
+        key = m.backend, m.boot
+        if key not in self._rows and len(self._rows) >= MOST_BACKENDS:
+            return
+        rows = self._rows.setdefault(key, {})
+        old = rows.get(m.teller)
+        if old is None or at > old.at:
+            rows[m.teller] = _Row(m, at)
+            if len(rows) > TELLERS:
+                del rows[min((t for t in rows if t != self.me), key=lambda t: rows[t].at)]
+
+    def look(self, now: float, there: Iterable[tuple[int, int]] | None = None) -> None:
+        """Drop what has aged, and what is said of backends that are not `there`."""
+        known = None if there is None else set(there)
+        for key, rows in list(self._rows.items()):
+            for teller in [t for t, row in rows.items() if now - row.at >= self.lasts]:
+                del rows[teller]
+            if not rows or (known is not None and key not in known):
+                del self._rows[key]
+
+    # What goes out.
+
+    def digest(self, now: float, most: int) -> tuple[Met, ...]:
+        """So many rows for one datagram: this agent's own first, then those told least often."""
+        rows = [row for each in self._rows.values() for row in each.values() if now - row.at < self.lasts]
+        rows.sort(key=lambda row: (row.told, row.met.teller != self.me, self._chance()))
+        for row in rows[:most]:
+            row.told += 1
+        return tuple(Met(r.met.teller, r.met.zone, r.met.backend, r.met.boot, r.met.figure, now - r.at) for r in rows[:most])
+
+    # What follows.
+
+    def said(self, now: float, own: Mapping[tuple[int, int], tuple[float, float]]) -> dict[tuple[int, int], tuple[float, float]]:
+        """By backend and boot: the figure that others have met, and 0 to 1 for how fresh that is.
+
+        `own` is this agent's figure and when its last sample was (ms), for each ready backend that it knows; what it has
+        met later than the others is not told it.
+        """
+        found = {}
+        for key, (_, met_at) in own.items():
+            rows = [r for t, r in self._rows.get(key, {}).items() if t != self.me and r.met.zone == self.zone]
+            if len(rows) < QUORUM or sum(r.at > met_at for r in rows) < QUORUM:
+                continue
+            rows = [r for r in rows if r.at > met_at]
+            middle = sorted(rows, key=lambda r: r.met.figure)[(len(rows) - 1) // 2]
+            newest = sorted((r.at for r in rows), reverse=True)[QUORUM - 1]
+            found[key] = middle.met.figure, max(0.0, 1 - (now - newest) / self.lasts)
+        return found
+
+    def factors(self, now: float, own: Mapping[tuple[int, int], tuple[float, float]]) -> dict[tuple[int, int], float]:
+        """By backend and boot: what a turn there costs more, `MOST` times at most, for `SHARE` of those in `own` at most."""
+        raised = []
+        for key, (figure, fade) in self.said(now, own).items():
+            mine = own[key][0]
+            over = min(MOST, figure / mine) - 1 if mine > 0 else 0.0
+            if over * fade > 0:
+                follow = 0.5 + 0.5 * (crc32(b"%d:%d:%d" % (self.me, *key)) * 2654435761 % 2**32 / 2**32)
+                raised.append((over * fade, key, 1 + follow * fade * over))
+        raised.sort(reverse=True)
+        return {key: factor for _, key, factor in raised[:int(SHARE * len(own))]}
+
+    def __len__(self) -> int:
+        return sum(map(len, self._rows.values()))
--- a/lupinreach/fleet/wire.py
+++ b/lupinreach/fleet/wire.py
@@ -7,6 +7,13 @@
             (4), then drains:
             backend (4), boot in ms (8), each 12 bytes
 
+    NEWS    head, then sections: kind (1), rows (1), bytes of a row (1), rows. Of a kind that the reader doesn't know, or whose
+            rows are longer than it knows them, the rest is skipped: agents of two versions share what both know.
+            MET     teller (2), its zone (1), backend (4), boot mark (2), figure in 1/64 of the SLO (1), age in 10 ms (2)
+            COUNT   agent (2), its life's number (4), cell (1), total (4), stamp in 10 ms (4), age in 10 ms (2)
+    WANT    head, nonce (4), budget (1), thousandths of an own share (2)
+    GRANT   head, nonce (4), budget (1), thousandths of an own share (2)
+
 Network byte order. A revision of 0 is none. Readers refuse another form and whatever doesn't add up, and take a longer head
 of a later version for another form.
 """
@@ -16,13 +23,20 @@
 import struct
 from dataclasses import dataclass, field
 
+from lupinreach.fleet.counts import Count
+from lupinreach.fleet.evidence import STEP, Met
 from lupinreach.fleet.life import Life
 
 FORM = 1
 MOST = 256  # bytes
-BEAT, ASK, TELL = 1, 2, 3
+BEAT, ASK, TELL, NEWS, WANT, GRANT = 1, 2, 3, 4, 5, 6
+MET, COUNT = 1, 2  # kinds of sections
 HEAD = struct.Struct("!BBHIIIBQ")
 MEMBER, DRAIN, NONCE, PART = struct.Struct("!HIIIH"), struct.Struct("!IQ"), struct.Struct("!I"), struct.Struct("!IBBHIII")
+SECTION, MET_ROW, COUNT_ROW, SHARE = (struct.Struct("!BBB"), struct.Struct("!HBIHBH"), struct.Struct("!HIBIIH"),
+                                        struct.Struct("!IBH"))
+NEWS_ROOM = MOST - HEAD.size - 2 * SECTION.size  # bytes for rows
+AGE, MOST_ROWS = 10.0, 255  # ms in a step of an age of news; rows in a section
 REMEMBERS = 1  # flag: the sender knows more than it was told since it stood up
 MEMBERS = (MOST - HEAD.size) // MEMBER.size  # that one BEAT names
 DRAINS = (MOST - HEAD.size - PART.size) // DRAIN.size  # that one TELL names
@@ -69,6 +83,10 @@
     known: Life = field(default=Life(0, 0))  # as which the asker is known; (0, 0): not at all
     known_beat: int = 0  # of that life, the last one heard
     drains: tuple[Drain, ...] = ()
+    mets: tuple[Met, ...] = ()
+    counts: tuple[Count, ...] = ()
+    budget: int = 0
+    amount: int = 0  # thousandths of an own share
 
 
 def written(m: Message) -> bytes:
@@ -77,6 +95,15 @@
                      REMEMBERS if m.remembers else 0, min(m.revision, MOST_REVISION))
     if m.kind == BEAT:
         text += b"".join(MEMBER.pack(e.agent, e.life.number, e.life.token, e.beat & 0xFFFFFFFF, min(e.age, MOST_AGE)) for e in m.members)
+    elif m.kind == NEWS:
+        mets = [MET_ROW.pack(e.teller, e.zone, e.backend, e.boot, min(255, int(e.figure * STEP)), min(MOST_AGE, int(e.age / AGE)))
+                for e in m.mets]
+        counts = [COUNT_ROW.pack(e.agent, e.life, e.cell, e.total & 0xFFFFFFFF, int(e.stamp / AGE) & 0xFFFFFFFF,
+                                 min(MOST_AGE, int(e.age / AGE))) for e in m.counts]
+        for kind, size, rows in ((MET, MET_ROW.size, mets), (COUNT, COUNT_ROW.size, counts)):
+            text += SECTION.pack(kind, len(rows), size) + b"".join(rows) if rows else b""
+    elif m.kind in (WANT, GRANT):
+        text += SHARE.pack(m.nonce, m.budget, m.amount)
     elif m.kind == ASK:
         text += NONCE.pack(m.nonce)
     else:
@@ -101,6 +128,11 @@
         if len(rest) % MEMBER.size:
             raise Malformed("members")
         return Message(**head, members=tuple(Member(a, Life(n, t), b, age) for a, n, t, b, age in MEMBER.iter_unpack(rest)))
+    if kind == NEWS:
+        return Message(**head, **_news(rest))
+    if kind in (WANT, GRANT) and len(rest) >= SHARE.size:
+        nonce, budget, amount = SHARE.unpack_from(rest)
+        return Message(**head, nonce=nonce, budget=budget, amount=amount)
     if kind == ASK and len(rest) == NONCE.size:
         return Message(**head, nonce=NONCE.unpack(rest)[0])
     if kind == TELL and len(rest) >= PART.size and (len(rest) - PART.size) % DRAIN.size == 0:
@@ -110,3 +142,27 @@
         return Message(**head, nonce=nonce, part=part, parts=parts, standing=standing, known=Life(known, known_token), known_beat=known_beat,
                        drains=tuple(Drain(b, boot) for b, boot in DRAIN.iter_unpack(rest[PART.size:])))
     raise Malformed(f"kind {kind}")
+
+
+def _news(rest: bytes) -> dict[str, tuple[Met, ...] | tuple[Count, ...]]:
+    mets: list[Met] = []
+    counts: list[Count] = []
+    at = 0
+    while at < len(rest):
+        if at + SECTION.size > len(rest):
+            raise Malformed("section")
+        kind, rows, size = SECTION.unpack_from(rest, at)
+        at += SECTION.size
+        if not size or at + rows * size > len(rest):
+            raise Malformed("rows")
+        known = {MET: MET_ROW, COUNT: COUNT_ROW}.get(kind)
+        if known is not None and size >= known.size:
+            for row in (known.unpack_from(rest, at + i * size) for i in range(rows)):
+                if kind == MET:
+                    teller, zone, backend, boot, figure, age = row
+                    mets.append(Met(teller, zone, backend, boot, figure / STEP, age * AGE))
+                else:
+                    agent, life, cell, total, stamp, age = row
+                    counts.append(Count(agent, life, cell, total, stamp * AGE, age * AGE))
+        at += rows * size
+    return {"mets": tuple(mets), "counts": tuple(counts)}
--- a/lupinreach/known.py
+++ b/lupinreach/known.py
@@ -11,7 +11,7 @@
     __slots__ = ("index", "name", "zone", "cell", "listed", "size", "load", "state", "boot_time", "figure",
                  "held", "trial", "silent_since", "flight", "rest_until", "refusals", "turn", "credit",
                  "back_at", "sent", "ill", "since", "down", "doubted",
-                 "heard")
+                 "heard", "met_at", "dearer")
 
     def __init__(self, index: int, targets: int) -> None:
         self.index = index
@@ -24,6 +24,8 @@
         self.since = 0.0  # when it started, as far as that is known by now; 0 = long ago
         self.down = False  # it refused, or must be taken to have: nothing has come from it since
         self.doubted = False  # for what was seen of others, not of it
+        self.met_at = 0.0  # when its last sample came
+        self.dearer = 1.0  # what a turn costs more by others' word, where agents share what they met
         self.heard = False  # anything has come from it, in this agent's life
         self.figure: list[float | None] = [None] * targets  # smoothed latency per SLO, None = unsampled
         self.held: list[float] = [0.0] * targets  # per SLO: 0 = in the pool, else when a trial is due
--- a/lupinreach/model.py
+++ b/lupinreach/model.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Hashable
+from collections.abc import Hashable, Mapping
 from dataclasses import dataclass
 from enum import Enum
 from typing import Protocol
@@ -190,6 +190,16 @@
     backends: tuple[Met, ...]
 
 
+@dataclass(frozen=True)
+class Shared:
+    """What agents of one fleet make of what they share, in place of one's own guesses; each figure is bounded where it is made."""
+
+    dearer: Mapping[int, float]  # by backend's name: what a turn costs more by others' word; absent: 1
+    due: frozenset[int] = frozenset()  # backends that others have met well lately: a trial may come now
+    over: frozenset[int] | None = None  # customers that ask the fleet for more than their share; None: by own counts
+    trials: float | None = None  # this agent's part of the fleet's trials, a ms; None: by own API calls alone
+
+
 class Port(Protocol):
     """What the module asks of the front that hosts it."""
 
--- a/lupinreach/net/call.py
+++ b/lupinreach/net/call.py
@@ -138,6 +138,8 @@
         try:
             if self._remember is not None and not await self._remembered(self._remember):
                 return
+            if serving.took is not None:
+                serving.took(self.ask.customer)
             call = serving.balancer.take(now(), self.ask)
             while not (self.answered.done() and call.closed):
                 match await self.orders.get():
--- a/lupinreach/net/serving.py
+++ b/lupinreach/net/serving.py
@@ -34,6 +34,9 @@
     # Where ids of what may have run outlive the process: awaited before the module has a non-idempotent API call.
     remember: Callable[[bytes], Awaitable[Remembered]] | None = None
 
+    # Where agents share what customers ask: hears the customer of each API call that is taken.
+    took: Callable[[int], None] | None = None
+
     def __post_init__(self) -> None:
         self.products = {p.name.encode(): (i, p) for i, p in enumerate(self.settings.products)}
         self.customers = {c.name.encode(): i for i, c in enumerate(self.settings.customers)}
--- a/lupinreach/ops/returning.py
+++ b/lupinreach/ops/returning.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import replace
 from math import inf
+from typing import TYPE_CHECKING
 from zlib import crc32
 
 from lupinreach.config import FleetConfig
@@ -25,6 +26,9 @@
 from lupinreach.store.records import Found
 from lupinreach.store.store import Store
 
+if TYPE_CHECKING:
+    from lupinreach.ops.sharing import Sharing
+
 HOLD = 4.0  # x longest SLO: as long as the module holds a backend, so long a try may take
 READ = 1000.0  # ms: the store is read before anything else, at once or not at all
 JITTER = 0.2  # of a beat, so that a fleet that stood up together doesn't speak together
@@ -72,6 +76,13 @@
         self._synced: asyncio.Task[None] | None = None  # the last writing
         self._asked = False
         self._claims_until = inf  # ms: from then on the registry's word counts against others'
+        self.sharing: Sharing | None = None
+        if config.share:
+            from lupinreach.ops.sharing import Sharing  # an agent that shares nothing doesn't load it
+
+            self.sharing = Sharing(agent, config, self.members, lambda: (self.own.life.number, self.own.superseded),
+                                   lambda peer, kind, more: self._send(peer, self._message(kind, **more)), self._chance)
+            agent.tasks.spawn("sharing", self.sharing.run())
         store.put("life", self.own.life.number)
         self._put_beat()
         agent.hears, agent.sees, agent.tells = self.hear, self.see, self.figures
@@ -179,7 +190,9 @@
             if self.own.hear(sender, life, beat):
                 self._store.put("life", self.own.life.number)
                 self._put_beat()
-        if m.kind == wire.ASK and not self.own.superseded:
+        if self.sharing is not None and m.kind in (wire.NEWS, wire.WANT, wire.GRANT) and not self.own.superseded:
+            self.sharing.hear(m)
+        elif m.kind == wire.ASK and not self.own.superseded:
             self._answer(m, known)
         elif m.kind == wire.TELL and self._asking is not None and self._asking.hear(m):
             self.drains.claimed(sender, m.drains)
@@ -209,7 +222,8 @@
             "own": self.members.own(now).value, "standing": self.members.count(now),
             "agents": {str(n): [life.number, standing.value] for n, life, standing in self.members.all(now)},
             "floor": self.floor.revision, "list": self._agent.directory.version,
-            "drains": [d.backend for d in self.drains.all()], "held": len(self._held), "store": self._store.well}
+            "drains": [d.backend for d in self.drains.all()], "held": len(self._held), "store": self._store.well,
+            **({"shared": self.sharing.figures()} if self.sharing else {})}
 
     # From start to end.
 
