Agents that share leave the connections to backends that they have exchanged for others

Cause: a backend holds 24 connections there, an agent keeps one idle for half of the idle time (30 s), also to a backend that it has exchanged for another (each 4 s), and so each backend is full of connections that nobody uses.

--- a/lupinreach/balance.py
+++ b/lupinreach/balance.py
@@ -517,6 +517,10 @@
         t = self._targets[0]
         return [(b, (t.recent if b.figure[0] is None else b.figure[0]) / t.slo) for b in self._ring]
 
+    def used(self) -> set[int] | None:
+        """The backends that this agent uses, as far as it uses only some; None: any may be next."""
+        return None if self._warm_keys else {b.index for b in self._ring[:self._most()]}
+
     def shared(self, now: float, told: Shared) -> None:
         """What others' word makes of own figures: turns move, trials come sooner, nothing is ejected."""
         self._told_over, self._trial_rate = told.over, told.trials
--- a/lupinreach/net/pool.py
+++ b/lupinreach/net/pool.py
@@ -130,6 +130,17 @@
         for channel in list(self._by_place.get(place, ())):
             self._drop(channel, End.IDLE)
 
+    def leave(self, but: set[int], idle: float) -> int:
+        """Close what has stood idle for so many ms to any backend but these; how many that were.
+
+        Guards against connections to backends that an agent has exchanged for others, where a backend holds only so many.
+        """
+        old = asyncio.get_running_loop().time() - idle / 1000
+        left = [c for c, (place, since) in self._idle.items() if since <= old and place.backend not in but]
+        for channel in left:
+            self._drop(channel, End.IDLE)
+        return len(left)
+
     async def sweep(self) -> None:
         """Close what has stood idle for too long."""
         while True:
--- a/tests/test_shared.py
+++ b/tests/test_shared.py
@@ -4,7 +4,8 @@
 from random import Random
 
 import pytest
-from helpers import Bench, settings
+from helpers import OK, Bench, Peer, Site, says, settings, target
+from helpers import run as on_loop
 from hypothesis import given
 from hypothesis import settings as tries
 from hypothesis import strategies as some
@@ -294,6 +295,19 @@
     assert 5 <= sum(index == dear.index for index in got) <= 35
 
 
+def test_connections_to_backends_that_are_no_longer_used_are_left():
+    async def work():
+        async with Peer(says(OK)) as one, Peer(says(OK)) as two:
+            async with Site(target("s1", one.address), target("s2", two.address)) as site:
+                pool, places = site.agent.pool, [site.agent.directory.place(n) for n in (0, 1)]
+                for place in places:
+                    pool.give_back(await pool.take(place), place)
+                assert pool.open == 2 and pool.leave({0}, 1e6) == 0  # not while it may be used again
+                assert pool.leave({0}, 0.0) == 1 and pool.open == 1
+                assert pool.leave({0}, 0.0) == 0
+    on_loop(work())
+
+
 # Counts.
 
 def counts(me=0, customers=3, window=1000.0):
