Connections to backends that an agent no longer uses are left after a hold, with or without sharing

Done in the look for idle connections that there was, every hold at most; an agent whose keys may go anywhere leaves none.

--- a/lupinreach/net/agent.py
+++ b/lupinreach/net/agent.py
@@ -31,6 +31,7 @@
 OWN_DESCRIPTORS = 12  # standard streams, event loop, listener, directory, datagrams, and a few spare
 OWN_MEMORY = 40 << 20  # bytes that the process needs with nothing kept, its buffers among them
 KEPT_EACH, KEPT_ALL = 1 / 32, 1 / 4  # of the memory that it may hold: long requests, each and together
+LEAVES = 4.0  # x longest SLO: how long a connection to a backend that is no longer used stands idle
 COUNTED_EVERY = 10.0  # s between two lines of counters, so that one that is killed leaves some
 GOES_ON = 0.5  # s for which a stopping agent goes on accepting
 OPEN_AGAIN = 0.5  # s until an address that another process holds is asked for again
@@ -96,7 +97,8 @@
         self.listener.open()
         self.standing.accepting = True
         self.tasks.spawn("sweep", self.listener.sweep())
-        self.tasks.spawn("idle backends", self.pool.sweep())
+        unused = LEAVES * max(p.slo for p in self.config.settings.products)
+        self.tasks.spawn("idle backends", self.pool.sweep(self.balancer.used, unused))
         self.tasks.spawn("ids", self._turn_ids())
         self.tasks.spawn("counters", self._report_on())
         self.log.event("started", listen=list(self.listener.address), sockets=self.config.sockets,
--- a/lupinreach/net/pool.py
+++ b/lupinreach/net/pool.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import errno
+from collections.abc import Callable
 from math import inf
 from typing import NamedTuple
 
@@ -141,16 +142,19 @@
             self._drop(channel, End.IDLE)
         return len(left)
 
-    async def sweep(self) -> None:
-        """Close what has stood idle for too long."""
+    async def sweep(self, used: Callable[[], set[int] | None], unused: float) -> None:
+        """Close what has stood idle for too long: to a backend that is not `used` for `unused` ms, 0: as to any other."""
+        every = min(self._idle_for * SWEEP, unused / 1000 or inf)
         while True:
-            await asyncio.sleep(self._idle_for * SWEEP)
+            await asyncio.sleep(every)
             old = asyncio.get_running_loop().time() - self._idle_for
             while self._idle:
                 channel = next(iter(self._idle))
                 if self._idle[channel][1] > old:
                     break
                 self._drop(channel, End.IDLE)
+            if unused and (but := used()) is not None:
+                self.leave(but, unused)
 
     def _drop(self, channel: Channel, end: End) -> None:
         if channel in self._idle:
--- a/lupinreach/ops/sharing.py
+++ b/lupinreach/ops/sharing.py
@@ -109,9 +109,6 @@
         dearer = {name: factor for (name, _), factor in self.evidence.factors(now, own).items()}
         due = frozenset(name for (name, boot), (figure, _) in self.evidence.said(now, own).items()
                         if figure < WELL and any(known[name, boot][0].held))
-        used = balancer.used()
-        if used is not None:
-            self._agent.counters.others["shared: connections left"] += self._agent.pool.leave(used, self._hold)
         balancer.shared(now, Shared(dearer, due, self._over(now), None if self.trials is None else self.trials.usable(now) / 1000))
 
     def _budget(self, now: float, backends: int) -> None:
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -516,7 +516,7 @@
     async def work():
         async with Peer(says(OK)) as backend, Site() as site:
             pool = Pool(9, 200.0, 40.0, site.agent.counters)
-            site.agent.tasks.spawn("idle backends", pool.sweep())
+            site.agent.tasks.spawn("idle backends", pool.sweep(lambda: None, 0.0))
             await Shot(pool, place(pool, backend.address), look(), asyncio.get_running_loop().time() + 5).run()
             await asyncio.wait_for(backend.gone.wait(), 1)
             assert pool.open == 0 and site.agent.counters.connections["backend idle"] == 1
