--- a/lupinreach/bed/judging/check.py
+++ b/lupinreach/bed/judging/check.py
@@ -236,6 +236,8 @@
             if status != 200 and at - one.at > max(HELD_AT * one.waits, dialled):
                 since = one.at + HELD_SINCE * one.waits
                 slept = any(begin <= at and one.at <= end for begin, end in self._held_up[one.agent])
+                # Sent once more, by the same id, to a life that wasn't there when it was asked.
+                slept = slept or any(one.at < back <= at for _, back in self._killed[one.agent])
                 if not slept and all(s.ended < since for s in one.shots):
                     self._breach("held", "held", at, f"{name}, refused {at - one.at:.0f} ms after it was asked")
             return
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -192,6 +192,15 @@
     assert [b.what.split()[0] for b in checker.read(rows)] == ["c.0"]
 
 
+def test_what_a_client_sends_once_more_to_the_next_life_was_held_by_nobody():
+    def rows(back):
+        return [("agent", 0, 1, 1, "started"), ("agent", 90_000, 1, 1, "killed"), ("asked", 95_000, "1.0", 1, 0, 1, "look", "", 20.0, 1000.0),
+                ("agent", back, 1, 2, "started"), ("got", 1_060_000, "1.0", 429, 10.0, "")]
+    assert Checker(spec.read(SMALL).world).read(rows(1_000_000)) == []
+    early = Checker(spec.read(SMALL).world).read(rows(94_000))
+    assert [b.name for b in early] == ["held"]
+
+
 def test_what_is_sent_to_an_agent_between_its_kill_and_its_next_start_has_no_one_to_answer_it():
     rows = [("agent", 0, 1, 1, "started"), ("agent", 90_000, 1, 1, "killed"), ("agent", 200_000, 1, 2, "started")]
     for n, at in enumerate((80_000, 95_000, 210_000)):
