--- a/lupinreach/ops/sharing.py
+++ b/lupinreach/ops/sharing.py
@@ -62,7 +62,7 @@
         self.trials: Budget | None = None  # from the first list on, by whose length the fleet's trials go
         self._lease = LEASE * config.beat
         self._began = self._heard_at = now
-        self._number = 0
+        self._count = 0  # questions of this life
         self.stage = Silence.FRESH
         if settings.customers:
             agent.serving.took = self.counts.took
@@ -158,9 +158,11 @@
             for peer in self._members.targets():
                 self._send(peer, wire.NEWS, self._news(now))
             if self.trials is not None and self._wants() > self.trials.usable(now):
-                self._number += 1
-                self.trials.ask(now, self._number)
-                self._send(self._members.targets()[0], wire.WANT, {"nonce": self._number, "budget": TRIALS, "amount": 1000})
+                self._count += 1
+                # Guards against a late answer to a question of the life before, which would pass its owner's lease.
+                number = (self._self()[0] & 0xFFFF) << 16 | self._count & 0xFFFF
+                self.trials.ask(now, number)
+                self._send(self._members.targets()[0], wire.WANT, {"nonce": number, "budget": TRIALS, "amount": 1000})
 
     def _news(self, now: float) -> dict[str, object]:
         """As much as a datagram takes, half of it for each where both have more."""
