Tests: a client of the upgrade tests that is ended as its answer comes ends, and no test waits for it

The trace stands in platform()'s gather of its ended clients, not in the test's own steps: asyncio.wait_for of Python 3.11 returns the result and forgets the cancellation where both come in one turn, so the client went on asking for ever. Ruled out: an agent that leaves a client hanging (the test's 50 answers had come). The client uses asyncio.timeout now, which doesn't swallow it.

--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -10,10 +10,10 @@
 import orjson
 import pytest
 
-from helpers import run
+from helpers import OK, run
 from lupinreach.ops import succession
 from lupinreach.ops.succession import Process, Succession
-from upgrading import ROOT, WAITS, platform
+from upgrading import ROOT, WAITS, Platform, platform
 
 
 # The file.
@@ -77,6 +77,36 @@
     assert done.returncode == 2 and "PROXY_FD" in done.stderr
 
 
+# The clients of the platform.
+
+@pytest.mark.parametrize("turns", range(8))
+def test_a_client_whose_answer_comes_as_it_is_ended_ends(tmp_path, monkeypatch, turns):
+    """Guards against a client that goes on for ever, and a test that waits for it until its time is up."""
+    async def work():
+        reader = asyncio.StreamReader()
+        asked = asyncio.Event()
+
+        class Writer:
+            def write(self, raw):
+                asked.set()
+
+        async def opened(*address):
+            return reader, Writer()
+
+        monkeypatch.setattr(asyncio, "open_connection", opened)
+        site = Platform(tmp_path, "127.0.0.1:9", "127.0.0.1:9")
+        site.listening.close()
+        client = asyncio.create_task(site.ask_on(0))
+        await asked.wait()
+        reader.feed_data(OK)
+        for _ in range(turns):
+            await asyncio.sleep(0)
+        client.cancel()
+        await asyncio.wait([client], timeout=1)
+        assert client.cancelled()
+    run(work())
+
+
 # The upgrade.
 
 def test_upgrades_in_a_row_under_steady_clients_lose_nothing_and_run_no_payment_twice(tmp_path):
--- a/tests/upgrading.py
+++ b/tests/upgrading.py
@@ -88,7 +88,8 @@
                 reader, writer = connection = connection or await asyncio.open_connection(*self.address)
                 try:
                     writer.write(raw)
-                    answer = await asyncio.wait_for(read_http(reader), WAITS)
+                    async with asyncio.timeout(WAITS):  # not wait_for: it may swallow the end of the client
+                        answer = await read_http(reader)
                 except (asyncio.IncompleteReadError, ConnectionError, TimeoutError):
                     connection = None
                     self.seen.lost += fresh
