A long answer that begins as its shot's time is up no longer ends its client's connection unanswered

Checked by reading every way in which a client's connection is ended: cut() is called where a shot that is being passed on ends early. Lines at fault: ApiCall._pass_on took a shot for the client's though its time had run out between its first bytes (Shot._pass_on, began()) and that order's turn in ApiCall.run; the shot then landed as silent, and _passed_on cut the connection with not a byte written. Change: the shot says if it still takes the way to the client (pass_on is true), and its timer goes in that moment, not when its task has its turn; one that has ended lands like any that brought nothing, and the client gets an answer (502, or another shot where its product allows). Measured: the test stands the loop still in that window: connection reset before, 502 after.

--- a/lupinreach/net/call.py
+++ b/lupinreach/net/call.py
@@ -148,9 +148,8 @@
                     case CallOff(number):
                         shots[number].task.cancel()
                     case Began(number):
-                        if not shots[number].task.done():
+                        if not shots[number].task.done() and self._pass_on(call, number, shots[number]):
                             overdue.cancel()
-                            self._pass_on(call, number, shots[number])
                     case Landed(number) if number == self._passing:
                         end = shots[number].shot.end
                         counters.shots[end.value] += 1
@@ -240,17 +239,19 @@
         task.add_done_callback(lambda _: self.orders.put_nowait(Landed(number)))
         return Out(shot, task, sent)
 
-    def _pass_on(self, call: Call, number: int, out: Out) -> None:
-        """A long answer has begun: it is the client's from here on, and no other shot's can be."""
+    def _pass_on(self, call: Call, number: int, out: Out) -> bool:
+        """A long answer has begun: if true it is the client's from here on, and no other shot's can be."""
         shot, serving = out.shot, self._serving
         if self.answered.done() or self._passing is not None or shot.answer is None:
             out.task.cancel()
-            return
+            return False
+        lines = http.passed_on(shot.answer, protocol.BETWEEN_BACKEND_AND_AGENT)
+        if not shot.pass_on(self._answers.begin(protocol.SERVED, lines, shot.length)):
+            return False  # it lands like one that brought nothing
         self._passing = number
         load = _reported(serving.counters, shot.answer)
         call.began(serving.clock.now(), number, shot.took or 0.0, load)
-        lines = http.passed_on(shot.answer, protocol.BETWEEN_BACKEND_AND_AGENT)
-        shot.pass_on(self._answers.begin(protocol.SERVED, lines, shot.length))
+        return True
 
     def _passed_on(self, end: End) -> None:
         if end is End.SERVED:
--- a/lupinreach/net/shot.py
+++ b/lupinreach/net/shot.py
@@ -33,6 +33,7 @@
         self._message = message
         self._body = body
         self._until = until  # on the event loop's clock
+        self._limit = asyncio.timeout_at(until)
         self._began = began
         self._upload = upload
         self._writing: asyncio.Future[None] | None = None
@@ -50,7 +51,7 @@
         try:
             if loop.time() >= self._until:
                 raise TimeoutError  # an idle connection would take the message before any timer runs
-            async with asyncio.timeout_at(self._until) as limit:
+            async with self._limit:
                 channel = self._upload.take() if self._upload else await self._pool.take(self._place)
                 if channel is None:
                     raise Ended(End.BROKE_SENDING)
@@ -64,7 +65,7 @@
                 self.end = _meaning(self.answer)
                 if not body.done and self.end is End.SERVED:
                     self.end, self.length = End.SILENT, body.length  # until it is whole
-                    await self._pass_on(channel, body, limit)
+                    await self._pass_on(channel, body)
         except TimeoutError:
             self.end = End.SILENT if self._written else End.LATE_SENDING
         except ClientGone:
@@ -104,12 +105,19 @@
         """
         return max(0.0, self.came - self.written) * 1000 if self.came else None
 
-    def pass_on(self, reply: Reply) -> None:
-        """Where a long answer that has begun goes to."""
-        if self._reply is not None and not self._reply.done():
-            self._reply.set_result(reply)
+    def pass_on(self, reply: Reply) -> bool:
+        """Where a long answer that has begun goes to; false if the shot has ended meanwhile: nothing of it will come.
 
-    async def _pass_on(self, channel: Channel, body: http.Body, limit: asyncio.Timeout) -> None:
+        From here on its time is over by no timer. Guards against one that runs out on the way to the task, and would
+        take an answer for broken of which the client has not had a byte.
+        """
+        if self._reply is None or self._reply.done():
+            return False
+        self._limit.reschedule(None)
+        self._reply.set_result(reply)
+        return True
+
+    async def _pass_on(self, channel: Channel, body: http.Body) -> None:
         """Hand an answer on as it comes; it belongs to the client now, and its time is that of its first bytes."""
         assert self.answer is not None
         if self._began is None:
@@ -117,7 +125,6 @@
         self._reply = asyncio.get_running_loop().create_future()
         self._began()
         reply = await self._reply
-        limit.reschedule(None)
         channel.patience, patience = MOVES, channel.patience
         channel.least = BUFFER
         pieces = [self.answer.body] if len(self.answer.body) else []
--- a/tests/test_large.py
+++ b/tests/test_large.py
@@ -9,7 +9,7 @@
 import pytest
 
 from helpers import OK, Peer, Site, look, read_http, run, says, target
-from lupinreach.net import http, shot
+from lupinreach.net import call, http, listener, shot
 from lupinreach.net.channel import RESET
 from lupinreach.net.counters import Outcome
 from lupinreach.net.ends import End, Ended
@@ -96,6 +96,41 @@
     run(work())
 
 
+@pytest.mark.parametrize("busy", ["before it is passed on", "after it"])
+def test_a_long_answer_that_begins_as_its_time_is_up_leaves_no_client_without_an_answer(monkeypatch, busy):
+    """The event loop stands still past the shot's time between its first bytes and their way to the client."""
+    def stand_still():
+        time.sleep(0.25)
+
+    class Began(call.Began):
+        def __init__(self, number):
+            super().__init__(number)
+            stand_still()
+
+    def begin(client, *what):
+        stand_still()
+        return began(client, *what)
+
+    async def script(request, writer):
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n")
+        writer.write(noise(100_000))
+        await writer.drain()
+        await asyncio.sleep(0.4)
+        writer.write(noise(100_000))
+
+    async def work():
+        async with Peer(script) as backend, Site(target("s-1", backend.address)) as site:
+            head, got, whole = await asked(site, look(**PAY, body=b"x", deadline=b"0.2"))
+            assert whole and (status(head) == 502 or len(got) == 200_000)
+            await site.settled()
+    began = listener.Client.begin
+    if busy == "after it":
+        monkeypatch.setattr(listener.Client, "begin", begin)
+    else:
+        monkeypatch.setattr(call, "Began", Began)
+    run(work())
+
+
 @pytest.mark.parametrize("form", ["length", "chunked", "closes"])
 @pytest.mark.parametrize("sent", [100_000, 2_000_000])
 def test_an_answer_that_breaks_under_way_shows_as_not_whole_and_nothing_follows(form, sent):
