Payments leave marks with an agent's witnesses: a copy of its disk two beats old is found out

Only payments matter, so only they mark: within an eighth of a beat after an id is put (Returning.ran) the agent's beat goes up by two, is synced, and is told to its three witnesses, who sync it at once. So an older copy is unmasked as soon as a payment lies between it and the loss, but for the last eighth of a beat and two syncs. Cost while payments come: one sync and three datagrams of 25 bytes an eighth of a beat at most, and a sync at each witness. Off without store.ran and fleet.

--- a/lupinreach/ops/outlives.py
+++ b/lupinreach/ops/outlives.py
@@ -32,5 +32,8 @@
     if config.fleet is not None:
         from lupinreach.ops.returning import Returning  # an agent that is alone doesn't load it
 
-        agent.tasks.spawn("returning", Returning(agent, store, found, config.fleet, token, ran.asked if ran else lambda _: None).run())
+        returning = Returning(agent, store, found, config.fleet, token, ran.asked if ran else lambda _: None)
+        agent.tasks.spawn("returning", returning.run())
+        if ran is not None:
+            ran.kept = returning.ran
     return carry
--- a/lupinreach/ops/ran.py
+++ b/lupinreach/ops/ran.py
@@ -13,6 +13,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
 from lupinreach.model import Kind
 from lupinreach.net.agent import Agent
@@ -38,6 +39,7 @@
         waits = [p.timeout for p in agent.config.settings.products if p.kind is Kind.NON_IDEMPOTENT]
         self._patience = PATIENCE * min(waits, default=0.0) / 1000
         self._hangs: asyncio.Task[bool] | None = None  # a sync that took longer
+        self.kept: Callable[[], None] = lambda: None  # hears of each id that is put
         if waits:
             agent.serving.remember = self.keep
         # What is sent once more comes within a client timeout, so a disk that can't tell is in doubt for as long: one that
@@ -68,6 +70,7 @@
             counted["ran: refused, no room"] += 1
             return Remembered.NOT_NOW
         self._fresh.append(key)
+        self.kept()
         writing = self._agent.tasks.spawn("ran", self._store.flush())
         # Guards against a disk that hangs: the writing goes on by itself, the API call doesn't.
         if not (await asyncio.wait({writing}, timeout=self._patience))[0]:
--- a/lupinreach/ops/returning.py
+++ b/lupinreach/ops/returning.py
@@ -34,6 +34,7 @@
 JITTER = 0.2  # of a beat, so that a fleet that stood up together doesn't speak together
 ASK_AGAIN = 2  # beats between two questions to who hasn't answered, while answers count
 WITNESSES = 3  # agents that keep the beats of one, and whom it asks among others
+MARK = 1 / 8  # of a beat: so late at most after an id of a payment was synced its witnesses are told
 SPREAD = 0.5  # x the time to ask: agents that stand up together ask over as long
 
 
@@ -74,6 +75,7 @@
         self._seen = dict(_seen(kept.get("seen"), settings.agents))  # of the agents before it, as far as `WITNESSES`
         self._asking: Asking | None = None
         self._synced: asyncio.Task[None] | None = None  # the last writing
+        self._marking: asyncio.Task[None] | None = None  # the last mark after payments
         self._asked = False
         self._claims_until = inf  # ms: from then on the registry's word counts against others'
         self.sharing: Sharing | None = None
@@ -194,6 +196,9 @@
             self.sharing.hear(m)
         elif m.kind == wire.ASK and not self.own.superseded:
             self._answer(m, known)
+        elif m.kind == wire.BEAT and not m.members and sender in self._witnesses(-1):
+            self._bear_witness()
+            self._sync()
         elif m.kind == wire.TELL and self._asking is not None and self._asking.hear(m):
             self.drains.claimed(sender, m.drains)
             if self._asked:
@@ -270,6 +275,28 @@
     async def _flush(self) -> None:
         await self._store.flush()
 
+    def ran(self) -> None:
+        """An id of a payment is being synced: before long witnesses hold a beat that no older disk has.
+
+        Guards against a copy that is older than that id, and younger than what a few beats apart can tell.
+        """
+        if self._marking is None or self._marking.done():
+            self._marking = self._agent.tasks.spawn("mark", self._mark())
+
+    async def _mark(self) -> None:
+        await asyncio.sleep(MARK * self._config.beat / 1000)
+        # By two, and synced before it is told: the disk held the next one before.
+        self.members.beat += 2
+        self._put_beat()
+        if await self._store.flush() and self.own.settled and not self.own.superseded:
+            for peer in self._witnesses(1):
+                self._send(peer, self._message(wire.BEAT))
+
+    def _witnesses(self, step: int) -> list[int]:
+        """Agents after this one, which keep its beats (1), or before it, of which it does (-1)."""
+        agents = self._agent.config.settings.agents
+        return [(self._me + step * far) % agents for far in range(1, min(WITNESSES, agents - 1) + 1)]
+
     def _put_beat(self) -> None:
         """The next one, so that by the time it is told it is synced: peers know of none that the disk doesn't."""
         self._store.put("beat", [self.own.life.number, self.members.beat + 1])
@@ -279,8 +306,7 @@
 
     def _bear_witness(self) -> None:
         """Keep what is known of a few others: where all lose power, their disks are held against it."""
-        agents = self._agent.config.settings.agents
-        for agent in {(self._me - step) % agents for step in range(1, WITNESSES + 1)} - {self._me}:
+        for agent in self._witnesses(-1):
             if (known := self._known(agent)) != NOBODY:
                 self._seen[agent] = known
         self._store.put("seen", [[agent, life.number, life.token, beat] for agent, (life, beat) in sorted(self._seen.items())])
@@ -294,7 +320,7 @@
     def _to_ask(self) -> list[int]:
         """Its witnesses, and any others."""
         agents = self._agent.config.settings.agents
-        first = [n for step in range(1, min(WITNESSES, agents - 1) + 1) if (n := (self._me + step) % agents) != self._me]
+        first = self._witnesses(1)
         others = [n for n in range(agents) if n != self._me and n not in first]
         return first + [others.pop(int(self._chance() * len(others))) for _ in range(min(ASKED - len(first), len(others)))]
 
