Agents tell each other how long cold backends stand; one asked now and then earns more credit

Change: (1) fleet/warmth.py, a third section of what agents share: of each backend that is cold by own word, when its teller first and last had an answer, as ages. The second longest counts (a lone claim of good news waits), never longer than this agent's own life or since it was refused there: earliest(). (2) _shares: what an agent is asked counts for up to 1 + 4 / (1 + API calls within fall) times as much, once shots come well in time.

--- a/lupinreach/balance.py
+++ b/lupinreach/balance.py
@@ -84,6 +84,7 @@
 MOST_EARNS = 1.5  # x its part by size: a quick backend of a fleet without a warm one
 CLOSER = 0.5  # x backends that an agent uses: of such a fleet, so that it learns sooner which are quick
 WIDEN = 2.0  # e-folds within `fall` of what each of them may hold, while shots come well in time
+RARE = 4.0  # x its part, at most: what an agent with hardly an API call within `fall` earns more
 AHEAD = 0.5  # API calls: half of what first credits are spread over
 FALL_USE = 0.5  # x fall_multiple: what cold backends earn while most are cold and can't be spared
 ASK_FIRST, ASK_MOST = 0.1, 0.9  # x ask_within: first and longest span in which the directory is asked again,
@@ -480,11 +481,11 @@
         b.figure = [None] * len(self._targets)
         b.held = [0.0] * len(self._targets)
         b.rest_until, b.refusals = 0.0, 0
-        b.credit = self._first_credit()
+        b.credit, b.stood = self._first_credit(), 0.0
 
     def _refused(self, now: float, b: Backend) -> None:
         """No process listens there: what comes from it next is a fresh one's, whatever the list says."""
-        b.down, b.doubted = True, False
+        b.down, b.doubted, b.stood, b.refused_at = True, False, 0.0, now
         self._doubt(now, [o for o in self._ring if o.heard or o.down], False)
 
     def _doubt(self, now: float, known: list[Backend], by_list: bool) -> None:
@@ -496,7 +497,7 @@
         if sum(self._is_cold(now, b) for b in known) >= max(FIRST_BOUND, KEEP * len(known)):
             for b in self._ring:
                 if not b.heard and not self._is_cold(now, b):
-                    b.down, b.doubted = True, by_list
+                    b.down, b.doubted, b.refused_at = True, by_list, now
 
     def _first_credit(self) -> float:
         # Guards against agents that hear of a cold backend together, earn alike, and all send in one instant.
@@ -517,6 +518,10 @@
         t = self._targets[0]
         return [(b, (t.recent if b.figure[0] is None else b.figure[0]) / t.slo) for b in self._ring]
 
+    def young(self, now: float) -> list[Backend]:
+        """The ready backends that are cold by own word, the directory's being silent on it."""
+        return [b for b in self._ring if self._is_cold(now, b) and (b.down or b.since > b.boot_time)]
+
     def used(self) -> set[int] | None:
         """The backends that this agent uses, as far as it uses only some; None: any may be next."""
         return None if self._warm_keys else {b.index for b in self._ring[:self._most()]}
@@ -526,6 +531,12 @@
         self._told_over, self._trial_rate = told.over, told.trials
         for b in self._ring:
             b.dearer = told.dearer.get(b.name, 1.0)
+            stood = told.stood.get(b.name, inf)
+            if stood < (inf if b.down else b.since if b.since > b.boot_time else 0.0):
+                # Guards against a backend that this agent met late, or not yet, and would take for just started.
+                if b.down:
+                    self._restarted(b)
+                b.since, b.down, b.doubted = stood, False, False
             if b.name in told.due and b.trial is None:
                 b.held = [min(h, now) for h in b.held]
 
@@ -843,6 +854,9 @@
         grown, slow = 1 + WIDEN * passed / self._fall, self._fullness / FULL_SHARE
         self._lanes *= grown if slow < 0.5 else 1 / grown if slow > 1 else 1.0
         self._lanes = max(FIRST_BOUND, min(BEYOND, self._lanes))
+        # Guards against credit by the mean for an agent that is asked now and then: half of it would lapse. It sends no more
+        # than it is asked, so what all send stays under that; and none of this counts before the fleet is seen to hold it.
+        asked *= max(1.0, min(1 + RARE / (1 + asked * self._fall), self._lanes / FIRST_BOUND))
         by_all, earns = self._agents * len(used) / max(1, len(self._ring)), {}
         for b in used:
             # What has answered nothing as it is now may be the slowest there is.
@@ -877,6 +891,7 @@
             if b.down:
                 b.down, b.since = False, shot.sent
                 self._restarted(b)
+            b.stood = b.stood or shot.sent
         if ending in (Ending.UNSENT, Ending.CANCELLED) or (shot.overdue and failed) or shot.called_off:
             if shot.trial and b.held[target.index]:
                 b.held[target.index] = now + (self._hold if shot.overdue else 0.0)
--- a/lupinreach/fleet/wire.py
+++ b/lupinreach/fleet/wire.py
@@ -11,6 +11,7 @@
             rows are longer than it knows them, the rest is skipped: agents of two versions share what both know.
             MET     teller (2), its zone (1), backend (4), boot mark (2), figure in 1/64 of the SLO (1), age in 10 ms (2)
             COUNT   agent (2), its life's number (4), cell (1), total (4), stamp in 10 ms (4), age in 10 ms (2)
+            STOOD   teller (2), backend (4), ages of its first and its last answer there in 10 ms (2, 2)
     WANT    head, nonce (4), budget (1), thousandths of an own share (2)
     GRANT   head, nonce (4), budget (1), thousandths of an own share (2)
 
@@ -26,16 +27,18 @@
 from lupinreach.fleet.counts import Count
 from lupinreach.fleet.evidence import STEP, Met
 from lupinreach.fleet.life import Life
+from lupinreach.fleet.warmth import Stood
 
 FORM = 1
 MOST = 256  # bytes
 BEAT, ASK, TELL, NEWS, WANT, GRANT = 1, 2, 3, 4, 5, 6
-MET, COUNT = 1, 2  # kinds of sections
+MET, COUNT, STOOD = 1, 2, 3  # kinds of sections
 HEAD = struct.Struct("!BBHIIIBQ")
 MEMBER, DRAIN, NONCE, PART = struct.Struct("!HIIIH"), struct.Struct("!IQ"), struct.Struct("!I"), struct.Struct("!IBBHIII")
-SECTION, MET_ROW, COUNT_ROW, SHARE = (struct.Struct("!BBB"), struct.Struct("!HBIHBH"), struct.Struct("!HIBIIH"),
-                                        struct.Struct("!IBH"))
-NEWS_ROOM = MOST - HEAD.size - 2 * SECTION.size  # bytes for rows
+SECTION, MET_ROW, COUNT_ROW, STOOD_ROW = (struct.Struct("!BBB"), struct.Struct("!HBIHBH"), struct.Struct("!HIBIIH"),
+                                         struct.Struct("!HIHH"))
+SHARE = struct.Struct("!IBH")
+NEWS_ROOM = MOST - HEAD.size - 3 * SECTION.size  # bytes for rows
 AGE, MOST_ROWS = 10.0, 255  # ms in a step of an age of news; rows in a section
 REMEMBERS = 1  # flag: the sender knows more than it was told since it stood up
 MEMBERS = (MOST - HEAD.size) // MEMBER.size  # that one BEAT names
@@ -85,6 +88,7 @@
     drains: tuple[Drain, ...] = ()
     mets: tuple[Met, ...] = ()
     counts: tuple[Count, ...] = ()
+    stood: tuple[Stood, ...] = ()
     budget: int = 0
     amount: int = 0  # thousandths of an own share
 
@@ -100,7 +104,8 @@
                 for e in m.mets]
         counts = [COUNT_ROW.pack(e.agent, e.life, e.cell, e.total & 0xFFFFFFFF, int(e.stamp / AGE) & 0xFFFFFFFF,
                                  min(MOST_AGE, int(e.age / AGE))) for e in m.counts]
-        for kind, size, rows in ((MET, MET_ROW.size, mets), (COUNT, COUNT_ROW.size, counts)):
+        stood = [STOOD_ROW.pack(e.teller, e.backend, min(MOST_AGE, int(e.first / AGE)), min(MOST_AGE, int(e.last / AGE))) for e in m.stood]
+        for kind, size, rows in ((MET, MET_ROW.size, mets), (COUNT, COUNT_ROW.size, counts), (STOOD, STOOD_ROW.size, stood)):
             text += SECTION.pack(kind, len(rows), size) + b"".join(rows) if rows else b""
     elif m.kind in (WANT, GRANT):
         text += SHARE.pack(m.nonce, m.budget, m.amount)
@@ -144,9 +149,10 @@
     raise Malformed(f"kind {kind}")
 
 
-def _news(rest: bytes) -> dict[str, tuple[Met, ...] | tuple[Count, ...]]:
+def _news(rest: bytes) -> dict[str, tuple[Met, ...] | tuple[Count, ...] | tuple[Stood, ...]]:
     mets: list[Met] = []
     counts: list[Count] = []
+    stood: list[Stood] = []
     at = 0
     while at < len(rest):
         if at + SECTION.size > len(rest):
@@ -155,14 +161,17 @@
         at += SECTION.size
         if not size or at + rows * size > len(rest):
             raise Malformed("rows")
-        known = {MET: MET_ROW, COUNT: COUNT_ROW}.get(kind)
+        known = {MET: MET_ROW, COUNT: COUNT_ROW, STOOD: STOOD_ROW}.get(kind)
         if known is not None and size >= known.size:
             for row in (known.unpack_from(rest, at + i * size) for i in range(rows)):
                 if kind == MET:
                     teller, zone, backend, boot, figure, age = row
                     mets.append(Met(teller, zone, backend, boot, figure / STEP, age * AGE))
+                elif kind == STOOD:
+                    teller, backend, first, last = row
+                    stood.append(Stood(teller, backend, first * AGE, last * AGE))
                 else:
                     agent, life, cell, total, stamp, age = row
                     counts.append(Count(agent, life, cell, total, stamp * AGE, age * AGE))
         at += rows * size
-    return {"mets": tuple(mets), "counts": tuple(counts)}
+    return {"mets": tuple(mets), "counts": tuple(counts), "stood": tuple(stood)}
--- a/lupinreach/known.py
+++ b/lupinreach/known.py
@@ -11,7 +11,7 @@
     __slots__ = ("index", "name", "zone", "cell", "listed", "size", "load", "state", "boot_time", "figure",
                  "held", "trial", "silent_since", "flight", "rest_until", "refusals", "turn", "credit",
                  "back_at", "sent", "ill", "since", "down", "doubted",
-                 "heard", "met_at", "dearer")
+                 "heard", "met_at", "dearer", "stood", "refused_at")
 
     def __init__(self, index: int, targets: int) -> None:
         self.index = index
@@ -26,6 +26,8 @@
         self.doubted = False  # for what was seen of others, not of it
         self.met_at = 0.0  # when its last sample came
         self.dearer = 1.0  # what a turn costs more by others' word, where agents share what they met
+        self.stood = 0.0  # when the process that is there now first answered a shot; 0 = not yet
+        self.refused_at = 0.0  # when it last refused a connection
         self.heard = False  # anything has come from it, in this agent's life
         self.figure: list[float | None] = [None] * targets  # smoothed latency per SLO, None = unsampled
         self.held: list[float] = [0.0] * targets  # per SLO: 0 = in the pool, else when a trial is due
--- a/lupinreach/model.py
+++ b/lupinreach/model.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Hashable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
 from typing import Protocol
 
@@ -198,6 +198,7 @@
     due: frozenset[int] = frozenset()  # backends that others have met well lately: a trial may come now
     over: frozenset[int] | None = None  # customers that ask the fleet for more than their share; None: by own counts
     trials: float | None = None  # this agent's part of the fleet's trials, a ms; None: by own API calls alone
+    stood: Mapping[int, float] = field(default_factory=dict)  # by name: since when (ms) backends that are cold have stood at least
 
 
 class Port(Protocol):
--- a/lupinreach/ops/sharing.py
+++ b/lupinreach/ops/sharing.py
@@ -17,6 +17,7 @@
 from lupinreach.fleet.evidence import Evidence, Met, boot_mark
 from lupinreach.fleet.grants import LEASE, Budget
 from lupinreach.fleet.membership import Members
+from lupinreach.fleet.warmth import Warmth
 from lupinreach.fleet.wire import Message
 from lupinreach.model import Shared
 from lupinreach.net.agent import Agent
@@ -56,6 +57,7 @@
         slo = max(p.slo for p in settings.products) or settings.longest_wait / 2
         self.evidence = Evidence(settings.me, settings.zone, slo, chance)
         self.counts = Counts(settings.me, len(settings.customers), WINDOW * config.share, chance)
+        self.warmth = Warmth(settings.me, settings.rules.cold, chance)
         self._fractions = [c.fraction for c in settings.customers]
         self._hold = HOLD * slo
         self._backends = 0
@@ -75,6 +77,7 @@
             self._heard_at = now
             self.evidence.heard(now, m.mets)
             self.counts.heard(now, m.counts)
+            self.warmth.heard(now, m.stood)
         elif self.trials is not None and m.budget == TRIALS:
             own = self.trials.own
             if m.kind == wire.WANT:
@@ -105,11 +108,15 @@
         self.evidence.look(now, known)
         self.counts.look(now, self._self()[0], now - self._began)
         self._budget(now, len(met))
+        young = {b.name: b for b in balancer.young(now)}
+        self.warmth.own(now, {name: (b.stood, b.met_at) for name, b in young.items() if b.stood})
+        self.warmth.look(now, young)
         own = {key: (figure, b.met_at) for key, (b, figure) in known.items()}
         dearer = {name: factor for (name, _), factor in self.evidence.factors(now, own).items()}
         due = frozenset(name for (name, boot), (figure, _) in self.evidence.said(now, own).items()
                         if figure < WELL and any(known[name, boot][0].held))
-        balancer.shared(now, Shared(dearer, due, self._over(now), None if self.trials is None else self.trials.usable(now) / 1000))
+        balancer.shared(now, Shared(dearer, due, self._over(now), None if self.trials is None else self.trials.usable(now) / 1000,
+                                    self.warmth.since(self._began, {name: b.refused_at for name, b in young.items()})))
 
     def _budget(self, now: float, backends: int) -> None:
         if backends > self._backends:
@@ -133,8 +140,8 @@
         now = self._agent.clock.now()
         met = self._agent.balancer.evidence()
         return {
-            "stage": self.stage.value, "rows": len(self.evidence), "counts": len(self.counts),
-            "refused": self.evidence.refused + self.counts.refused,
+            "stage": self.stage.value, "rows": len(self.evidence), "counts": len(self.counts), "stood": len(self.warmth),
+            "refused": self.evidence.refused + self.counts.refused + self.warmth.refused,
             "dearer": {str(b.name): round(b.dearer, 2) for b, _ in met if b.dearer > 1},
             "customers_per_s": [round(rate, 2) for rate in self.counts.rates(now)],
             "over": sorted(self._over(now) or ()),
@@ -165,8 +172,10 @@
                 self._send(self._members.targets()[0], wire.WANT, {"nonce": number, "budget": TRIALS, "amount": 1000})
 
     def _news(self, now: float) -> dict[str, object]:
-        """As much as a datagram takes, half of it for each where both have more."""
-        counts = min(len(self.counts), wire.NEWS_ROOM // 2 // wire.COUNT_ROW.size)
-        mets = self.evidence.digest(now, (wire.NEWS_ROOM - counts * wire.COUNT_ROW.size) // wire.MET_ROW.size)
-        left = wire.NEWS_ROOM - len(mets) * wire.MET_ROW.size
-        return {"mets": mets, "counts": self.counts.digest(now, left // wire.COUNT_ROW.size)}
+        """As much as a datagram takes: half of it for who stands, where there is so much, half of the rest for each of the others."""
+        stood = self.warmth.digest(now, wire.NEWS_ROOM // 2 // wire.STOOD_ROW.size)
+        room = wire.NEWS_ROOM - len(stood) * wire.STOOD_ROW.size
+        counts = min(len(self.counts), room // 2 // wire.COUNT_ROW.size)
+        mets = self.evidence.digest(now, (room - counts * wire.COUNT_ROW.size) // wire.MET_ROW.size)
+        left = room - len(mets) * wire.MET_ROW.size
+        return {"stood": stood, "mets": mets, "counts": self.counts.digest(now, left // wire.COUNT_ROW.size)}
--- a/tests/test_shared.py
+++ b/tests/test_shared.py
@@ -3,7 +3,7 @@
 from random import Random
 
 import pytest
-from helpers import OK, Bench, Peer, Site, says, settings, target
+from helpers import OK, READY, Bench, Peer, Site, says, settings, target
 from helpers import run as on_loop
 from hypothesis import given
 from hypothesis import settings as tries
@@ -17,8 +17,66 @@
 from lupinreach.fleet.evidence import HIGHEST, MOST, QUORUM, SHARE, TELLERS, Evidence, Met, boot_mark, harm
 from lupinreach.fleet.grants import DRIFT, FLOOR, Budget
 from lupinreach.fleet.life import Life
+from lupinreach.fleet import warmth as standing
+from lupinreach.fleet.warmth import Stood, Warmth, earliest
 from lupinreach.fleet.wire import NEWS, WANT, Message
-from lupinreach.model import Shared
+from lupinreach.model import Listing, News, Shared
+
+# Who stands: ages of cold backends by others' word.
+
+ROWS = some.lists(some.builds(Stood, some.integers(1, 6), some.integers(0, 3), some.floats(0, 30_000), some.floats(0, 30_000)), max_size=12)
+
+
+def warmth() -> Warmth:
+    return Warmth(0, 20_000.0, Random(1).random)
+
+
+@tries(max_examples=150, deadline=None)
+@given(ROWS, some.randoms(use_true_random=False), some.floats(0, 20_000), some.floats(0, 20_000))
+def test_whoever_says_how_long_a_backend_stands_it_is_never_longer_than_this_agent_can_know(said, chance, began, refused_at):
+    now = 25_000.0
+    once, again = warmth(), warmth()
+    for one, rows in ((once, said), (again, chance.sample(said * 2, 2 * len(said)))):
+        for row in rows:
+            one.heard(now, [row])
+    for one in (once, again):
+        found = one.since(began, dict.fromkeys(range(4), refused_at))
+        assert all(since >= earliest(began, refused_at) for since in found.values())
+        for backend in found:  # a lone claim waits for a second that met it after this agent was refused
+            assert len({r.teller for r in said if r.backend == backend and now - r.last > earliest(began, refused_at)}) >= 2
+    assert len(once) <= 4 * (standing.TELLERS + 1)
+
+
+def test_the_second_longest_counts_and_a_process_that_went_down_since_does_not():
+    one = warmth()
+    one.heard(10_000.0, [Stood(1, 7, 6000.0, 100.0), Stood(2, 7, 4000.0, 100.0), Stood(3, 7, 2000.0, 100.0)])
+    assert one.since(0.0, {7: 0.0}) == {7: 6000.0}
+    assert one.since(9000.0, {7: 0.0}) == {7: 9000.0}  # who stood up then can't know better
+    assert one.since(0.0, {7: 9950.0}) == {}  # refused since they met it
+    one.heard(12_000.0, [Stood(1, 7, 8000.0, 2100.0)])  # late, and older than what came before
+    assert one.since(0.0, {7: 0.0}) == {7: 6000.0}
+    one.look(29_850.0, [7])
+    assert one.since(0.0, {7: 0.0}) == {7: 6000.0} and not one.since(0.0, {7: 10_000.0})
+    one.look(29_950.0, [7])
+    assert len(one) == 0  # for as long as backends are cold
+
+
+def test_what_others_say_of_a_backend_not_met_yet_makes_it_as_warm_as_it_is_and_no_lists_word_is_overruled():
+    bench = Bench(settings(cold=20_000.0))
+    bench.list(News.CACHED, [Listing(i, READY, 0.0) for i in range(4)])
+    for b in bench.agent._ring:
+        bench.agent._refused(bench.now, b)
+    bench.move(10_000)
+    here = bench.agent._ring[0]
+    assert bench.agent._capacity(bench.now, here) == pytest.approx(0.2) and here in bench.agent.young(bench.now)
+    bench.agent.shared(bench.now, Shared({}, stood={here.name: bench.now - 10_000}))
+    assert bench.agent._capacity(bench.now, here) == pytest.approx(0.6) and not here.down
+    bench.agent.shared(bench.now, Shared({}, stood={here.name: bench.now - 5_000}))  # nobody gets younger by it
+    assert bench.agent._capacity(bench.now, here) == pytest.approx(0.6)
+    bench.list(News.FULL, [Listing(i, READY, bench.now - 1000) for i in range(4)])
+    bench.agent.shared(bench.now, Shared({}, stood={here.name: bench.now - 15_000}))
+    assert bench.agent._capacity(bench.now, here) == pytest.approx(0.24) and here not in bench.agent.young(bench.now)
+
 
 # Lending: every history of three agents whose words are lost, doubled and late.
 
