--- a/lupinreach/balance.py
+++ b/lupinreach/balance.py
@@ -476,12 +476,15 @@
             step = min(GROW, max(CUT, 1 - excess / answered))
             self._admit = min(1.0, max(LEAST_ADMIT, self._admit * step))
 
-    def _restarted(self, b: Backend) -> None:
-        """What was known of the old process says nothing of the new one."""
+    def _restarted(self, b: Backend, left: float = inf) -> None:
+        """What was known of the old process says nothing of the new one; credit no more than what is left of it.
+
+        Guards against shots that found out that it stands, and that the first answer would make unspent.
+        """
         b.figure = [None] * len(self._targets)
         b.held = [0.0] * len(self._targets)
         b.rest_until, b.refusals = 0.0, 0
-        b.credit, b.stood = self._first_credit(), 0.0
+        b.credit, b.stood = min(left, self._first_credit()), 0.0
 
     def _refused(self, now: float, b: Backend) -> None:
         """No process listens there: what comes from it next is a fresh one's, whatever the list says."""
@@ -535,7 +538,7 @@
             if stood < (inf if b.down else b.since if b.since > b.boot_time else 0.0):
                 # Guards against a backend that this agent met late, or not yet, and would take for just started.
                 if b.down:
-                    self._restarted(b)
+                    self._restarted(b, b.credit)
                 b.since, b.down, b.doubted = stood, False, False
             if b.name in told.due and b.trial is None:
                 b.held = [min(h, now) for h in b.held]
@@ -890,7 +893,7 @@
             b.heard = True
             if b.down:
                 b.down, b.since = False, shot.sent
-                self._restarted(b)
+                self._restarted(b, b.credit)
             b.stood = b.stood or shot.sent
         if ending in (Ending.UNSENT, Ending.CANCELLED) or (shot.overdue and failed) or shot.called_off:
             if shot.trial and b.held[target.index]:
--- a/tests/test_power.py
+++ b/tests/test_power.py
@@ -231,6 +231,21 @@
     assert served(0.7) > 0.7 and served(10.0) < 1.5 * (0.2 + 0.8 * 12_000 / COLD)
 
 
+def test_the_shot_that_finds_out_that_a_backend_stands_is_not_unspent_by_its_answer():
+    # Found on reading, after a drawn history in which seven agents pushed a backend over with two shots each: credit was drawn anew
+    # with the first answer, so that the shot before it cost nothing.
+    for seed in range(30):
+        bench = Bench(settings(cold=COLD), seed=seed)
+        all_cold(bench, 1)
+        b, = bench.agent._ring
+        bench.agent._refused(bench.now, b)
+        b.credit = 0.4
+        token = bench.take("first")
+        bench.move(30.0)
+        bench.answer("first", 30.0)
+        assert not b.down and b.credit <= -0.5, token
+
+
 def test_nobody_saves_up_for_a_backend_that_is_down():
     # Found on power-old-list (seed 41): agents that stood a second before the backends had all saved up for each: 1.18.
     bench = Bench(settings(cold=COLD))
