Bed: an older list takes away nothing that it doesn't name; one second process an agent at a time

The checker bars what a whole list doesn't name only where no later one was told before; what an older list says by name counts as it did. Each has a test that fails without it.

--- a/lupinreach/bed/judging/check.py
+++ b/lupinreach/bed/judging/check.py
@@ -72,6 +72,7 @@
         # What each life of an agent was told of each backend: not ready since when; absent: ready, inf: never told
         self._barred: dict[tuple[int, int], dict[int, float]] = defaultdict(dict)
         self._listed: dict[tuple[int, int], set[int]] = defaultdict(set)
+        self._highest: dict[int, int] = defaultdict(int)  # by agent: the highest version that it was told
         self._lives: dict[int, tuple[float, float, float, float]] = {}  # backend: booted, capacity, cold, start
         self._groups: dict[int, tuple[int, int]] = {}  # backend: zone, cell
         self._came: dict[int, deque[tuple[float, float]]] = defaultdict(deque)
@@ -150,9 +151,11 @@
                 barred.pop(backend, None)
             else:
                 barred.setdefault(backend, at)
-        if whole:
+        # What an older list than one before doesn't name is not gone by its word: the registry came back with what it was.
+        if whole and version >= self._highest[agent]:
             for backend in listed - named:
                 barred.setdefault(backend, at)
+        self._highest[agent] = max(version, self._highest[agent])
 
     def _on_sent(self, at: float, agent: int, life: int, backend: int, name: str) -> None:
         since = self._barred[agent, life].get(backend)
--- a/lupinreach/bed/ways/stage.py
+++ b/lupinreach/bed/ways/stage.py
@@ -78,6 +78,7 @@
         self.up: set[int] = set()
         self._begins: set[int] = set()  # agents that are being started; each leaves as it is up
         self._stopping: set[int] = set()  # whose process was told to stop; each leaves as it has ended
+        self._twinned: dict[int, Trouble] = {}  # agents that have a second process, and of which trouble; each leaves with that
         self._again: set[int] = set()  # of those, the ones to start after that
         self._client_machines = [Machine(f"agent {n}", n % len(world.zones)) for n in range(world.agents)]
         self.clients = [ClientHost(ground, world, n, self._client_machines[n], ground.addresses.agent(n))
@@ -474,14 +475,18 @@
 
     def _twin_agents(self, t: Trouble, targets: list[int], on: bool) -> None:
         for n in targets:
+            if on is (n in self._twinned):
+                continue  # one second process an agent, whatever is drawn
             if on:
+                self._twinned[n] = t
                 # Where nobody sends and with a registry that refuses: what it can touch is the disk.
                 where = self.ground.addresses.twin(n)
                 raw = self._told(n, self._raw(n, 0)) | {"listen": text(where), "discovery": text((where[0], NOBODY))}
                 if "peer_listen" in raw:
                     raw["peer_listen"] = text((where[0], where[1] + 1))
                 self._run(self.ground.start_twin(n, raw))
-            else:
+            elif self._twinned[n] is t:
+                del self._twinned[n]
                 self.ground.stop_twin(n)
 
     def _deaf_agents(self, t: Trouble, targets: list[int], on: bool) -> None:
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -62,6 +62,16 @@
         assert not [b for b in Checker(world).read(rows) if b.rule == "drains"]
 
 
+def test_what_an_older_list_does_not_name_is_not_gone_by_its_word_and_what_a_newer_one_does_not_is():
+    # Found by the campaign (seed 21, history 71): the registry was back with the list of a moment in which nothing stood.
+    world = spec.read(SMALL).world
+    for version, broken in ((3, set()), (6, {"sent to draining"})):
+        rows = [("told", 0, 0, 1, 5, [[0, "Ready"], [1, "Ready"]], True), ("told", 1_000_000, 0, 1, version, [[1, "Ready"]], True),
+                ("asked", 3_000_000, "a.0", 1, 0, 0, "look", "one", 20.0, 1500.0), ("sent", 3_001_000, 0, 1, 0, "a.0"),
+                ("got", 3_020_000, "a.0", 200, 0.0, "a.0")]
+        assert {b.name for b in Checker(world).read(rows) if b.rule == "drains"} == broken
+
+
 # The relay by itself.
 
 def plane():
--- a/tests/test_trial.py
+++ b/tests/test_trial.py
@@ -82,6 +82,12 @@
     assert all(r.possible == 0.0 for r in figures.seconds(world, deaf))
 
 
+def test_an_agent_has_one_second_process_at_a_time():
+    twice = [{"kind": "twin-agents", "at": 1, "seconds": 2, "targets": [1]}, {"kind": "twin-agents", "at": 2, "seconds": 3, "targets": [1]}]
+    trial = spec.read(SMALL | {"seconds": 6, "agents": {"count": 4, "store": True, "fleet": True}, "limits": {"peers": True}, "troubles": twice})
+    assert play.run(trial, 3).verdict == play.KEPT
+
+
 def test_a_process_is_started_once_and_after_the_one_before_has_ended():
     # Found by the campaign (seed 11, history 1): a restart shorter than a stop, and power lost meanwhile, started two on one address.
     again = [{"kind": "restart-agents", "at": 2, "seconds": 0.3, "targets": [0, 1]}, {"kind": "kill-agents", "at": 2.2, "seconds": 0.4, "targets": [1, 2]}]
