--- a/lupinreach/bed/ways/memory.py
+++ b/lupinreach/bed/ways/memory.py
@@ -50,6 +50,8 @@
             return
         paths, loop = self.net.paths, self.net.loop
         if self.unsent or not paths.reaches(self.machine, other.machine):
+            if what is RST:
+                self.unsent.clear()  # what is reset sends nothing that it still had to send
             self.unsent.append(what)
             self.net.waiting[self] = None
             return
--- a/tests/test_trial.py
+++ b/tests/test_trial.py
@@ -5,12 +5,13 @@
 import os
 import subprocess
 import sys
+from types import SimpleNamespace
 
 import pytest
 
 from lupinreach.bed.ways import virtual
 from lupinreach.bed.ways.loop import VirtualLoop
-from lupinreach.bed.ways.memory import MemoryNet, MemorySockets
+from lupinreach.bed.ways.memory import RST, MemoryNet, MemorySockets, Side
 from lupinreach.bed.world.chance import stream
 from lupinreach.bed.world.network import Machine, Paths
 from lupinreach.bed.world.spec import read as read_world
@@ -243,3 +244,25 @@
     twin = {"kind": "twin-agents", "at": 2, "seconds": 4, "targets": [1]}
     played = play.run(spec.read(SMALL | {"agents": {"count": 4, "carry_s": 60}, "troubles": [twin]}), 3)
     assert played.verdict == "kept" and played.recovery.whole > 0.95
+
+
+def test_what_is_reset_behind_a_cut_sends_nothing_that_it_still_had_to_send():
+    # Found by the campaign (seed 31, history 32): a registry that went down behind a cut told, as that healed, what it had said before.
+    came, there = [], [False]
+    loop = VirtualLoop()
+    paths = SimpleNamespace(reaches=lambda *_: there[0], delay=lambda *_: 0.0, passing=lambda *_: 0.0)
+    net = SimpleNamespace(paths=paths, loop=loop, waiting={}, context=None)
+
+    class End(Side):
+        def take(self, what):
+            came.append(what)
+
+    one, other = End(net, Machine("a", 0)), End(net, Machine("b", 1))
+    one.other, other.other = other, one
+    one.put(b"said")
+    one.put(RST)
+    there[0] = True
+    one.again()
+    loop.run_until_complete(asyncio.sleep(0.01))
+    loop.close()
+    assert came == [RST]
