--- a/lupinreach/bed/judging/check.py
+++ b/lupinreach/bed/judging/check.py
@@ -72,6 +72,7 @@
         # What each life of an agent was told of each backend: not ready since when; absent: ready, inf: never told
         self._barred: dict[tuple[int, int], dict[int, float]] = defaultdict(dict)
         self._listed: dict[tuple[int, int], set[int]] = defaultdict(set)
+        self._deaf: dict[int, list[tuple[float, float]]] = defaultdict(list)  # by agent: nothing got to it
         self._highest: dict[int, int] = defaultdict(int)  # by agent: the highest version that it was told
         self._lives: dict[int, tuple[float, float, float, float]] = {}  # backend: booted, capacity, cold, start
         self._groups: dict[int, tuple[int, int]] = {}  # backend: zone, cell
@@ -134,6 +135,9 @@
         if kind in ("busy-agents", "sleep-agents") and what == "begins":
             for agent in targets:
                 self._held_up[agent].append((at, at + trouble.length + max(trouble.strength, LATE)))
+        elif kind == "deaf-agents" and what == "begins":
+            for agent in targets:
+                self._deaf[agent].append((at, at + trouble.length + LATE))
         elif kind == "sleep-agents":
             for agent in targets:  # with processes it may sleep for longer than it was to
                 self._held_up[agent].append((at - LATE, at + LATE))
@@ -243,6 +247,8 @@
                 slept = any(begin <= at and one.at <= end for begin, end in self._held_up[one.agent])
                 # Sent once more, by the same id, to a life that wasn't there when it was asked.
                 slept = slept or any(one.at < back <= at for _, back in self._killed[one.agent])
+                # How its shots had ended didn't get to it.
+                slept = slept or any(begin <= at and one.at <= end for begin, end in self._deaf[one.agent])
                 if not slept and all(s.ended < since for s in one.shots):
                     self._breach("held", "held", at, f"{name}, refused {at - one.at:.0f} ms after it was asked")
             return
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -62,6 +62,16 @@
         assert not [b for b in Checker(world).read(rows) if b.rule == "drains"]
 
 
+def test_a_deaf_agent_that_does_not_hear_how_its_shot_ended_holds_nothing():
+    # Found by the campaign (seed 41, history 315): the backend failed at once, and nothing of it got to the agent.
+    deaf = {"troubles": [{"kind": "deaf-agents", "at": 1, "seconds": 3, "targets": [0]}]}
+    for more, broken in ((deaf, set()), ({}, {"held"})):
+        rows = [("told", 0, 0, 1, 5, [[0, "Ready"]], True), *([("trouble", 1_000_000, 0, "deaf-agents", "begins", [0])] if more else []),
+                ("asked", 2_000_000, "a.0", 1, 0, 0, "pay", "one", 20.0, 1500.0), ("sent", 2_001_000, 0, 1, 0, "a.0"),
+                ("came", 2_002_000, 0, 1, "a.0", 20.0), ("failed", 2_002_000, 0, "a.0"), ("got", 3_480_000, "a.0", 502, 0.0, "")]
+        assert {b.name for b in Checker(spec.read(SMALL | more).world).read(rows)} == broken
+
+
 def test_what_an_older_list_does_not_name_is_not_gone_by_its_word_and_what_a_newer_one_does_not_is():
     # Found by the campaign (seed 21, history 71): the registry was back with the list of a moment in which nothing stood.
     world = spec.read(SMALL).world
