Campaign: workers of a campaign that was killed end by themselves

Seen: six of them were still there minutes after the tests that kill one (each waits for work on a pipe whose other end its fellows hold). Each looks twice a second if its parent is there. The test that kills a campaign now asks that nothing of its group is left; it does not end in time without the change.

--- a/lupinreach/trial/campaign/hunt.py
+++ b/lupinreach/trial/campaign/hunt.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import threading
 import time
 from collections import Counter
 from collections.abc import Callable, Iterator
@@ -26,10 +27,25 @@
 GUIDED = 0.5  # of what is drawn goes near to what reached something rare; the rest is drawn plainly
 RARE = 3  # histories that have reached a word: as long it is rare
 BESIDE = 3  # small fleets of processes
+LOOKS = 0.5  # s between two looks of a worker at whether its campaign is there
 SHRINKS = 12  # steps of shrinking at most
 DOWN = 0.5  # served over possible from the last trigger's end on, under which a history is one in which service stays down
 
 
+def _ends_with(parent: int) -> None:
+    """In a worker: guards against one that waits for ever for work from a campaign that was killed."""
+    def watch() -> None:
+        while os.getppid() == parent:
+            time.sleep(LOOKS)
+        os._exit(1)
+
+    threading.Thread(target=watch, daemon=True).start()
+
+
+def pool_of(workers: int) -> ProcessPoolExecutor:
+    return ProcessPoolExecutor(workers, initializer=_ends_with, initargs=(os.getpid(),))
+
+
 def parts(world_raw: draw.Raw) -> Trial:
     return spec.read(world_raw)
 
@@ -95,7 +111,7 @@
         workers = workers or os.cpu_count() or 1
         left = (n for n in range(1, many + 1) if n not in done)
         done, found = self._book.numbers(VIRTUAL), list[History]()
-        with ProcessPoolExecutor(workers) as pool:
+        with pool_of(workers) as pool:
             out: set[Future[History]] = set()
             try:
                 while True:
@@ -126,7 +142,7 @@
         for i, h in enumerate(h for h in self._book.histories(VIRTUAL) if draw.with_processes(h.raw)):
             if i % step == 0 and h.number not in done and (raw := draw.with_processes(h.raw)):
                 jobs.append((h.number, None, raw, h.number))
-        with ProcessPoolExecutor(workers) as pool:
+        with pool_of(workers) as pool:
             for h in pool.map(one, jobs):
                 self._book.add(h)
                 found.append(h)
--- a/tests/test_campaign.py
+++ b/tests/test_campaign.py
@@ -1,6 +1,7 @@
 """The campaign: histories by number, a book that survives a kill, guidance, what is planted found and shrunk; and the search through models."""
 
 import json
+import os
 import subprocess
 import sys
 import time
@@ -73,8 +74,12 @@
     while time.monotonic() < deadline and len(_numbers(tmp_path / "c.db")) < 1:
         time.sleep(0.05)
     time.sleep(after)
-    running.send_signal(9)  # the one that writes; its workers end with their pipe
+    running.send_signal(9)  # the one that writes; its workers see that it is gone
     running.wait()
+    with pytest.raises(ProcessLookupError):  # none of its group is left
+        while time.monotonic() < deadline + 10:
+            os.killpg(running.pid, 0)
+            time.sleep(0.05)
     before = _numbers(tmp_path / "c.db")
     done = subprocess.run(words, cwd=tmp_path, capture_output=True, text=True)
     found = json.loads(done.stdout.splitlines()[-1])
