On a second reading: one HOLD, and what the campaign had that nothing used

The hold's ratio stood in the module and twice in ops; both take the module's now. Of the campaign: a word of agents' counters that nobody books, a wrapper of one call, and a column that was always empty are gone.

--- a/lupinreach/ops/returning.py
+++ b/lupinreach/ops/returning.py
@@ -14,6 +14,7 @@
 from typing import TYPE_CHECKING
 from zlib import crc32
 
+from lupinreach.balance import HOLD
 from lupinreach.config import FleetConfig
 from lupinreach.fleet import wire
 from lupinreach.fleet.life import Life, Own
@@ -29,7 +30,6 @@
 if TYPE_CHECKING:
     from lupinreach.ops.sharing import Sharing
 
-HOLD = 4.0  # x longest SLO: as long as the module holds a backend, so long a try may take
 READ = 1000.0  # ms: the store is read before anything else, at once or not at all
 JITTER = 0.2  # of a beat, so that a fleet that stood up together doesn't speak together
 ASK_AGAIN = 2  # beats between two questions to who hasn't answered, while answers count
--- a/lupinreach/ops/sharing.py
+++ b/lupinreach/ops/sharing.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 from enum import Enum
 
+from lupinreach.balance import HOLD
 from lupinreach.config import FleetConfig
 from lupinreach.fleet import wire
 from lupinreach.fleet.counts import Counts
@@ -26,7 +27,6 @@
 WINDOW = 5.0  # x the time between two words: over which rates of customers are taken
 AGEING, ALONE = 4.0, 16.0  # x the time between two words without any: what is shared is ageing, then the agent is alone
 OVER = 1.5  # x its fraction of all that is asked: from there on a customer is over its share
-HOLD = 4.0  # x longest SLO: as the module has it
 WELL = 1.0  # x SLO: below it others have met a backend well
 TRIALS = 0  # the number of the budget
 EACH = 2.0  # trials of each backend in a hold, over the fleet: with one, 40 agents that had all been deaf came back later
--- a/lupinreach/trial/campaign/book.py
+++ b/lupinreach/trial/campaign/book.py
@@ -21,7 +21,7 @@
     broken text not null, passed text not null, figures text not null, reached text not null, took real not null,
     primary key (number, mode)) without rowid;
 create table if not exists kept (
-    number integer primary key, why text not null, what text not null, file text not null, said text not null) without rowid;
+    number integer primary key, why text not null, what text not null, file text not null) without rowid;
 """
 
 
@@ -67,9 +67,9 @@
             h.number, h.mode, h.parent, json.dumps(h.raw), h.verdict, h.unsure, json.dumps(h.broken), json.dumps(h.passed),
             json.dumps(h.figures), json.dumps(sorted(h.reached)), h.took))
 
-    def keep(self, number: int, why: str, what: str, file: str, said: str) -> None:
+    def keep(self, number: int, why: str, what: str, file: str) -> None:
         """A history that was shrunk: why it was, what its file is called and shows."""
-        self._at.execute("insert or replace into kept values (?, ?, ?, ?, ?)", (number, why, what, file, said))
+        self._at.execute("insert or replace into kept values (?, ?, ?, ?)", (number, why, what, file))
 
     def numbers(self, mode: str) -> set[int]:
         return {n for n, in self._at.execute("select number from histories where mode = ?", (mode,))}
@@ -82,7 +82,7 @@
             yield History(number, mode_, parent, json.loads(raw), verdict, unsure, tuple(json.loads(broken)), tuple(json.loads(passed)),
                           json.loads(figures), frozenset(json.loads(reached)), took)
 
-    def kept(self) -> list[tuple[int, str, str, str, str]]:
+    def kept(self) -> list[tuple[int, str, str, str]]:
         return self._at.execute("select * from kept order by number").fetchall()
 
     def close(self) -> None:
--- a/lupinreach/trial/campaign/hunt.py
+++ b/lupinreach/trial/campaign/hunt.py
@@ -46,14 +46,10 @@
     return ProcessPoolExecutor(workers, initializer=_ends_with, initargs=(os.getpid(),))
 
 
-def parts(world_raw: draw.Raw) -> Trial:
-    return spec.read(world_raw)
-
-
 def one(job: tuple[int, int | None, draw.Raw, int]) -> History:
     """One history, played and judged."""
     number, parent, raw, seed = job
-    trial, began = parts(raw), time.process_time()
+    trial, began = spec.read(raw), time.process_time()
     passed: list[str] = []
     if trial.world.mode == VIRTUAL:
         with bounds.watched(trial.world.agents) as watch:
@@ -164,7 +160,7 @@
             trial, seed = smallest(h)
             path = folder / f"history-{h.number}.toml"
             path.write_text(f"# Seed {seed}: {why}.\n" + to_toml(replace(trial.world, seeds=(seed,))))
-            self._book.keep(h.number, why, size(trial), path.name, "")
+            self._book.keep(h.number, why, size(trial), path.name)
             self._told(f"{path}: {why}; {size(trial)}")
             files.append(path)
         return files
@@ -177,7 +173,7 @@
 
 def smallest(h: History) -> tuple[Trial, int]:
     """The fewest faults and agents that still show what this history shows, and the seed."""
-    trial, seed = parts(h.raw), h.number
+    trial, seed = spec.read(h.raw), h.number
 
     def shows(some: Trial) -> bool:
         with suppress(BadConfig, ValueError), bounds.watched(some.world.agents) as watch:
--- a/lupinreach/trial/campaign/page.py
+++ b/lupinreach/trial/campaign/page.py
@@ -82,7 +82,7 @@
     plt.close("all")
     never = sorted(expected() - met(words))
     kept = "".join(f"<tr><td>{n}</td><td>{html.escape(why)}</td><td>{html.escape(what)}</td><td><a href='{html.escape(file)}'>{html.escape(file)}</a></td></tr>"
-                   for n, why, what, file, _ in book.kept())
+                   for n, why, what, file in book.kept())
     return (f"<!doctype html><html lang='en'><meta charset='utf-8'><title>Campaign</title><style>{STYLE}</style><h1>Campaign</h1>"
             f"<p>Simulated backends, clients and network. {len(played)} histories in virtual time, {len(real)} again with processes; "
             f"{found['reached']} words reached, {len(never)} never.</p>"
--- a/lupinreach/trial/campaign/reach.py
+++ b/lupinreach/trial/campaign/reach.py
@@ -1,6 +1,6 @@
 """What a history reached, as words: by them what is drawn next goes to where little was. Pure.
 
-Stages of the return, kinds of silence and of self-doubt, what agents counted of their stores and their fleet, pairs of faults that were there at one
+Stages of the return, kinds of silence and of self-doubt, what agents said of their stores and their fleet, pairs of faults that were there at one
 time, answers and ends of shots by kind, rules broken and bounds passed.
 """
 
@@ -28,8 +28,6 @@
                 found.add(f"silence: {fields['stage']}")
             elif event == "fleet":
                 found.add(f"self: {fields['own']}{', superseded' if fields['superseded'] else ''}")
-            elif event == "counted":
-                found.update(f"counted: {what}" for what in fields["others"])
             else:
                 found.add(f"said: {event}")
         elif r[0] == "got":
