--- /dev/null
+++ b/lupinreach/mesh/errors.py
@@ -0,0 +1,101 @@
+"""The closed list of error kinds, and the table from each kind to the answer that a caller gets.
+
+`surely not run` is the promise that the statuses 408, 421, 429 and 503 make to clients. A kind that can
+apply to a request which may have reached a backend never maps to one of them.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import IntEnum
+
+
+class ErrorKind(IntEnum):
+    """Everything that can go wrong with a request or an order. Numbers are part of the wire format."""
+
+    NONE = 0
+    MALFORMED = 1  # the message is not HTTP/1.1
+    HEAD_TOO_LARGE = 2
+    BODY_TOO_LARGE = 3
+    NO_REQUEST_ID = 4
+    NO_ROUTE = 5
+    NOT_CONFIGURED = 6  # this process has no configuration yet
+    NO_BACKEND = 7  # no backend of the service can take it
+    FULL = 8  # every backend that could take it is full
+    OUT_OF_MEMORY = 9  # the budget for buffered bodies is spent
+    STOPPING = 10
+    OUTCOME_UNKNOWN = 11  # it may have run, and may not be sent again
+    BACKEND_FAILED = 12
+    TIMED_OUT = 13
+    EXPIRED = 14  # its deadline passed before it was sent to a backend
+    UNKNOWN_CALL = 20  # of the control interfaces
+    METHOD_NOT_ALLOWED = 21
+    INVALID_CONFIGURATION = 22
+    INVALID_CALL = 23
+    UNKNOWN_ZONE = 24
+    NO_PRIMARY = 25
+    STORE_UNAVAILABLE = 26
+    HEAD_TIMED_OUT = 27
+    BODY_TIMED_OUT = 28
+
+
+@dataclass(frozen=True, slots=True)
+class ErrorAnswer:
+    """What a caller is told."""
+
+    status: int
+    text: str
+    retry: bool = False  # carries Retry-After
+
+
+ANSWERS: dict[ErrorKind, ErrorAnswer] = {
+    ErrorKind.MALFORMED: ErrorAnswer(400, "malformed request"),
+    ErrorKind.HEAD_TOO_LARGE: ErrorAnswer(431, "request head too large"),
+    ErrorKind.BODY_TOO_LARGE: ErrorAnswer(413, "request body too large"),
+    ErrorKind.NO_REQUEST_ID: ErrorAnswer(400, "no request id"),
+    ErrorKind.NO_ROUTE: ErrorAnswer(404, "no route"),
+    ErrorKind.NOT_CONFIGURED: ErrorAnswer(503, "no configuration yet", retry=True),
+    ErrorKind.NO_BACKEND: ErrorAnswer(503, "no backend available", retry=True),
+    ErrorKind.FULL: ErrorAnswer(503, "all backends are full", retry=True),
+    ErrorKind.OUT_OF_MEMORY: ErrorAnswer(503, "no memory for the request", retry=True),
+    ErrorKind.STOPPING: ErrorAnswer(503, "shutting down", retry=True),
+    ErrorKind.OUTCOME_UNKNOWN: ErrorAnswer(502, "the outcome is unknown"),
+    ErrorKind.BACKEND_FAILED: ErrorAnswer(502, "the backend failed"),
+    ErrorKind.TIMED_OUT: ErrorAnswer(504, "timed out"),
+    ErrorKind.EXPIRED: ErrorAnswer(503, "the deadline passed before it was sent", retry=True),
+    ErrorKind.UNKNOWN_CALL: ErrorAnswer(404, "unknown call"),
+    ErrorKind.METHOD_NOT_ALLOWED: ErrorAnswer(405, "method not allowed"),
+    ErrorKind.INVALID_CONFIGURATION: ErrorAnswer(400, "invalid configuration"),
+    ErrorKind.INVALID_CALL: ErrorAnswer(400, "invalid call"),
+    ErrorKind.UNKNOWN_ZONE: ErrorAnswer(404, "unknown zone"),
+    ErrorKind.NO_PRIMARY: ErrorAnswer(503, "no primary store", retry=True),
+    ErrorKind.STORE_UNAVAILABLE: ErrorAnswer(503, "the store did not answer", retry=True),
+    ErrorKind.HEAD_TIMED_OUT: ErrorAnswer(408, "the request head took too long"),
+    ErrorKind.BODY_TIMED_OUT: ErrorAnswer(408, "the request body took too long"),
+}
+
+
+class NotTakenReason(IntEnum):
+    """Why a gate did not pass a request to its backend. Numbers are part of the wire format."""
+
+    NO_BACKEND = 1  # none is known, or another instance than was asked for
+    DRAINING = 2
+    EVACUATED = 3
+    COLD = 4  # the bound of a cold backend is used up
+    FULL = 5
+    EXPIRED = 6  # its time ran out in the queue
+    STALE_ROUTE = 7  # a newer configuration does not allow it here
+    STOPPING = 8
+    OUT_OF_MEMORY = 9
+    BACKEND_DECLINED = 10  # the backend said that it did not run it
+
+
+class AttemptFailure(IntEnum):
+    """How an attempt at a backend failed. Numbers are part of the wire format."""
+
+    UNREACHABLE = 1  # no connection came up
+    BROKEN = 2  # the connection ended before the answer was whole
+    GARBLED = 3  # what came is no answer to this request
+    TIMED_OUT = 4
+    LINK_LOST = 5  # the link to the other proxy ended
+    SILENT = 6  # the other proxy stopped responding
--- /dev/null
+++ b/lupinreach/mesh/events.py
@@ -0,0 +1,68 @@
+"""Numbered log events. `docs/events.md` is the catalogue; a number never changes its meaning."""
+
+from __future__ import annotations
+
+import sys
+import time
+from enum import IntEnum
+from typing import Any
+
+import picologging
+
+
+class Event(IntEnum):
+    """All events that the programs of the mesh log."""
+
+    STARTED = 100
+    STOPPING = 101
+    STOPPED = 102
+    SETTINGS_RELOADED = 103
+    SETTINGS_REFUSED = 104
+    FAULT = 105
+    CONFIGURATION_APPLIED = 200
+    EVACUATIONS_APPLIED = 201
+    BACKEND_CHANGED = 210
+    BACKEND_EJECTED = 211
+    BACKEND_RESTORED = 212
+    PEER_LOST = 220
+    PEER_FOUND = 221
+    REGISTRY_UP = 230
+    REGISTRY_DOWN = 231
+    REGISTRY_CHANGED = 232
+    REQUEST_SUMMARY = 240
+    ORDER_TAKEN = 300
+    ORDER_REFUSED = 301
+    AGENT_JOINED = 310
+    AGENT_REMOVED = 311
+    PRIMARY_FOUND = 320
+    PRIMARY_LOST = 321
+    IDENTITY_DRAWN = 400
+    VIEW_PROPOSED = 401
+    VIEW_DECIDED = 402
+    PRIMARY_SERVING = 403
+    PRIMARY_STEPPED_DOWN = 404
+    MEMBER_SUSPECTED = 405
+    BACKUP_BEHIND = 406
+    ORDER_COMMITTED = 407
+
+
+class EventLog:
+    """Writes events of one process as `key=value` lines to standard error."""
+
+    def __init__(self, name: str) -> None:
+        self._name = name
+        self._logger = picologging.getLogger("lupinreach.mesh")
+        self._logger.setLevel(picologging.INFO)
+        handler = picologging.StreamHandler(sys.stderr)
+        handler.setFormatter(picologging.Formatter("%(message)s"))
+        self._logger.addHandler(handler)
+
+    def write(self, event: Event, **facts: Any) -> None:
+        """Log one event with its facts."""
+        told = " ".join([f"{key}={_quoted(value)}" for key, value in facts.items()])
+        self._logger.info(f"{time.time():.3f} {self._name} E{event:d} {event.name.lower()} {told}".rstrip())
+
+
+def _quoted(value: Any) -> str:
+    text = str(value)
+    return f'"{text}"' if " " in text or not text else text
--- /dev/null
+++ b/lupinreach/mesh/proxy/news.py
@@ -0,0 +1,64 @@
+"""The configuration news that a proxy holds: it only ever moves forward within one life."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from result import Ok
+
+from lupinreach.mesh.configuration import RouteTable, is_newer, parse_configuration
+from lupinreach.mesh.messages import News
+
+Stamp = tuple[int, int]
+
+
+class NewsHolder:
+    """Highest configuration and newest evacuations that any registry or neighbour told."""
+
+    def __init__(self) -> None:
+        self.table: RouteTable | None = None
+        self.raw = b""  # the configuration as the operator sent it
+        self.stamp: Stamp = (0, 0)
+        self.evacuations: dict[str, bool] = {}
+        self._listeners: list[Callable[[], None]] = []
+        self.changed_at = 0.0
+
+    @property
+    def version(self) -> str:
+        return self.table.version if self.table is not None else ""
+
+    def on_change(self, listener: Callable[[], None]) -> None:
+        """Call the listener after each change."""
+        self._listeners.append(listener)
+
+    def evacuated(self, zone: str) -> bool:
+        return self.evacuations.get(zone, False)
+
+    def apply(self, news: News) -> bool:
+        """Put what is newer in force; true where anything changed."""
+        changed = self._apply_configuration(news)
+        stamp: Stamp = (news.stamp[0], news.stamp[1])
+        if stamp > self.stamp:
+            self.stamp = stamp
+            changed = changed or self.evacuations != news.evacuations
+            self.evacuations = dict(news.evacuations)
+        if changed:
+            self.changed_at = asyncio.get_running_loop().time()
+            for listener in self._listeners:
+                listener()
+        return changed
+
+    def _apply_configuration(self, news: News) -> bool:
+        if news.config is None or not is_newer(news.config_version, self.version):
+            return False
+        parsed = parse_configuration(news.config)
+        if not isinstance(parsed, Ok):
+            return False
+        self.raw = news.config
+        self.table = RouteTable(parsed.ok_value)
+        return True
+
+    def as_news(self) -> News:
+        """All that is held, as one message."""
+        return News(list(self.stamp), self.version, self.raw or None, self.evacuations)
--- /dev/null
+++ b/lupinreach/mesh/proxy/outbound.py
@@ -0,0 +1,223 @@
+"""The outbound side of a proxy: takes a client's request, routes it and sees it through its attempts."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from dataclasses import dataclass, field
+
+from lupinreach.http1.message import OF_CONNECTION
+from lupinreach.mesh.configuration import Route
+from lupinreach.mesh.errors import AttemptFailure, ErrorKind, NotTakenReason
+from lupinreach.mesh.messages import Answer, Failed, NotTaken, Request
+from lupinreach.mesh.proxy.gate import DEADLINE, Outcome
+from lupinreach.mesh.proxy.news import NewsHolder
+from lupinreach.mesh.proxy.peers import Peer, PeerTable
+from lupinreach.mesh.proxy.pool_policy import DEFAULT_AIM_MS, Choice, PoolPolicy
+from lupinreach.mesh.proxy.retry_budget import RetryBudget
+from lupinreach.mesh.server import HttpAnswer, HttpRequest, error_answer
+
+REQUEST_ID = b"lupinreach-request-id"
+SET_BY_MESH = frozenset((DEADLINE, b"lupinreach-target-instance", b"lupinreach-caller-service"))
+HOLD_SHARE = 0.22  # of the aim: a request waits for room no longer, and is then refused
+MIN_REMAINING_MS = 3
+RETRY_AFTER_SHARE = 0.3  # of the aim, where nothing tells when there will be room
+MOST_REFUSALS = 8  # gates that turn a request away before it is given up
+ROUTE_BYTES = 0.1  # weight of the newest size in what a route's answers usually have
+FIRST_ANSWER_KB = 2.0
+
+
+@dataclass(slots=True)
+class _Passage:
+    """One request on its way."""
+
+    request: HttpRequest
+    route: Route
+    service: str
+    aim_ms: float
+    until: float
+    headers: bytes
+    host: bytes
+    attempts: int = 0  # that may have reached a backend
+    refusals: int = 0
+    retry_ms: float = 0.0
+    excluded: set[str] = field(default_factory=set)
+    last: NotTakenReason | None = None
+
+
+class Outbound:
+    """Serves the requests that begin on this machine."""
+
+    def __init__(
+        self, caller: str, news: NewsHolder, peers: PeerTable, policy: PoolPolicy, budget: RetryBudget
+    ) -> None:
+        self._caller_line = b"Lupinreach-Caller-Service: " + caller.encode() + b"\r\n"
+        self._news = news
+        self._peers = peers
+        self._policy = policy
+        self._budget = budget
+        self._answer_kb: dict[tuple[str, float], float] = {}
+        self.in_flight = 0
+
+    def may_overlap(self, request: HttpRequest) -> bool:
+        """If a request may run beside others of its connection: only what is repeatable."""
+        route = self._route(request)
+        return route is None or route.repeatable
+
+    def _route(self, request: HttpRequest) -> Route | None:
+        if self._news.table is None:
+            return None
+        host = (request.header(b"host") or b"").decode("latin-1")
+        return self._news.table.find(host, request.target.decode("latin-1"))
+
+    async def handle(self, request: HttpRequest) -> HttpAnswer:
+        """The answer to one request of a client."""
+        if self._news.table is None:
+            return error_answer(ErrorKind.NOT_CONFIGURED, retry_ms=200)
+        if not request.header(REQUEST_ID):
+            return error_answer(ErrorKind.NO_REQUEST_ID)
+        route = self._route(request)
+        if route is None:
+            return error_answer(ErrorKind.NO_ROUTE)
+        self.in_flight += 1
+        try:
+            return await self._pass(self._passage(request, route))
+        finally:
+            self.in_flight -= 1
+
+    def _passage(self, request: HttpRequest, route: Route) -> _Passage:
+        given = request.header(DEADLINE) or b""
+        time_ms = min(route.timeout_ms, float(given)) if given.isdigit() else route.timeout_ms
+        stays = OF_CONNECTION | SET_BY_MESH | request.head.options
+        lines = [bytes(line) for name, line in request.head.lines if name not in stays]
+        return _Passage(
+            request=request,
+            route=route,
+            service=_drawn_service(route),
+            aim_ms=route.target_latency_ms or DEFAULT_AIM_MS,
+            until=request.received_at + time_ms / 1000,
+            headers=b"".join([*lines, self._caller_line]),
+            host=request.header(b"host") or b"",
+        )
+
+    async def _pass(self, passage: _Passage) -> HttpAnswer:
+        loop = asyncio.get_running_loop()
+        while True:
+            now = loop.time()
+            if (passage.until - now) * 1000 < MIN_REMAINING_MS:
+                return self._give_up(passage, ErrorKind.TIMED_OUT if passage.attempts else ErrorKind.EXPIRED)
+            candidates = self._peers.of_service(passage.service)
+            peer = self._policy.choose(self._choice(passage), candidates, now)
+            if peer is None:
+                return self._no_backend(passage)
+            if passage.attempts == 0:
+                self._budget.first(passage.service)
+            outcome = await self._attempt(passage, peer, now)
+            answer = self._judge(passage, peer, outcome, now, candidates)
+            if answer is not None:
+                return answer
+
+    def _choice(self, passage: _Passage) -> Choice:
+        known = self._answer_kb.get((passage.service, passage.aim_ms), FIRST_ANSWER_KB)
+        kilobytes = known + len(passage.request.body) / 1024
+        regions = frozenset(passage.route.allowed_regions)
+        return Choice(passage.service, passage.aim_ms, kilobytes, passage.excluded, regions)
+
+    async def _attempt(self, passage: _Passage, peer: Peer, now: float) -> Outcome:
+        held_ms = (now - passage.request.received_at) * 1000
+        remaining_ms = (passage.until - now) * 1000
+        left_of_aim = passage.aim_ms - held_ms
+        asked = Request(
+            service=passage.service,
+            instance_id=peer.status.instance_id,
+            config_version=self._news.version,
+            remaining_ms=int(remaining_ms),
+            repeatable=passage.route.repeatable,
+            again=passage.attempts > 0,
+            wait_ms=int(max(0.0, HOLD_SHARE * passage.aim_ms - held_ms)),
+            rank=int(left_of_aim if left_of_aim > 0 else remaining_ms),
+            method=passage.request.method,
+            target=passage.request.target,
+            host=passage.host,
+            headers=passage.headers,
+            body=passage.request.body,
+        )
+        try:
+            return await peer.attempt(asked)
+        except asyncio.CancelledError:
+            self._policy.released(peer, passage.aim_ms)
+            raise
+
+    def _judge(
+        self, passage: _Passage, peer: Peer, outcome: Outcome, sent: float, candidates: list[Peer]
+    ) -> HttpAnswer | None:
+        """The answer that an outcome gives, or None for another attempt."""
+        now = asyncio.get_running_loop().time()
+        if isinstance(outcome, NotTaken):
+            return self._judge_not_taken(passage, peer, outcome)
+        passage.excluded.add(peer.address)
+        if isinstance(outcome, Failed):
+            self._policy.landed(peer, passage.aim_ms, None, now, candidates)
+            return self._judge_failed(passage, outcome)
+        failed = outcome.status >= 500
+        latency_ms = None if failed else (now - sent) * 1000
+        self._policy.landed(peer, passage.aim_ms, latency_ms, now, candidates)
+        passage.attempts += 1
+        if failed and passage.route.repeatable and self._may_repeat(passage):
+            return None
+        self._learn_size(passage, outcome)
+        return HttpAnswer(outcome.status, outcome.headers, outcome.body)
+
+    def _judge_not_taken(self, passage: _Passage, peer: Peer, outcome: NotTaken) -> HttpAnswer | None:
+        self._policy.released(peer, passage.aim_ms)
+        passage.excluded.add(peer.address)
+        passage.refusals += 1
+        reason = passage.last = NotTakenReason(outcome.reason)
+        passage.retry_ms = min(passage.retry_ms or outcome.retry_ms, outcome.retry_ms or passage.retry_ms)
+        if reason is NotTakenReason.STALE_ROUTE:
+            passage.refusals = MOST_REFUSALS  # this proxy's configuration is old; the client's next try meets a new one
+        if reason is NotTakenReason.BACKEND_DECLINED:
+            passage.attempts += 1  # it reached a backend, and counts against the limit on repeats
+            if not self._may_repeat(passage):
+                return self._no_backend(passage)
+        if passage.refusals >= MOST_REFUSALS:
+            return self._no_backend(passage)
+        return None
+
+    def _judge_failed(self, passage: _Passage, outcome: Failed) -> HttpAnswer | None:
+        failure = AttemptFailure(outcome.failure)
+        kind = ErrorKind.TIMED_OUT if failure is AttemptFailure.TIMED_OUT else ErrorKind.OUTCOME_UNKNOWN
+        if not outcome.ran:
+            passage.refusals += 1
+            return self._no_backend(passage) if passage.refusals >= MOST_REFUSALS else None
+        passage.attempts += 1
+        if not passage.route.repeatable or failure is AttemptFailure.TIMED_OUT:
+            return error_answer(kind)
+        return None if self._may_repeat(passage) else error_answer(kind)
+
+    def _may_repeat(self, passage: _Passage) -> bool:
+        return passage.attempts < passage.route.max_attempts and self._budget.spend(passage.service)
+
+    def _give_up(self, passage: _Passage, kind: ErrorKind) -> HttpAnswer:
+        return error_answer(kind, retry_ms=RETRY_AFTER_SHARE * passage.aim_ms)
+
+    def _no_backend(self, passage: _Passage) -> HttpAnswer:
+        """Refuse at once; the request has not run, unless a repeatable one failed before."""
+        kind = ErrorKind.FULL if passage.last in (NotTakenReason.FULL, NotTakenReason.COLD) else ErrorKind.NO_BACKEND
+        retry_ms = max(passage.retry_ms, RETRY_AFTER_SHARE * passage.aim_ms) * random.uniform(0.7, 1.3)
+        return error_answer(kind, retry_ms=retry_ms)
+
+    def _learn_size(self, passage: _Passage, answer: Answer) -> None:
+        key = (passage.service, passage.aim_ms)
+        size = (len(answer.body) + len(answer.headers)) / 1024
+        known = self._answer_kb.get(key, size)
+        self._answer_kb[key] = known + ROUTE_BYTES * (size - known)
+
+
+def _drawn_service(route: Route) -> str:
+    """One of the route's services, by their weights."""
+    targets = route.targets()
+    if len(targets) == 1:
+        return targets[0].target_service
+    drawn = random.choices(targets, [target.weight for target in targets])[0]
+    return drawn.target_service
--- /dev/null
+++ b/lupinreach/mesh/proxy/program.py
@@ -0,0 +1,194 @@
+"""The proxy program: wires outbound side, gate, registry links and listeners together."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from enum import Enum
+
+from lupinreach.mesh.dispatch import Dispatcher
+from lupinreach.mesh.events import Event, EventLog
+from lupinreach.mesh.instance_calls import add_instance_calls
+from lupinreach.mesh.messages import AgentEntry, AgentHello
+from lupinreach.mesh.proxy.gate import Gate
+from lupinreach.mesh.proxy.inbound import Inbound
+from lupinreach.mesh.proxy.local_backend import BackendState, Heartbeat, LocalBackend
+from lupinreach.mesh.proxy.news import NewsHolder
+from lupinreach.mesh.proxy.outbound import Outbound
+from lupinreach.mesh.proxy.peers import LocalPeer, PeerTable
+from lupinreach.mesh.proxy.pool_policy import PoolPolicy
+from lupinreach.mesh.proxy.registry_client import RegistryClient
+from lupinreach.mesh.proxy.retry_budget import RetryBudget
+from lupinreach.mesh.server import BufferBudget, HttpAnswer, HttpRequest, HttpServer, ServerLimits
+from lupinreach.mesh.settings import Settings
+
+BODY_SHARE = 0.35  # of the process's memory, for buffered bodies
+LINGER_S = 2.6  # after SIGTERM, until the platform has noticed that this proxy is not ready
+GRACE_LEFT_S = 0.5  # of the grace period, kept for the end itself
+STOP_CHECK_S = 0.05
+HOUSEKEEPING_S = 1.0
+PROBE_AFTER_S = 0.05  # from the first configuration to the health probe, unless a heartbeat came
+
+
+class ProxyState(Enum):
+    """Life of the process."""
+
+    STARTING = "starting"
+    SERVING = "serving"
+    STOPPING = "stopping"
+    STOPPED = "stopped"
+
+
+class ProxyProgram:
+    """One proxy."""
+
+    def __init__(self, settings: Settings, log: EventLog) -> None:
+        assert settings.app_address is not None and settings.target_service is not None
+        self.state = ProxyState.STARTING
+        self._settings = settings
+        self._log = log
+        self._life = int(time.time() * 1000)
+        self._sequence = 0
+        self._probed = False
+        self._was_evacuated = False
+        self._address = settings.listen_addresses["inbound"]
+        self.news = NewsHolder()
+        self.backend = LocalBackend(settings.target_service)
+        self.gate = Gate(self.backend, settings.app_address, settings.zone, self.news)
+        self.peers = PeerTable(self._address, lambda: self.news.version)
+        self.peers.add_local(LocalPeer(self._address, settings.zone, self.gate))
+        zones = settings.zones
+        self.policy = PoolPolicy(settings.zone, lambda zone: zones.get(zone, ""), log.write)
+        self.budget = RetryBudget(settings.bounds.retry_budget_ratio, settings.bounds.retry_budget_slack)
+        self.outbound = Outbound(settings.target_service, self.news, self.peers, self.policy, self.budget)
+        self.inbound = Inbound(self.gate, self.news)
+        self._server = HttpServer(
+            self.outbound.handle,
+            self.outbound.may_overlap,
+            BufferBudget(int(settings.limits.memory_mb * BODY_SHARE) << 20),
+            self._fault,
+        )
+        calls = Dispatcher()
+        add_instance_calls(calls, self._on_heartbeat, self._on_deregister)
+        self._control = HttpServer(calls.handle, on_fault=self._fault)
+        readiness = Dispatcher()
+        readiness.add("GET", "readiness", call=self._readiness)
+        self._readiness_server = HttpServer(readiness.handle, on_fault=self._fault)
+        self._registries: RegistryClient | None = None
+
+    async def start(self) -> None:
+        """Open the listeners and the links to registries."""
+        settings = self._settings
+        await self.inbound.listen(settings.listen_address("inbound"))
+        await self._control.listen(settings.listen_address("control_plane"))
+        await self._readiness_server.listen(settings.listen_address("readiness"))
+        await self._server.listen(settings.listen_address("outbound"))
+        self.gate.on_status(lambda status: self._announce())
+        self.news.on_change(self._on_news)
+        seeds = [f"{host}:{settings.registry_port}" for host in settings.seed_hosts]
+        self._registries = RegistryClient(
+            seeds, settings.zone, self._hello, self._own_entry, self.news, self.peers.apply, self._log
+        )
+        self._housekeeper = asyncio.get_running_loop().create_task(self._housekeeping())
+
+    def _fault(self, fault: BaseException) -> None:
+        self._log.write(Event.FAULT, fault=repr(fault))
+
+    # Calls of the backend and of the platform.
+
+    def _on_heartbeat(self, instance_id: str, beat: Heartbeat) -> None:
+        known = (self.backend.instance_id, self.backend.state)
+        self.gate.heartbeat(instance_id, beat)
+        if known != (self.backend.instance_id, self.backend.state):
+            self._log_backend()
+
+    def _on_deregister(self, instance_id: str) -> None:
+        self.gate.deregister(instance_id)
+        self._log_backend()
+
+    def _log_backend(self) -> None:
+        self._log.write(Event.BACKEND_CHANGED, instance=self.backend.instance_id, state=self.backend.state.value)
+
+    async def _readiness(self, request: HttpRequest) -> HttpAnswer:
+        ready = self.state is ProxyState.SERVING
+        return HttpAnswer(200 if ready else 503, b"", self.state.value.encode() + b"\n")
+
+    # News.
+
+    def _on_news(self) -> None:
+        table = self.news.table
+        if table is None:
+            return
+        if self.state is ProxyState.STARTING:
+            self.state = ProxyState.SERVING
+        limits = table.limits
+        self._server.limits = ServerLimits(limits.max_body_bytes, limits.header_timeout_ms, limits.idle_timeout_ms)
+        evacuated = self.news.evacuated(self._settings.zone)
+        if self._was_evacuated and not evacuated:
+            self.gate.evacuation_ended()
+        self._was_evacuated = evacuated
+        self.gate.refresh()
+        if not self._probed and not self._settings.first_start:
+            self._probed = True
+            asyncio.get_running_loop().call_later(PROBE_AFTER_S, self._probe)
+        self._log.write(Event.CONFIGURATION_APPLIED, version=table.version, evacuations=_names(self.news.evacuations))
+
+    def _probe(self) -> None:
+        service = self.news.table.services.get(self.backend.service) if self.news.table else None
+        if self.backend.state is BackendState.UNKNOWN and service is not None:
+            self._probing = asyncio.get_running_loop().create_task(self.gate.probe(service.health_check_path))
+
+    # Links to registries.
+
+    def _hello(self) -> AgentHello:
+        return AgentHello(self._address, self._life, self.news.version, list(self.news.stamp))
+
+    def _own_entry(self) -> AgentEntry:
+        status = self.gate.status()
+        return AgentEntry(
+            self._address,
+            self._life,
+            self._sequence,
+            status.service,
+            self._settings.zone,
+            status.instance_id,
+            status.available,
+        )
+
+    def _announce(self) -> None:
+        self._sequence += 1
+        if self._registries is not None:
+            self._registries.announce()
+
+    async def _housekeeping(self) -> None:
+        while True:
+            await asyncio.sleep(HOUSEKEEPING_S)
+            peers = self.peers.by_address.values()
+            self.policy.forget_past(peers)
+            self.budget.set_proxies(len(peers))
+            self.gate.refresh()
+
+    def settings_changed(self, settings: Settings) -> None:
+        """Nothing of the settings moves within a life but what a restart would read too."""
+        self._settings = settings
+
+    async def stop(self) -> None:
+        """Finish what is under way, then end."""
+        self.state = ProxyState.STOPPING
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        last = began + self._settings.bounds.grace_period_s - GRACE_LEFT_S
+        self.gate.stop()
+        self._server.stop()
+        while loop.time() < last:
+            await asyncio.sleep(STOP_CHECK_S)
+            busy = self._server.busy or self.gate.in_flight or self.gate.admission.running
+            if not busy and loop.time() > began + LINGER_S:
+                break
+        self.state = ProxyState.STOPPED
+        self._server.close()
+        self.inbound.close()
+
+
+def _names(evacuations: dict[str, bool]) -> str:
+    return ",".join(sorted(zone for zone, on in evacuations.items() if on)) or "none"
--- /dev/null
+++ b/lupinreach/mesh/proxy/registry_client.py
@@ -0,0 +1,139 @@
+"""The proxy's held links to two registries, of different zones where that can be."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from lupinreach.mesh.events import Event, EventLog
+from lupinreach.mesh.link import Dialer, Link, parse_address
+from lupinreach.mesh.messages import AgentEntry, AgentHello, Message, News, NewsAcknowledged, RegistryStatus
+from lupinreach.mesh.proxy.news import NewsHolder
+
+LINKS = 2
+SILENT_AFTER_S = 1.7  # a registry that says nothing for so long is exchanged for another
+STALE_AFTER_S = 1.5  # and so is one that hears no store for so long, where another is known
+CHECK_S = 0.25
+MOST_FAILURES = 3  # attempts to connect before another registry is tried
+
+
+class _Held:
+    """One of the links."""
+
+    def __init__(self, address: str, zone: str) -> None:
+        self.address = address
+        self.zone = zone
+        self.dialer: Dialer | None = None
+        self.fresh_at = 0.0  # loop time at which it last said that it hears a store
+        self.began = 0.0
+
+
+class RegistryClient:
+    """Keeps the links up and hands on what comes over them."""
+
+    def __init__(
+        self,
+        seeds: list[str],
+        zone: str,
+        hello: Callable[[], AgentHello],
+        own_entry: Callable[[], AgentEntry],
+        news: NewsHolder,
+        on_entry: Callable[[AgentEntry], None],
+        log: EventLog,
+    ) -> None:
+        self._zone = zone
+        self._hello = hello
+        self._own_entry = own_entry
+        self._news = news
+        self._on_entry = on_entry
+        self._log = log
+        self._known: dict[str, str] = dict.fromkeys(seeds, "")  # address: zone, empty while unknown
+        self._held: list[_Held] = []
+        self._avoid: dict[str, float] = {}  # address: loop time until which others go first
+        self._task = asyncio.get_running_loop().create_task(self._run())
+
+    async def _run(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            now = loop.time()
+            for held in list(self._held):
+                if self._is_lost(held, now):
+                    self._drop(held, now)
+            while len(self._held) < min(LINKS, len(self._known)):
+                self._open(now)
+            await asyncio.sleep(CHECK_S)
+
+    def _is_lost(self, held: _Held, now: float) -> bool:
+        assert held.dialer is not None
+        link = held.dialer.link
+        others = len(self._known) > len(self._held)
+        if link is None:
+            return others and held.dialer.failures >= MOST_FAILURES or now - held.began > 3 * SILENT_AFTER_S
+        if link.silent_s() > SILENT_AFTER_S:
+            return True
+        return others and now - max(held.fresh_at, held.began) > STALE_AFTER_S
+
+    def _drop(self, held: _Held, now: float) -> None:
+        assert held.dialer is not None
+        self._held.remove(held)
+        self._avoid[held.address] = now + 2 * SILENT_AFTER_S
+        held.dialer.close()
+        self._log.write(Event.REGISTRY_CHANGED, registry=held.address)
+
+    def _open(self, now: float) -> None:
+        zones = {held.zone for held in self._held}
+        addresses = {held.address for held in self._held}
+        free = [address for address in self._known if address not in addresses]
+
+        def order(address: str) -> tuple[bool, bool, bool, str]:
+            zone = self._known[address]
+            avoided = self._avoid.get(address, 0.0) > now
+            return avoided, bool(zone) and zone in zones, zone != self._zone, address
+
+        address = min(free, key=order)
+        held = _Held(address, self._known[address])
+        held.began = now
+        held.dialer = Dialer(
+            parse_address(address),
+            lambda link: self._up(held, link),
+            lambda link, message: self._message(held, message),
+            lambda link: self._down(held),
+        )
+        self._held.append(held)
+
+    def _up(self, held: _Held, link: Link) -> None:
+        held.began = asyncio.get_running_loop().time()
+        link.send(self._hello())
+        link.send(self._own_entry())
+        self._log.write(Event.REGISTRY_UP, registry=held.address)
+
+    def _down(self, held: _Held) -> None:
+        self._log.write(Event.REGISTRY_DOWN, registry=held.address)
+
+    def _message(self, held: _Held, message: Message) -> None:
+        if isinstance(message, News):
+            self._news.apply(message)
+            self._send(held, NewsAcknowledged(list(self._news.stamp), self._news.version))
+        elif isinstance(message, AgentEntry):
+            self._on_entry(message)
+        elif isinstance(message, RegistryStatus):
+            if message.fresh:
+                held.fresh_at = asyncio.get_running_loop().time()
+            for address, zone in message.registries:
+                self._known[address] = zone
+                if address == held.address:
+                    held.zone = zone
+
+    def _send(self, held: _Held, message: Message) -> None:
+        if held.dialer is not None and held.dialer.link is not None:
+            held.dialer.link.send(message)
+
+    def announce(self) -> None:
+        """Tell the registries what is beside this proxy now."""
+        entry = self._own_entry()
+        for held in self._held:
+            self._send(held, entry)
+
+    @property
+    def connected(self) -> int:
+        return sum(held.dialer is not None and held.dialer.link is not None for held in self._held)
--- /dev/null
+++ b/lupinreach/mesh/registry/agents.py
@@ -0,0 +1,83 @@
+"""The registry's table of proxies: rebuilt from what the proxies themselves tell."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from lupinreach.mesh.link import Link
+from lupinreach.mesh.messages import AgentEntry
+
+EXPIRES_S = 5.0  # after the last registry that was connected to it lost it
+
+
+@dataclass(slots=True)
+class Known:
+    """One proxy."""
+
+    entry: AgentEntry
+    alive_at: float  # loop time at which some registry was last connected to it
+    link: Link | None = None  # to this registry
+    acknowledged: tuple[int, int] = (0, 0)  # stamp of the news that it has put in force
+
+
+class AgentTable:
+    """All proxies by address; the newest (life, sequence) of each holds."""
+
+    def __init__(self) -> None:
+        self._by_address: dict[str, Known] = {}
+
+    def __len__(self) -> int:
+        return len(self._by_address)
+
+    def entries(self) -> list[AgentEntry]:
+        return [known.entry for known in self._by_address.values()]
+
+    def connected(self) -> list[Known]:
+        """Those with a link to this registry."""
+        return [known for known in self._by_address.values() if known.link is not None]
+
+    def find(self, address: str) -> Known | None:
+        return self._by_address.get(address)
+
+    def apply(self, entry: AgentEntry, now: float) -> bool:
+        """Take an entry in; false where a newer one is held."""
+        known = self._by_address.get(entry.address)
+        if known is None:
+            self._by_address[entry.address] = Known(entry, now)
+            return True
+        known.alive_at = now
+        if (entry.life, entry.sequence) <= (known.entry.life, known.entry.sequence):
+            return False
+        known.entry = entry
+        return True
+
+    def connect(self, address: str, life: int, link: Link, now: float) -> None:
+        """A proxy has opened a link to this registry."""
+        known = self._by_address.get(address)
+        if known is None:
+            known = self._by_address[address] = Known(AgentEntry(address, life, -1), now)
+        known.link = link
+        known.alive_at = now
+
+    def disconnect(self, link: Link, now: float) -> None:
+        """A link has ended."""
+        for known in self._by_address.values():
+            if known.link is link:
+                known.link = None
+                known.alive_at = now
+
+    def alive(self, address: str, now: float) -> None:
+        """Another registry is connected to it."""
+        known = self._by_address.get(address)
+        if known is not None:
+            known.alive_at = now
+
+    def expire(self, now: float) -> list[AgentEntry]:
+        """Drop those that no registry has been connected to for long; as entries that say so."""
+        gone = []
+        for address, known in list(self._by_address.items()):
+            if known.link is None and now - known.alive_at > EXPIRES_S:
+                del self._by_address[address]
+                entry = known.entry
+                gone.append(AgentEntry(address, entry.life, entry.sequence, entry.service, entry.zone, removed=True))
+        return gone
--- /dev/null
+++ b/lupinreach/mesh/registry/orders.py
@@ -0,0 +1,112 @@
+"""Orders of operators on their way to the primary store."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+
+from result import Err, Ok, Result
+
+from lupinreach.mesh.errors import ErrorKind
+from lupinreach.mesh.link import Dialer, Link
+from lupinreach.mesh.messages import Message, Order, OrderResult, StoreStatus, Subscribe
+from lupinreach.mesh.store.document import OrderKind
+
+PATIENCE_S = 0.9  # operators turn to another registry after a second of silence
+RETRY_S = 0.05
+SILENT_AFTER_S = 1.5
+
+
+@dataclass(slots=True)
+class _Store:
+    """A store as this registry sees it."""
+
+    dialer: Dialer | None = None
+    epoch: int = -1
+    serving: bool = False
+
+
+class StoreLinks:
+    """Held links to all known stores, and the orders that are out on them."""
+
+    def __init__(self, port: int, version: object, on_news: object) -> None:
+        self._port = port
+        self._stores: dict[str, _Store] = {}  # by host
+        self._numbers = 0
+        self._out: dict[int, asyncio.Future[OrderResult]] = {}
+        self._on_news = on_news
+        self._version = version
+
+    def dial(self, host: str) -> None:
+        """Hold a link to the store on a machine."""
+        if host in self._stores:
+            return
+        store = self._stores[host] = _Store()
+        store.dialer = Dialer(
+            (host, self._port),
+            self._up,
+            lambda link, message: self._message(store, message),
+            lambda link: self._down(store),
+        )
+
+    @property
+    def hosts(self) -> list[str]:
+        return list(self._stores)
+
+    def _up(self, link: Link) -> None:
+        link.send(Subscribe(self._version()))  # type: ignore[operator]
+
+    def _down(self, store: _Store) -> None:
+        store.serving = False
+
+    def _message(self, store: _Store, message: Message) -> None:
+        if isinstance(message, StoreStatus):
+            store.epoch, store.serving = message.epoch, message.serving
+            for _, host, _, _ in message.stores:
+                self.dial(host)
+        elif isinstance(message, OrderResult):
+            future = self._out.pop(message.number, None)
+            if future is not None and not future.done():
+                future.set_result(message)
+        else:
+            self._on_news(message)  # type: ignore[operator]
+
+    def primary(self) -> Link | None:
+        """The link to the store that serves under the highest epoch."""
+        best: _Store | None = None
+        for store in self._stores.values():
+            link = store.dialer.link if store.dialer is not None else None
+            if not store.serving or link is None or link.silent_s() > SILENT_AFTER_S:
+                continue
+            if best is None or store.epoch > best.epoch:
+                best = store
+        return best.dialer.link if best is not None and best.dialer is not None else None
+
+    async def order(self, kind: OrderKind, version: str = "", payload: bytes = b"", zone: str = "") -> Result[bytes, ErrorKind]:
+        """Send an order to the primary and wait for its result, within an operator's patience."""
+        loop = asyncio.get_running_loop()
+        until = loop.time() + PATIENCE_S
+        error = ErrorKind.NO_PRIMARY
+        while loop.time() < until:
+            link = self.primary()
+            if link is not None:
+                result = await self._ask(link, Order(0, int(kind), version, payload, zone), until)
+                if result is not None and not result.error:
+                    return Ok(result.payload)
+                error = ErrorKind.STORE_UNAVAILABLE
+            await asyncio.sleep(RETRY_S)
+        return Err(error)
+
+    async def _ask(self, link: Link, order: Order, until: float) -> OrderResult | None:
+        self._numbers += 1
+        order.number = self._numbers
+        future: asyncio.Future[OrderResult] = asyncio.get_running_loop().create_future()
+        self._out[order.number] = future
+        link.send(order)
+        try:
+            async with asyncio.timeout_at(until):
+                return await future
+        except TimeoutError:
+            return None
+        finally:
+            self._out.pop(order.number, None)
--- /dev/null
+++ b/lupinreach/mesh/registry/program.py
@@ -0,0 +1,237 @@
+"""The registry program: links of proxies and of other registries, news from the store, operators' calls."""
+
+from __future__ import annotations
+
+import asyncio
+
+from result import Err
+
+from lupinreach.mesh.configuration import is_newer, parse_configuration
+from lupinreach.mesh.dispatch import ANY, Dispatcher
+from lupinreach.mesh.errors import ErrorKind
+from lupinreach.mesh.events import Event, EventLog
+from lupinreach.mesh.instance_calls import JSON_TYPE, add_instance_calls
+from lupinreach.mesh.link import Dialer, Link, listen
+from lupinreach.mesh.messages import (
+    AgentEntry,
+    AgentHello,
+    AliveAgents,
+    Message,
+    News,
+    NewsAcknowledged,
+    RegistryHello,
+    RegistryStatus,
+    encode,
+)
+from lupinreach.mesh.proxy.local_backend import Heartbeat
+from lupinreach.mesh.registry.agents import AgentTable
+from lupinreach.mesh.registry.orders import StoreLinks
+from lupinreach.mesh.server import HttpAnswer, HttpRequest, HttpServer, error_answer
+from lupinreach.mesh.settings import Settings
+from lupinreach.mesh.store.document import OrderKind
+
+HEARTBEAT_S = 0.5
+ALIVE_EVERY = 2  # heartbeats between two lists of connected proxies for the other registries
+
+
+class RegistryProgram:
+    """One registry."""
+
+    def __init__(self, settings: Settings, log: EventLog) -> None:
+        self._settings = settings
+        self._log = log
+        self.agents = AgentTable()
+        self._news = News()
+        self._known_versions: dict[Link, str] = {}  # of the configuration, by proxy's link
+        self._registries: dict[str, Dialer] = {}  # by host
+        self._zones: dict[str, str] = {settings.ip_address: settings.zone}
+        self._stores = StoreLinks(settings.store_port, lambda: self._news.config_version, self._on_store_message)
+        calls = Dispatcher()
+        calls.add("POST", "configuration", "replace", call=self._replace_configuration)
+        calls.add("GET", "configuration", "describe", call=self._describe_configuration)
+        calls.add("POST", "evacuations", ANY, "start", call=self._start_evacuation)
+        calls.add("POST", "evacuations", ANY, "stop", call=self._stop_evacuation)
+        add_instance_calls(calls, self._on_heartbeat, self._on_deregister)
+        self._server = HttpServer(calls.handle, on_fault=lambda fault: log.write(Event.FAULT, fault=repr(fault)))
+
+    async def start(self) -> None:
+        """Listen, and dial the stores and registries on the seeds."""
+        settings = self._settings
+        address = (settings.ip_address, settings.registry_port)
+        self._links = await listen(address, lambda: Link(self._message, self._closed))
+        await self._server.listen(settings.listen_address("control_plane"))
+        self._stores.dial(settings.ip_address)
+        for host in settings.seed_hosts:
+            self._stores.dial(host)
+        self._ticker = asyncio.get_running_loop().create_task(self._run())
+
+    def settings_changed(self, settings: Settings) -> None:
+        """Seeds may have changed: dial what is new."""
+        for host in settings.seed_hosts:
+            self._stores.dial(host)
+
+    async def stop(self) -> None:
+        """End at once: proxies and operators turn to another registry."""
+        self._server.close()
+        self._links.close()
+
+    async def _run(self) -> None:
+        loop = asyncio.get_running_loop()
+        ticks = 0
+        while True:
+            await asyncio.sleep(HEARTBEAT_S)
+            ticks += 1
+            for host in self._stores.hosts:
+                self._dial_registry(host)
+            self._heartbeat(with_registries=ticks % 8 == 1)
+            if ticks % ALIVE_EVERY == 0:
+                self._tell_alive()
+            for entry in self.agents.expire(loop.time()):
+                self._log.write(Event.AGENT_REMOVED, agent=entry.address)
+                self._to_agents(entry, None)
+
+    # Other registries.
+
+    def _dial_registry(self, host: str) -> None:
+        if host == self._settings.ip_address or host in self._registries:
+            return
+        address = (host, self._settings.registry_port)
+        self._registries[host] = Dialer(address, self._registry_up, self._message, lambda link: None)
+
+    def _registry_up(self, link: Link) -> None:
+        link.send(RegistryHello(f"{self._settings.ip_address}:{self._settings.registry_port}"))
+        for known in self.agents.connected():
+            link.send(known.entry)
+
+    def _to_registries(self, message: Message) -> None:
+        data = encode(message)
+        for dialer in self._registries.values():
+            if dialer.link is not None:
+                dialer.link.send_encoded(data)
+
+    def _tell_alive(self) -> None:
+        connected = [[known.entry.address, known.entry.life] for known in self.agents.connected()]
+        self._to_registries(AliveAgents(connected))
+
+    # Proxies.
+
+    def _message(self, link: Link, message: Message) -> None:
+        now = asyncio.get_running_loop().time()
+        if isinstance(message, AgentHello):
+            self._on_agent(link, message, now)
+        elif isinstance(message, AgentEntry):
+            self._on_entry(link, message, now)
+        elif isinstance(message, NewsAcknowledged):
+            self._on_acknowledged(link, message)
+        elif isinstance(message, AliveAgents):
+            for address, _ in message.agents:
+                self.agents.alive(address, now)
+
+    def _closed(self, link: Link) -> None:
+        self.agents.disconnect(link, asyncio.get_running_loop().time())
+        self._known_versions.pop(link, None)
+
+    def _on_agent(self, link: Link, hello: AgentHello, now: float) -> None:
+        link.owner = hello.address
+        self._known_versions[link] = hello.config_version
+        self.agents.connect(hello.address, hello.life, link, now)
+        self._log.write(Event.AGENT_JOINED, agent=hello.address)
+        link.send(self._status(with_registries=True))
+        for entry in self.agents.entries():
+            if entry.sequence >= 0:
+                link.send(entry)
+        if self._news.stamp:
+            self._send_news(link)
+
+    def _on_entry(self, link: Link, entry: AgentEntry, now: float) -> None:
+        if not self.agents.apply(entry, now):
+            return
+        self._to_agents(entry, link)
+        if link.owner is not None:
+            self._to_registries(entry)
+
+    def _to_agents(self, message: Message, but: Link | None) -> None:
+        data = encode(message)
+        for known in self.agents.connected():
+            if known.link is not None and known.link is not but:
+                known.link.send_encoded(data)
+
+    def _on_acknowledged(self, link: Link, message: NewsAcknowledged) -> None:
+        known = self.agents.find(link.owner) if link.owner is not None else None
+        if known is not None and len(message.stamp) == 2:
+            known.acknowledged = (message.stamp[0], message.stamp[1])
+
+    def _status(self, with_registries: bool) -> RegistryStatus:
+        port = self._settings.registry_port
+        registries = [[f"{host}:{port}", ""] for host in self._stores.hosts] if with_registries else []
+        return RegistryStatus(self._stores.primary() is not None, registries)
+
+    def _heartbeat(self, with_registries: bool) -> None:
+        data = encode(self._status(with_registries))
+        for known in self.agents.connected():
+            if known.link is not None:
+                known.link.send_encoded(data)
+
+    # News.
+
+    def _on_store_message(self, message: Message) -> None:
+        if not isinstance(message, News) or message.stamp <= self._news.stamp:
+            return
+        if message.config is None:
+            message.config = self._news.config
+            message.config_version = self._news.config_version
+        if is_newer(self._news.config_version, message.config_version):
+            message.config, message.config_version = self._news.config, self._news.config_version
+        self._news = message
+        for known in self.agents.connected():
+            if known.link is not None:
+                self._send_news(known.link)
+
+    def _send_news(self, link: Link) -> None:
+        news = self._news
+        held = self._known_versions.get(link, "")
+        config = news.config if news.config_version != held else None
+        self._known_versions[link] = news.config_version
+        link.send(News(news.stamp, news.config_version, config, news.evacuations))
+
+    # Calls.
+
+    async def _replace_configuration(self, request: HttpRequest) -> HttpAnswer:
+        parsed = parse_configuration(request.body)
+        if isinstance(parsed, Err):
+            self._log.write(Event.ORDER_REFUSED, why=parsed.err_value)
+            return error_answer(ErrorKind.INVALID_CONFIGURATION, parsed.err_value)
+        version = parsed.ok_value.version.lower()
+        return await self._order(OrderKind.REPLACE_CONFIGURATION, version=version, payload=request.body)
+
+    async def _describe_configuration(self, request: HttpRequest) -> HttpAnswer:
+        result = await self._stores.order(OrderKind.READ_CONFIGURATION)
+        if isinstance(result, Err):
+            return error_answer(result.err_value, retry_ms=200)
+        if not result.ok_value:
+            return error_answer(ErrorKind.NOT_CONFIGURED, retry_ms=500)
+        return HttpAnswer(200, JSON_TYPE, result.ok_value)
+
+    async def _start_evacuation(self, request: HttpRequest, zone: str) -> HttpAnswer:
+        return await self._evacuate(OrderKind.START_EVACUATION, zone)
+
+    async def _stop_evacuation(self, request: HttpRequest, zone: str) -> HttpAnswer:
+        return await self._evacuate(OrderKind.STOP_EVACUATION, zone)
+
+    async def _evacuate(self, kind: OrderKind, zone: str) -> HttpAnswer:
+        if zone not in self._settings.zones:
+            return error_answer(ErrorKind.UNKNOWN_ZONE, zone)
+        return await self._order(kind, zone=zone)
+
+    async def _order(self, kind: OrderKind, version: str = "", payload: bytes = b"", zone: str = "") -> HttpAnswer:
+        result = await self._stores.order(kind, version, payload, zone)
+        if isinstance(result, Err):
+            return error_answer(result.err_value, retry_ms=200)
+        self._log.write(Event.ORDER_TAKEN, kind=kind.name.lower(), version=version or "-", zone=zone or "-")
+        return HttpAnswer(200, JSON_TYPE, b"{}")
+
+    def _on_heartbeat(self, instance_id: str, beat: Heartbeat) -> None:
+        """Backends on proxies' machines call their own proxy; nothing is kept of one that calls here."""
+
+    def _on_deregister(self, instance_id: str) -> None:
+        """As for heartbeats."""
--- /dev/null
+++ b/lupinreach/mesh/settings.py
@@ -0,0 +1,138 @@
+"""The settings file of a process (JSON, named by `LUPINREACH_SETTINGS`), read and checked."""
+
+from __future__ import annotations
+
+import os
+from dataclasses import dataclass, field
+
+import orjson
+from mashumaro import DataClassDictMixin
+from mashumaro.exceptions import InvalidFieldValue, MissingField
+from result import Err, Ok, Result
+
+from lupinreach.mesh.link import Address, parse_address
+
+SETTINGS_VARIABLE = "LUPINREACH_SETTINGS"
+
+
+@dataclass(slots=True)
+class Limits(DataClassDictMixin):
+    """What the machine grants the process."""
+
+    memory_mb: int = 200
+    max_file_descriptors: int = 1024
+
+
+@dataclass(slots=True)
+class FaultTolerance(DataClassDictMixin):
+    """What may be lost at once with every promise kept."""
+
+    machines: int = 0
+    zones: int = 0
+    regions: int = 0
+
+
+@dataclass(slots=True)
+class Bounds(DataClassDictMixin):
+    """Figures of the rules in force, by the unit in their names."""
+
+    contact_ms: float = 3000
+    ack_ms: float = 4000
+    drain_ms: float = 2000
+    grace_period_s: float = 6
+    config_apply_ms: float = 2000
+    retry_budget_ratio: float = 0.2
+    budget_window_s: float = 10
+    retry_budget_slack: float = 20
+    cold_overage: float = 1.0
+    cold_slack: float = 0
+    evacuation_ms: float = 5000
+    address_reuse_s: float = 2
+
+
+@dataclass(slots=True)
+class Settings(DataClassDictMixin):
+    """The fields that the mesh uses; others are skipped."""
+
+    node_name: str
+    ip_address: str
+    zone: str
+    region: str
+    zones: dict[str, str]
+    listen_addresses: dict[str, str]
+    internal_port_range: list[int]
+    seed_nodes: list[str]
+    first_start: bool = False
+    counted_in_quorum: bool = False
+    limits: Limits = field(default_factory=Limits)
+    data_directory: str | None = None
+    heartbeat_ms: float = 1500
+    fault_tolerance: FaultTolerance = field(default_factory=FaultTolerance)
+    bounds: Bounds = field(default_factory=Bounds)
+    app_address: str | None = None
+    target_service: str | None = None
+
+    def listen_address(self, name: str) -> Address:
+        """One of `listen_addresses`; it has been checked."""
+        return parse_address(self.listen_addresses[name])
+
+    @property
+    def store_port(self) -> int:
+        return self.internal_port_range[0]
+
+    @property
+    def registry_port(self) -> int:
+        return self.internal_port_range[0] + 1
+
+    @property
+    def seed_hosts(self) -> list[str]:
+        return [parse_address(seed)[0] for seed in self.seed_nodes]
+
+
+def read_settings(path: str) -> Result[Settings, str]:
+    """The settings in a file, or a complaint that names the key."""
+    try:
+        with open(path, "rb") as file:
+            return parse_settings(file.read())
+    except OSError as failed:
+        return Err(f"{path}: {failed.strerror}")
+
+
+def parse_settings(data: bytes) -> Result[Settings, str]:
+    """The settings in a JSON text, or a complaint that names the key."""
+    try:
+        raw = orjson.loads(data)
+    except orjson.JSONDecodeError as failed:
+        return Err(f"not JSON: {failed}")
+    if not isinstance(raw, dict):
+        return Err("not a JSON object")
+    try:
+        settings = Settings.from_dict(raw)
+    except MissingField as missing:
+        return Err(f"{missing.field_name}: missing")
+    except InvalidFieldValue as invalid:
+        return Err(f"{invalid.field_name}: {invalid.field_value!r} does not fit")
+    return _checked(settings)
+
+
+def _checked(settings: Settings) -> Result[Settings, str]:
+    addresses = {f"listen_addresses.{name}": text for name, text in settings.listen_addresses.items()}
+    addresses |= {f"seed_nodes[{i}]": text for i, text in enumerate(settings.seed_nodes)}
+    if settings.app_address is not None:
+        addresses["app_address"] = settings.app_address
+    for key, text in addresses.items():
+        try:
+            parse_address(text)
+        except ValueError as wrong:
+            return Err(f"{key}: {wrong}")
+    ports = settings.internal_port_range
+    if len(ports) != 2 or ports[1] - ports[0] < 1:
+        return Err("internal_port_range: two ports are needed, the second above the first")
+    if settings.zone not in settings.zones:
+        return Err(f"zone: {settings.zone!r} is not among zones")
+    return Ok(settings)
+
+
+def settings_path() -> str | None:
+    """Where the environment says that the settings are."""
+    return os.environ.get(SETTINGS_VARIABLE)
--- /dev/null
+++ b/lupinreach/mesh/store/__init__.py
@@ -0,0 +1,1 @@
+"""The store of configuration: primary, backups and witnesses on the core machines."""
--- /dev/null
+++ b/lupinreach/mesh/store/document.py
@@ -0,0 +1,53 @@
+"""What the store keeps for the operator: the newest configuration and the evacuations."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field, replace
+from enum import IntEnum
+from typing import Any
+
+from lupinreach.mesh.configuration import is_newer
+
+
+class OrderKind(IntEnum):
+    """What an order asks for. Numbers are part of the wire format."""
+
+    REPLACE_CONFIGURATION = 1
+    START_EVACUATION = 2
+    STOP_EVACUATION = 3
+    READ_CONFIGURATION = 4
+
+
+@dataclass(frozen=True, slots=True)
+class Document:
+    """One state of all that operators have ordered; `sequence` grows with each change."""
+
+    sequence: int = 0
+    version: str = ""
+    config: bytes = b""
+    evacuations: dict[str, bool] = field(default_factory=dict)
+
+    def to_list(self, with_config: bool = True) -> list[Any]:
+        """As plain values; without the configuration where the receiver holds it."""
+        return [self.sequence, self.version, self.config if with_config else None, self.evacuations]
+
+    @classmethod
+    def from_list(cls, values: list[Any], held: Document | None = None) -> Document:
+        """The inverse of `to_list`; the configuration that is left out is the held one's."""
+        sequence, version, config, evacuations = values[:4]
+        if config is None:
+            config = held.config if held is not None else b""
+        return cls(sequence, version, config, dict(evacuations))
+
+    def after(self, kind: OrderKind, version: str, payload: bytes, zone: str) -> Document:
+        """The document once an order is carried out; itself where the order changes nothing."""
+        if kind is OrderKind.REPLACE_CONFIGURATION:
+            if not is_newer(version, self.version):
+                return self
+            return replace(self, sequence=self.sequence + 1, version=version, config=payload)
+        if kind in (OrderKind.START_EVACUATION, OrderKind.STOP_EVACUATION):
+            on = kind is OrderKind.START_EVACUATION
+            if self.evacuations.get(zone, False) == on:
+                return self
+            return replace(self, sequence=self.sequence + 1, evacuations=self.evacuations | {zone: on})
+        return self
--- /dev/null
+++ b/lupinreach/mesh/store/program.py
@@ -0,0 +1,209 @@
+"""The store program: a replica with its disk, its links to the other stores, and the registries it serves."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+from lupinreach.mesh.events import Event, EventLog
+from lupinreach.mesh.link import Dialer, Link, listen
+from lupinreach.mesh.messages import (
+    Message,
+    News,
+    Order,
+    OrderResult,
+    StoreHello,
+    StoreStatus,
+    Subscribe,
+)
+from lupinreach.mesh.settings import Settings
+from lupinreach.mesh.store.disk import SqliteRecord
+from lupinreach.mesh.store.document import Document
+from lupinreach.mesh.store.replica import Replica
+from lupinreach.mesh.store.view import Member, Tolerance, View
+
+TICK_S = 0.1
+STATUS_TICKS = 2  # ticks between two heartbeats to other stores
+SUBSCRIBER_TICKS = 5  # and to registries
+GOSSIP_TICKS = 20  # and between two of them that name all known stores
+
+
+class _Subscriber:
+    """A registry that wants news."""
+
+    def __init__(self) -> None:
+        self.config_version = ""  # that it is known to hold
+
+
+class StoreProgram:
+    """One store."""
+
+    def __init__(self, settings: Settings, log: EventLog) -> None:
+        assert settings.data_directory is not None
+        self._settings = settings
+        self._log = log
+        self._record = SqliteRecord(settings.data_directory)
+        tolerance = settings.fault_tolerance
+        zones = settings.zones
+        self.replica = Replica(
+            record=self._record,
+            port=self,
+            host=settings.ip_address,
+            zone=settings.zone,
+            seed_hosts=settings.seed_hosts,
+            first_start=settings.first_start,
+            tolerance=Tolerance(tolerance.machines, tolerance.zones, tolerance.regions),
+            region_of=lambda zone: zones.get(zone, ""),
+        )
+        self._dialers: dict[str, Dialer] = {}  # by host
+        self._links: dict[str, Link] = {}  # dialled ones by the identity at the other end
+        self._epochs: dict[str, int] = {}  # of the views that other stores know
+        self._stores: dict[str, list[Any]] = {}  # by identity: as in StoreStatus
+        self._subscribers: dict[Link, _Subscriber] = {}
+        self._ticks = 0
+
+    async def start(self) -> None:
+        """Listen, and dial the seeds."""
+        settings = self._settings
+        address = (settings.ip_address, settings.store_port)
+        self._server = await listen(address, lambda: Link(self._message, self._closed))
+        for host in settings.seed_hosts:
+            self._dial(host)
+        self._ticker = asyncio.get_running_loop().create_task(self._run())
+
+    async def _run(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            self._ticks += 1
+            self.replica.tick(loop.time())
+            self._heartbeat()
+            await asyncio.sleep(TICK_S)
+
+    def settings_changed(self, settings: Settings) -> None:
+        """Seeds may have changed: dial what is new."""
+        for host in settings.seed_hosts:
+            self._dial(host)
+
+    async def stop(self) -> None:
+        """End at once: whatever was acknowledged is on disk, and another copy takes over."""
+        self._server.close()
+        self._record.close()
+
+    # Links.
+
+    def _dial(self, host: str) -> None:
+        if host == self._settings.ip_address or host in self._dialers:
+            return
+        address = (host, self._settings.store_port)
+        self._dialers[host] = Dialer(address, self._up, self._message, self._down)
+
+    def _hello(self) -> StoreHello:
+        me = self.replica.me
+        return StoreHello(me.identity, me.host, me.zone, self.replica.born_first)
+
+    def _up(self, link: Link) -> None:
+        link.send(self._hello())
+
+    def _down(self, link: Link) -> None:
+        if link.owner is not None and self._links.get(link.owner) is link:
+            del self._links[link.owner]
+
+    def _closed(self, link: Link) -> None:
+        self._subscribers.pop(link, None)
+
+    def _is_dialled(self, link: Link) -> bool:
+        return any(dialer.link is link for dialer in self._dialers.values())
+
+    def _message(self, link: Link, message: Message) -> None:
+        if isinstance(message, StoreHello):
+            self._on_hello(link, message)
+        elif isinstance(message, StoreStatus):
+            self._on_status(message)
+        elif isinstance(message, Subscribe):
+            self._on_subscribe(link, message)
+        elif isinstance(message, Order):
+            self.replica.submit(message, lambda result: self._reply(link, result))
+        elif link.owner is not None:
+            self.replica.handle(link.owner, message)
+
+    def _on_hello(self, link: Link, hello: StoreHello) -> None:
+        link.owner = hello.identity
+        self._stores[hello.identity] = [hello.identity, hello.address, hello.zone, hello.born_first]
+        self._dial(hello.address)
+        if self._is_dialled(link):
+            self._links[hello.identity] = link
+            self._heard(hello.identity, self.replica.view.epoch)
+            self.replica.link_up(hello.identity)
+        else:
+            link.send(self._hello())
+
+    def _heard(self, identity: str, epoch: int) -> None:
+        known = self._stores.get(identity)
+        if known is not None:
+            member = Member(known[0], known[1], known[2])
+            self.replica.heard(member, known[3], epoch, asyncio.get_running_loop().time())
+
+    def _on_status(self, status: StoreStatus) -> None:
+        self._epochs[status.identity] = status.epoch
+        self._heard(status.identity, status.epoch)
+        if status.view is not None:
+            self.replica.learn(View.from_list(status.view))
+        for identity, host, zone, born_first in status.stores:
+            self._stores.setdefault(identity, [identity, host, zone, born_first])
+            self._dial(host)
+
+    def _heartbeat(self) -> None:
+        replica = self.replica
+        gossip = self._ticks % GOSSIP_TICKS == 0
+        stores = [self._stores[identity] for identity in self._links if identity in self._stores] if gossip else []
+        if self._ticks % STATUS_TICKS == 0:
+            for identity, link in self._links.items():
+                behind = self._epochs.get(identity, -1) < replica.view.epoch
+                link.send(self._status(replica.view.to_list() if behind else None, stores))
+        if self._ticks % SUBSCRIBER_TICKS == 0:
+            hosts = [*stores, [replica.identity, replica.me.host, replica.me.zone, replica.born_first]]
+            for link in self._subscribers:
+                link.send(self._status(None, hosts if gossip else []))
+
+    def _status(self, view: list[Any] | None, stores: list[list[Any]]) -> StoreStatus:
+        replica = self.replica
+        return StoreStatus(
+            replica.identity, replica.view.epoch, view, replica.serving, replica.stamp, stores
+        )
+
+    # Registries.
+
+    def _on_subscribe(self, link: Link, message: Subscribe) -> None:
+        subscriber = self._subscribers.setdefault(link, _Subscriber())
+        subscriber.config_version = message.config_version
+        me = self.replica.me
+        hosts = [*self._stores.values(), [me.identity, me.host, me.zone, self.replica.born_first]]
+        link.send(self._status(None, hosts))
+        if self.replica.serving and self.replica.committed is not None:
+            self._send_news(link, self.replica.stamp, self.replica.committed)
+
+    def _send_news(self, link: Link, stamp: list[int], document: Document) -> None:
+        subscriber = self._subscribers[link]
+        config = document.config if document.version != subscriber.config_version else None
+        subscriber.config_version = document.version
+        link.send(News(stamp, document.version, config or None, document.evacuations))
+
+    @staticmethod
+    def _reply(link: Link, result: OrderResult) -> None:
+        link.send(result)
+
+    # The replica's port.
+
+    def send(self, identity: str, message: Message) -> None:
+        link = self._links.get(identity)
+        if link is not None:
+            link.send(message)
+
+    def log(self, event: Event, **facts: Any) -> None:
+        self._log.write(event, **facts)
+
+    def publish(self, stamp: list[int], document: Document) -> None:
+        self._log.write(Event.ORDER_COMMITTED, stamp=f"{stamp[0]}.{stamp[1]}", version=document.version or "none")
+        for link in self._subscribers:
+            link.send(self._status(None, []))
+            self._send_news(link, stamp, document)
