--- a/lupinreach/mesh/proxy/peers.py
+++ b/lupinreach/mesh/proxy/peers.py
@@ -22,7 +22,7 @@
 from lupinreach.mesh.proxy.gate import Gate, Outcome
 
 PING_AFTER_S = 0.35  # a link with attempts out that has been silent for so long is asked for a sign of life
-SILENT_AFTER_S = 0.9  # and with none for so long it counts as silent
+SILENT_AFTER_S = 0.55  # and with none for so long after that it counts as silent
 CHECK_S = 0.15
 ANSWER_SLACK_S = 0.1  # for the answer to travel back, past the time that the far gate enforces
 
@@ -93,6 +93,7 @@
         self._own_version = own_version
         self._numbers = 0
         self._out: dict[int, tuple[asyncio.Future[Outcome], bool]] = {}  # with: may be repeated
+        self._pinged_at = 0.0  # loop time of the first ping since anything was heard; 0: none
         self.on_other: Callable[[RemotePeer, Message], None] = lambda peer, message: None
         self._dialer = Dialer(parse_address(address), self._up, self._message, self._down)
 
@@ -115,6 +116,7 @@
 
     def _up(self, link: Link) -> None:
         self.silent = False
+        self._pinged_at = 0.0
         link.send(PeerHello(self._own_address, self._own_version()))
 
     def _down(self, link: Link) -> None:
@@ -129,7 +131,6 @@
                 future.set_result(Failed(number, int(AttemptFailure.LINK_LOST), True))
 
     def _message(self, link: Link, message: Message) -> None:
-        self.silent = False
         if isinstance(message, Answer | NotTaken | Failed):
             self.status.running = message.running
             self.status.waiting = message.waiting
@@ -174,10 +175,16 @@
         link = self._dialer.link
         if link is None or not (self._out or self.silent):
             return
-        silent_s = link.silent_s()
-        if silent_s > PING_AFTER_S:
-            link.send(Ping())
-        if silent_s > SILENT_AFTER_S:
+        now = asyncio.get_running_loop().time()
+        if link.last_heard > self._pinged_at:
+            self._pinged_at = 0.0
+            self.silent = False
+        if link.silent_s() < PING_AFTER_S:
+            return
+        if not self._pinged_at:
+            self._pinged_at = now
+        link.send(Ping())
+        if now - self._pinged_at > SILENT_AFTER_S:
             self.silent = True
             self._fail_repeatable()
 
