--- a/lupinreach/mesh/link.py
+++ b/lupinreach/mesh/link.py
@@ -11,6 +11,7 @@
 import msgpack
 
 from lupinreach.mesh.messages import Message, Ping, Pong, UnknownMessage, decode, encode
+from lupinreach.mesh.tasks import spawn
 
 MOST_MESSAGE = 96 << 20  # bytes of one message
 USER_TIMEOUT_MS = 3000  # unacknowledged bytes end the connection after so long
@@ -120,7 +121,7 @@
         self._on_message = on_message
         self._on_down = on_down
         self._closing = False
-        self._task = asyncio.get_running_loop().create_task(self._connect())
+        self._task = spawn(self._connect())
 
     async def _connect(self) -> None:
         pause = FIRST_PAUSE_S
@@ -146,7 +147,7 @@
         self.link = None
         self._on_down(link)
         if not self._closing:
-            self._task = asyncio.get_running_loop().create_task(self._connect())
+            self._task = spawn(self._connect())
 
     def close(self) -> None:
         """Give the address up."""
--- a/lupinreach/mesh/process.py
+++ b/lupinreach/mesh/process.py
@@ -7,6 +7,7 @@
 import os
 import signal
 import sys
+import traceback
 from typing import Protocol
 
 from result import Err
@@ -98,7 +99,11 @@
 
 def _log_fault(log: EventLog, context: dict[str, object]) -> None:
     fault = context.get("exception")
-    log.write(Event.FAULT, what=context.get("message"), fault=repr(fault))
+    where = ""
+    if isinstance(fault, BaseException):
+        last = traceback.extract_tb(fault.__traceback__)[-1:]
+        where = f"{last[0].filename.rpartition(chr(47))[2]}:{last[0].lineno}" if last else ""
+    log.write(Event.FAULT, what=context.get("message"), fault=repr(fault), at=where)
 
 
 def serve(role: str, factory: ProgramFactory) -> int:
--- a/lupinreach/mesh/proxy/inbound.py
+++ b/lupinreach/mesh/proxy/inbound.py
@@ -8,6 +8,7 @@
 from lupinreach.mesh.messages import BackendStatus, Cancel, Message, NewsPull, PeerHello, Request
 from lupinreach.mesh.proxy.gate import Gate
 from lupinreach.mesh.proxy.news import NewsHolder
+from lupinreach.mesh.tasks import spawn
 
 
 class Inbound:
@@ -35,7 +36,7 @@
 
     def _message(self, link: Link, message: Message) -> None:
         if isinstance(message, Request):
-            task = asyncio.get_running_loop().create_task(self._serve(link, message))
+            task = spawn(self._serve(link, message))
             self._links.setdefault(link, {})[message.number] = task
         elif isinstance(message, Cancel):
             task_out = self._links.get(link, {}).get(message.number)
--- a/lupinreach/mesh/proxy/peers.py
+++ b/lupinreach/mesh/proxy/peers.py
@@ -20,6 +20,7 @@
     Request,
 )
 from lupinreach.mesh.proxy.gate import Gate, Outcome
+from lupinreach.mesh.tasks import spawn
 
 PING_AFTER_S = 0.35  # a link with attempts out that has been silent for so long is asked for a sign of life
 SILENT_AFTER_S = 0.55  # and with none for so long after that it counts as silent
@@ -203,7 +204,7 @@
         self.on_other: Callable[[RemotePeer, Message], None] = lambda peer, message: None
         self._own_address = own_address
         self._own_version = own_version
-        self._checker = asyncio.get_running_loop().create_task(self._check())
+        self._checker = spawn(self._check())
 
     def add_local(self, peer: LocalPeer) -> None:
         """Add the backend beside this proxy."""
--- a/lupinreach/mesh/proxy/program.py
+++ b/lupinreach/mesh/proxy/program.py
@@ -21,6 +21,7 @@
 from lupinreach.mesh.proxy.retry_budget import RetryBudget
 from lupinreach.mesh.server import BufferBudget, HttpAnswer, HttpRequest, HttpServer, ServerLimits
 from lupinreach.mesh.settings import Settings
+from lupinreach.mesh.tasks import spawn
 
 BODY_SHARE = 0.35  # of the process's memory, for buffered bodies
 LINGER_S = 2.6  # after SIGTERM, until the platform has noticed that this proxy is not ready
@@ -89,7 +90,7 @@
         self._registries = RegistryClient(
             seeds, settings.zone, self._hello, self._own_entry, self.news, self.peers.apply, self._log
         )
-        self._housekeeper = asyncio.get_running_loop().create_task(self._housekeeping())
+        self._housekeeper = spawn(self._housekeeping())
 
     def _fault(self, fault: BaseException) -> None:
         self._log.write(Event.FAULT, fault=repr(fault))
@@ -136,7 +137,7 @@
     def _probe(self) -> None:
         service = self.news.table.services.get(self.backend.service) if self.news.table else None
         if self.backend.state is BackendState.UNKNOWN and service is not None:
-            self._probing = asyncio.get_running_loop().create_task(self.gate.probe(service.health_check_path))
+            self._probing = spawn(self.gate.probe(service.health_check_path))
 
     # Links to registries.
 
--- a/lupinreach/mesh/proxy/registry_client.py
+++ b/lupinreach/mesh/proxy/registry_client.py
@@ -9,6 +9,7 @@
 from lupinreach.mesh.link import Dialer, Link, parse_address
 from lupinreach.mesh.messages import AgentEntry, AgentHello, Message, News, NewsAcknowledged, RegistryStatus
 from lupinreach.mesh.proxy.news import NewsHolder
+from lupinreach.mesh.tasks import spawn
 
 LINKS = 2
 SILENT_AFTER_S = 1.7  # a registry that says nothing for so long is exchanged for another
@@ -50,7 +51,7 @@
         self._known: dict[str, str] = dict.fromkeys(seeds, "")  # address: zone, empty while unknown
         self._held: list[_Held] = []
         self._avoid: dict[str, float] = {}  # address: loop time until which others go first
-        self._task = asyncio.get_running_loop().create_task(self._run())
+        self._task = spawn(self._run())
 
     async def _run(self) -> None:
         loop = asyncio.get_running_loop()
--- a/lupinreach/mesh/registry/program.py
+++ b/lupinreach/mesh/registry/program.py
@@ -29,6 +29,7 @@
 from lupinreach.mesh.server import HttpAnswer, HttpRequest, HttpServer, error_answer
 from lupinreach.mesh.settings import Settings
 from lupinreach.mesh.store.document import OrderKind
+from lupinreach.mesh.tasks import spawn
 
 HEARTBEAT_S = 0.5
 ALIVE_EVERY = 2  # heartbeats between two lists of connected proxies for the other registries
@@ -63,7 +64,7 @@
         self._stores.dial(settings.ip_address)
         for host in settings.seed_hosts:
             self._stores.dial(host)
-        self._ticker = asyncio.get_running_loop().create_task(self._run())
+        self._ticker = spawn(self._run())
 
     def settings_changed(self, settings: Settings) -> None:
         """Seeds may have changed: dial what is new."""
--- a/lupinreach/mesh/server.py
+++ b/lupinreach/mesh/server.py
@@ -13,6 +13,7 @@
 from lupinreach.mesh.link import Address, tune
 from lupinreach.mesh.reader import MessageReader, WholeMessage
 from lupinreach.net.ends import End, Ended
+from lupinreach.mesh.tasks import spawn
 
 MOST_PIPELINED = 16  # requests read ahead on one connection
 SWEEP_S = 0.5  # between two looks for connections that took too long
@@ -125,7 +126,7 @@
         self._server = await loop.create_server(
             lambda: _Connection(self), *address, backlog=1024, reuse_address=True
         )
-        self._sweeper = loop.create_task(self._sweep())
+        self._sweeper = spawn(self._sweep())
 
     async def _sweep(self) -> None:
         loop = asyncio.get_running_loop()
--- a/lupinreach/mesh/store/program.py
+++ b/lupinreach/mesh/store/program.py
@@ -21,6 +21,7 @@
 from lupinreach.mesh.store.document import Document
 from lupinreach.mesh.store.replica import Replica
 from lupinreach.mesh.store.view import Member, Tolerance, View
+from lupinreach.mesh.tasks import spawn
 
 TICK_S = 0.1
 STATUS_TICKS = 2  # ticks between two heartbeats to other stores
@@ -57,6 +58,7 @@
         )
         self._dialers: dict[str, Dialer] = {}  # by host
         self._links: dict[str, Link] = {}  # dialled ones by the identity at the other end
+        self._accepted: dict[str, Link] = {}  # and those that were dialled from there
         self._epochs: dict[str, int] = {}  # of the views that other stores know
         self._stores: dict[str, list[Any]] = {}  # by identity: as in StoreStatus
         self._subscribers: dict[Link, _Subscriber] = {}
@@ -69,7 +71,7 @@
         self._server = await listen(address, lambda: Link(self._message, self._closed))
         for host in settings.seed_hosts:
             self._dial(host)
-        self._ticker = asyncio.get_running_loop().create_task(self._run())
+        self._ticker = spawn(self._run())
 
     async def _run(self) -> None:
         loop = asyncio.get_running_loop()
@@ -110,6 +112,8 @@
 
     def _closed(self, link: Link) -> None:
         self._subscribers.pop(link, None)
+        if link.owner is not None and self._accepted.get(link.owner) is link:
+            del self._accepted[link.owner]
 
     def _is_dialled(self, link: Link) -> bool:
         return any(dialer.link is link for dialer in self._dialers.values())
@@ -135,6 +139,7 @@
             self._heard(hello.identity, self.replica.view.epoch)
             self.replica.link_up(hello.identity)
         else:
+            self._accepted[hello.identity] = link
             link.send(self._hello())
 
     def _heard(self, identity: str, epoch: int) -> None:
@@ -195,7 +200,7 @@
     # The replica's port.
 
     def send(self, identity: str, message: Message) -> None:
-        link = self._links.get(identity)
+        link = self._links.get(identity) or self._accepted.get(identity)
         if link is not None:
             link.send(message)
 
--- a/lupinreach/mesh/store/replica.py
+++ b/lupinreach/mesh/store/replica.py
@@ -51,6 +51,7 @@
 PROPOSAL_S = 0.8  # a proposal that is not decided within this is made again
 FOUNDING_S = 2.5  # the longest wait for as many members as the tolerance asks for
 FOUNDING_STEP_S = 0.6  # more patience for each place further back among the seeds
+RESEND_S = 0.3  # a write that a backup has not answered within this is sent again
 STALL_S = 0.5  # a tick later than this: the process stood still, and has heard nobody for that reason
 ORDER_LIMIT = 256  # orders that wait for a write
 
@@ -106,6 +107,7 @@
     document: Document
     waiting: set[str]
     orders: list[tuple[Order, Reply]]
+    sent_at: float = 0.0
 
 
 class Replica:
@@ -302,8 +304,8 @@
     def _tick_primary(self, now: float) -> None:
         if self._needs_new_view():
             self._propose(now)
-        elif self.role is Role.ACTIVATING and self._round is None:
-            self._begin_round(now)
+        elif self._round is not None and now - self._round.sent_at > RESEND_S:
+            self._resend(now)
 
     def _needs_new_view(self) -> bool:
         view = self.view
@@ -503,7 +505,7 @@
             document = document.after(OrderKind(order.kind), order.version, order.payload, order.zone)
         self._rounds += 1
         backups = set(self.view.copies) - {self.identity}
-        self._round = _Round(self._rounds, document, set(backups), orders)
+        self._round = _Round(self._rounds, document, set(backups), orders, now)
         previous = self.document
         for identity in backups:
             self._send_write(identity, document, previous)
@@ -571,6 +573,14 @@
         if self._queued and self._round is None and self.role is Role.SERVING:
             self._begin_round(self._now)
 
+    def _resend(self, now: float) -> None:
+        """Send the present write again, whole, to the backups that have not answered."""
+        assert self._round is not None
+        self._round.sent_at = now
+        for identity in self._round.waiting:
+            self._backup_sequence.pop(identity, None)
+            self._send_write(identity, self._round.document, self._round.document)
+
     def link_up(self, identity: str) -> None:
         """A link to a store came up: what was sent on the one before may be lost."""
         self._backup_sequence.pop(identity, None)
