--- a/lupinreach/mesh/configuration.py
+++ b/lupinreach/mesh/configuration.py
@@ -1,4 +1,8 @@
-"""The operator's configuration: services, limits and routes, read, checked and matched."""
+"""The operator's configuration: services, limits and routes, and the table that matches requests to routes.
+
+Operators' JSON is read and checked by `configuration_check`; between processes a checked configuration
+travels as plain values (`to_list`, `from_list`).
+"""
 
 from __future__ import annotations
 
@@ -6,14 +10,6 @@
 from enum import StrEnum
 from typing import Any
 
-import orjson
-from mashumaro import DataClassDictMixin
-from mashumaro.exceptions import InvalidFieldValue, MissingField
-from result import Err, Ok, Result
-
-MOST_TIMEOUT_MS = 600_000
-VERSION_DIGITS = 8
-
 
 class RouteType(StrEnum):
     """What may be repeated."""
@@ -24,16 +20,22 @@
 
 
 @dataclass(slots=True)
-class Service(DataClassDictMixin):
+class Service:
+    """One service and what its backends bear."""
+
     name: str
     health_check_path: str = "/health"
     max_connections: int = 100
     cold_start_s: float = 0.0
     cold_per_s: float = 0.0  # 0: no bound
 
+    def to_list(self) -> list[Any]:
+        """As plain values."""
+        return [self.name, self.health_check_path, self.max_connections, self.cold_start_s, self.cold_per_s]
+
 
 @dataclass(slots=True)
-class ConfigLimits(DataClassDictMixin):
+class ConfigLimits:
     """What a client may send, and how long it may take."""
 
     max_header_bytes: int = 16384
@@ -41,15 +43,21 @@
     header_timeout_ms: float = 3000
     idle_timeout_ms: float = 15000
 
+    def to_list(self) -> list[Any]:
+        """As plain values."""
+        return [self.max_header_bytes, self.max_body_bytes, self.header_timeout_ms, self.idle_timeout_ms]
+
 
 @dataclass(slots=True)
-class SplitTarget(DataClassDictMixin):
+class SplitTarget:
+    """A service with its weight in a route's split."""
+
     target_service: str
     weight: float
 
 
 @dataclass(slots=True)
-class Route(DataClassDictMixin):
+class Route:
     """One route; `path_prefix` begins and ends with a slash."""
 
     path_prefix: str
@@ -73,19 +81,44 @@
             return self.traffic_split
         return [SplitTarget(self.target_service or "", 1.0)]
 
+    def to_list(self) -> list[Any]:
+        """As plain values."""
+        return [
+            self.path_prefix,
+            str(self.route_type),
+            self.timeout_ms,
+            self.name,
+            self.target_latency_ms,
+            self.priority,
+            self.target_service,
+            [[target.target_service, target.weight] for target in self.traffic_split],
+            self.max_attempts,
+            self.allowed_regions,
+        ]
+
+    @classmethod
+    def from_list(cls, values: list[Any]) -> Route:
+        """The inverse of `to_list`."""
+        path_prefix, route_type, *rest = values[:10]
+        route = cls(path_prefix, RouteType(route_type), *rest)
+        route.traffic_split = [SplitTarget(service, weight) for service, weight in values[7]]
+        return route
+
     def allows(self, service: str) -> bool:
         """If a request on this route may go to that service."""
         return any(target.target_service == service and target.weight > 0 for target in self.targets())
 
 
 @dataclass(slots=True)
-class VirtualHost(DataClassDictMixin):
+class VirtualHost:
+    """A host name with its routes."""
+
     hostname: str
     path_rules: list[Route] = field(default_factory=list)
 
 
 @dataclass(slots=True)
-class Configuration(DataClassDictMixin):
+class Configuration:
     """One version of the whole configuration."""
 
     version: str
@@ -93,6 +126,22 @@
     virtual_hosts: list[VirtualHost]
     limits: ConfigLimits = field(default_factory=ConfigLimits)
 
+    def to_list(self) -> list[Any]:
+        """As plain values."""
+        hosts = [[host.hostname, [route.to_list() for route in host.path_rules]] for host in self.virtual_hosts]
+        return [self.version, [service.to_list() for service in self.services], hosts, self.limits.to_list()]
+
+    @classmethod
+    def from_list(cls, values: list[Any]) -> Configuration:
+        """The inverse of `to_list`."""
+        version, services, hosts, limits = values[:4]
+        return cls(
+            version,
+            [Service(*service[:5]) for service in services],
+            [VirtualHost(name, [Route.from_list(route) for route in routes]) for name, routes in hosts],
+            ConfigLimits(*limits[:4]),
+        )
+
 
 class RouteTable:
     """The configuration in force, indexed for requests."""
@@ -141,72 +190,3 @@
     if not version:
         return False
     return not than or version_number(version) > version_number(than)
-
-
-def parse_configuration(data: bytes) -> Result[Configuration, str]:
-    """A configuration as sent by an operator, checked, or a complaint that names the key."""
-    try:
-        raw = orjson.loads(data)
-    except orjson.JSONDecodeError as failed:
-        return Err(f"not JSON: {failed}")
-    if not isinstance(raw, dict):
-        return Err("not a JSON object")
-    try:
-        configuration = Configuration.from_dict(raw)
-    except (MissingField, InvalidFieldValue) as wrong:
-        return Err(_field_path(wrong))
-    problem = _problem(configuration)
-    return Err(problem) if problem else Ok(configuration)
-
-
-def _field_path(wrong: BaseException) -> str:
-    """`virtual_hosts.path_rules.timeout_ms: ...` from the library's nested exceptions."""
-    path = []
-    cause: Any = wrong
-    while isinstance(cause, (MissingField, InvalidFieldValue)):
-        path.append(cause.field_name)
-        if isinstance(cause, MissingField):
-            return ".".join(path) + ": missing"
-        last = cause
-        cause = cause.__cause__ or cause.__context__
-    value = repr(last.field_value)
-    return f"{'.'.join(path)}: {value[:60]} does not fit"
-
-
-def _problem(configuration: Configuration) -> str | None:
-    version = configuration.version
-    if len(version) != VERSION_DIGITS or not all(c in "0123456789abcdefABCDEF" for c in version):
-        return f"version: {version!r} is not eight hexadecimal digits"
-    names = [service.name for service in configuration.services]
-    known = set(names)
-    if "" in known:
-        return "services.name: empty"
-    if len(known) != len(names):
-        return "services.name: used twice"
-    for number, host in enumerate(configuration.virtual_hosts):
-        if not host.hostname:
-            return f"virtual_hosts[{number}].hostname: empty"
-        for index, route in enumerate(host.path_rules):
-            problem = _route_problem(route, known)
-            if problem:
-                return f"virtual_hosts[{number}].path_rules[{index}].{problem}"
-    return None
-
-
-def _route_problem(route: Route, services: set[str]) -> str | None:
-    if not (route.path_prefix.startswith("/") and route.path_prefix.endswith("/")):
-        return f"path_prefix: {route.path_prefix!r} does not begin and end with a slash"
-    if not 0 < route.timeout_ms <= MOST_TIMEOUT_MS:
-        return f"timeout_ms: {route.timeout_ms} is not above 0 and at most {MOST_TIMEOUT_MS}"
-    if route.max_attempts < 1:
-        return "max_attempts: below 1"
-    if route.target_service is None and not route.traffic_split:
-        return "target_service: missing"
-    for target in route.targets():
-        if target.target_service not in services:
-            return f"target_service: unknown service {target.target_service!r}"
-        if target.weight < 0:
-            return "traffic_split.weight: negative"
-    if sum(target.weight for target in route.targets()) <= 0:
-        return "traffic_split.weight: all are 0"
-    return None
--- /dev/null
+++ b/lupinreach/mesh/configuration_check.py
@@ -0,0 +1,86 @@
+"""Reading and checking of the operators' configurations. Loaded by the registry and the command line only."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import orjson
+from mashumaro.codecs.basic import BasicDecoder
+from mashumaro.exceptions import InvalidFieldValue, MissingField
+from result import Err, Ok, Result
+
+from lupinreach.mesh.configuration import Configuration, Route
+
+MOST_TIMEOUT_MS = 600_000
+VERSION_DIGITS = 8
+
+_DECODER = BasicDecoder(Configuration)
+
+
+def parse_configuration(data: bytes) -> Result[Configuration, str]:
+    """A configuration as sent by an operator, checked, or a complaint that names the key."""
+    try:
+        raw = orjson.loads(data)
+    except orjson.JSONDecodeError as failed:
+        return Err(f"not JSON: {failed}")
+    if not isinstance(raw, dict):
+        return Err("not a JSON object")
+    try:
+        configuration = _DECODER.decode(raw)
+    except (MissingField, InvalidFieldValue) as wrong:
+        return Err(_field_path(wrong))
+    problem = _problem(configuration)
+    return Err(problem) if problem else Ok(configuration)
+
+
+def _field_path(wrong: BaseException) -> str:
+    """`virtual_hosts.path_rules.timeout_ms: ...` from the library's nested exceptions."""
+    path = []
+    cause: Any = wrong
+    while isinstance(cause, (MissingField, InvalidFieldValue)):
+        path.append(cause.field_name)
+        if isinstance(cause, MissingField):
+            return ".".join(path) + ": missing"
+        last = cause
+        cause = cause.__cause__ or cause.__context__
+    value = repr(last.field_value)
+    return f"{'.'.join(path)}: {value[:60]} does not fit"
+
+
+def _problem(configuration: Configuration) -> str | None:
+    version = configuration.version
+    if len(version) != VERSION_DIGITS or not all(c in "0123456789abcdefABCDEF" for c in version):
+        return f"version: {version!r} is not eight hexadecimal digits"
+    names = [service.name for service in configuration.services]
+    known = set(names)
+    if "" in known:
+        return "services.name: empty"
+    if len(known) != len(names):
+        return "services.name: used twice"
+    for number, host in enumerate(configuration.virtual_hosts):
+        if not host.hostname:
+            return f"virtual_hosts[{number}].hostname: empty"
+        for index, route in enumerate(host.path_rules):
+            problem = _route_problem(route, known)
+            if problem:
+                return f"virtual_hosts[{number}].path_rules[{index}].{problem}"
+    return None
+
+
+def _route_problem(route: Route, services: set[str]) -> str | None:
+    if not (route.path_prefix.startswith("/") and route.path_prefix.endswith("/")):
+        return f"path_prefix: {route.path_prefix!r} does not begin and end with a slash"
+    if not 0 < route.timeout_ms <= MOST_TIMEOUT_MS:
+        return f"timeout_ms: {route.timeout_ms} is not above 0 and at most {MOST_TIMEOUT_MS}"
+    if route.max_attempts < 1:
+        return "max_attempts: below 1"
+    if route.target_service is None and not route.traffic_split:
+        return "target_service: missing"
+    for target in route.targets():
+        if target.target_service not in services:
+            return f"target_service: unknown service {target.target_service!r}"
+        if target.weight < 0:
+            return "traffic_split.weight: negative"
+    if sum(target.weight for target in route.targets()) <= 0:
+        return "traffic_split.weight: all are 0"
+    return None
--- a/lupinreach/mesh/instance_calls.py
+++ b/lupinreach/mesh/instance_calls.py
@@ -4,12 +4,11 @@
 
 from collections.abc import Callable
 
-import orjson
-from mashumaro.exceptions import InvalidFieldValue, MissingField
 from result import Err, Ok, Result
 
 from lupinreach.mesh.dispatch import ANY, Dispatcher
 from lupinreach.mesh.errors import ErrorKind
+from lupinreach.mesh.fields import FieldError, parse_object
 from lupinreach.mesh.proxy.local_backend import Heartbeat
 from lupinreach.mesh.server import HttpAnswer, HttpRequest, error_answer
 
@@ -18,18 +17,25 @@
 
 def parse_heartbeat(body: bytes) -> Result[Heartbeat, str]:
     """A heartbeat, or a complaint that names the key."""
+    parsed = parse_object(body)
+    if isinstance(parsed, Err):
+        return parsed
+    fields = parsed.ok_value
     try:
-        raw = orjson.loads(body)
-    except orjson.JSONDecodeError as failed:
-        return Err(f"not JSON: {failed}")
-    if not isinstance(raw, dict):
-        return Err("not a JSON object")
-    try:
-        return Ok(Heartbeat.from_dict(raw))
-    except MissingField as missing:
-        return Err(f"{missing.field_name}: missing")
-    except InvalidFieldValue as invalid:
-        return Err(f"{invalid.field_name}: {invalid.field_value!r} does not fit")
+        return Ok(
+            Heartbeat(
+                target_service=fields.text("target_service"),
+                address=fields.text("address"),
+                zone=fields.text("zone"),
+                capacity=fields.integer("capacity"),
+                state=fields.text("state"),
+                sequence=fields.integer("sequence"),
+                version=fields.text("version", ""),
+                cold_remaining_ms=fields.number("cold_remaining_ms", 0),
+            )
+        )
+    except FieldError as wrong:
+        return Err(str(wrong))
 
 
 def add_instance_calls(
--- a/lupinreach/mesh/messages.py
+++ b/lupinreach/mesh/messages.py
@@ -244,7 +244,7 @@
     NUMBER: ClassVar[int] = 32
     stamp: list[int] = field(default_factory=list)  # epoch, sequence
     config_version: str = ""
-    config: bytes | None = None  # None: unchanged since what the receiver holds
+    config: bytes | None = None  # to proxies packed, to registries as sent; None: as the receiver holds it
     evacuations: dict[str, bool] = field(default_factory=dict)
 
 
--- a/lupinreach/mesh/proxy/gate.py
+++ b/lupinreach/mesh/proxy/gate.py
@@ -38,6 +38,7 @@
         self.admission = Admission()
         self.stopping = False
         self.in_flight = 0
+        self._running: dict[bytes, bool] = {}  # by request id: if the run is a repeat
         self._zone = zone
         self._news = news
         self._pool = BackendPool(parse_address(app_address))
@@ -195,8 +196,18 @@
             return self._not_taken(asked, NotTakenReason.BACKEND_DECLINED, self.admission.retry_ms())
         return self._answer(asked, whole)
 
+    def run_that_calls(self, request_id: bytes) -> bool | None:
+        """If a request that begins here is a call of a run at the backend: whether that run is a repeat.
+
+        Backends derive the ids of their calls from the id of the run, behind a dot. None: no such run.
+        """
+        parent, dot, _ = request_id.rpartition(b".")
+        return self._running.get(parent) if dot else None
+
     async def _exchange(self, asked: Request, until: float, instance_id: str) -> WholeMessage:
         connection = await self._pool.take(asked.repeatable)
+        request_id = _header_value(asked.headers, b"lupinreach-request-id")
+        self._running[request_id] = asked.again
         try:
             remaining_ms = max(1, int((until - self._now()) * 1000))
             lines = (
@@ -206,11 +217,12 @@
             )
             has_length = bool(asked.body) or asked.method in (b"POST", b"PUT", b"PATCH")
             head = request(asked.method, asked.target, lines, asked.host, len(asked.body) if has_length else 0)
-            request_id = _header_value(asked.headers, b"lupinreach-request-id")
             whole = await connection.exchange(head + asked.body, request_id, asked.method == b"HEAD")
         except BaseException:
             connection.close()
             raise
+        finally:
+            self._running.pop(request_id, None)
         self._pool.give_back(connection)
         return whole
 
--- a/lupinreach/mesh/proxy/local_backend.py
+++ b/lupinreach/mesh/proxy/local_backend.py
@@ -5,8 +5,6 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from mashumaro import DataClassDictMixin
-
 MOST_PAST_INSTANCES = 64
 
 
@@ -21,7 +19,7 @@
 
 
 @dataclass(slots=True)
-class Heartbeat(DataClassDictMixin):
+class Heartbeat:
     """Body of `POST /instances/ID/heartbeat`."""
 
     target_service: str
--- a/lupinreach/mesh/proxy/news.py
+++ b/lupinreach/mesh/proxy/news.py
@@ -5,9 +5,9 @@
 import asyncio
 from collections.abc import Callable
 
-from result import Ok
+import msgpack
 
-from lupinreach.mesh.configuration import RouteTable, is_newer, parse_configuration
+from lupinreach.mesh.configuration import Configuration, RouteTable, is_newer
 from lupinreach.mesh.messages import News
 
 Stamp = tuple[int, int]
@@ -18,7 +18,7 @@
 
     def __init__(self) -> None:
         self.table: RouteTable | None = None
-        self.raw = b""  # the configuration as the operator sent it
+        self.packed = b""  # the configuration as it travels
         self.stamp: Stamp = (0, 0)
         self.evacuations: dict[str, bool] = {}
         self._listeners: list[Callable[[], None]] = []
@@ -52,13 +52,10 @@
     def _apply_configuration(self, news: News) -> bool:
         if news.config is None or not is_newer(news.config_version, self.version):
             return False
-        parsed = parse_configuration(news.config)
-        if not isinstance(parsed, Ok):
-            return False
-        self.raw = news.config
-        self.table = RouteTable(parsed.ok_value)
+        self.packed = news.config
+        self.table = RouteTable(Configuration.from_list(msgpack.unpackb(news.config)))
         return True
 
     def as_news(self) -> News:
         """All that is held, as one message."""
-        return News(list(self.stamp), self.version, self.raw or None, self.evacuations)
+        return News(list(self.stamp), self.version, self.packed or None, self.evacuations)
--- a/lupinreach/mesh/proxy/outbound.py
+++ b/lupinreach/mesh/proxy/outbound.py
@@ -10,7 +10,7 @@
 from lupinreach.mesh.configuration import Route
 from lupinreach.mesh.errors import AttemptFailure, ErrorKind, NotTakenReason
 from lupinreach.mesh.messages import Answer, Failed, NotTaken, Request
-from lupinreach.mesh.proxy.gate import DEADLINE, Outcome
+from lupinreach.mesh.proxy.gate import DEADLINE, Gate, Outcome
 from lupinreach.mesh.proxy.news import NewsHolder
 from lupinreach.mesh.proxy.peers import Peer, PeerTable
 from lupinreach.mesh.proxy.pool_policy import DEFAULT_AIM_MS, Choice, PoolPolicy
@@ -20,6 +20,7 @@
 REQUEST_ID = b"lupinreach-request-id"
 SET_BY_MESH = frozenset((DEADLINE, b"lupinreach-target-instance", b"lupinreach-caller-service"))
 HOLD_SHARE = 0.22  # of the aim: a request waits for room no longer, and is then refused
+CALL_HOLD_SHARE = 0.6  # of the time left, for a call of a run: with a refusal the work of that run is lost
 MIN_REMAINING_MS = 3
 RETRY_AFTER_SHARE = 0.3  # of the aim, where nothing tells when there will be room
 MOST_REFUSALS = 8  # gates that turn a request away before it is given up
@@ -38,6 +39,8 @@
     until: float
     headers: bytes
     host: bytes
+    is_call: bool = False  # of a run at the backend beside this proxy
+    is_repeat: bool = False  # it belongs to a run that is a repeat itself
     attempts: int = 0  # that may have reached a backend
     refusals: int = 0
     retry_ms: float = 0.0
@@ -49,10 +52,17 @@
     """Serves the requests that begin on this machine."""
 
     def __init__(
-        self, caller: str, news: NewsHolder, peers: PeerTable, policy: PoolPolicy, budget: RetryBudget
+        self,
+        caller: str,
+        news: NewsHolder,
+        gate: Gate,
+        peers: PeerTable,
+        policy: PoolPolicy,
+        budget: RetryBudget,
     ) -> None:
         self._caller_line = b"Lupinreach-Caller-Service: " + caller.encode() + b"\r\n"
         self._news = news
+        self._gate = gate
         self._peers = peers
         self._policy = policy
         self._budget = budget
@@ -90,6 +100,7 @@
         time_ms = min(route.timeout_ms, float(given)) if given.isdigit() else route.timeout_ms
         stays = OF_CONNECTION | SET_BY_MESH | request.head.options
         lines = [bytes(line) for name, line in request.head.lines if name not in stays]
+        run = self._gate.run_that_calls(request.header(REQUEST_ID) or b"")
         return _Passage(
             request=request,
             route=route,
@@ -98,6 +109,8 @@
             until=request.received_at + time_ms / 1000,
             headers=b"".join([*lines, self._caller_line]),
             host=request.header(b"host") or b"",
+            is_call=run is not None,
+            is_repeat=bool(run),
         )
 
     async def _pass(self, passage: _Passage) -> HttpAnswer:
@@ -110,8 +123,8 @@
             peer = self._policy.choose(self._choice(passage), candidates, now)
             if peer is None:
                 return self._no_backend(passage)
-            if passage.attempts == 0:
-                self._budget.first(passage.service)
+            if passage.attempts == 0 and passage.refusals == 0:
+                self._budget.first(passage.service, passage.is_repeat)
             outcome = await self._attempt(passage, peer, now)
             answer = self._judge(passage, peer, outcome, now, candidates)
             if answer is not None:
@@ -133,9 +146,9 @@
             config_version=self._news.version,
             remaining_ms=int(remaining_ms),
             repeatable=passage.route.repeatable,
-            again=passage.attempts > 0,
-            wait_ms=int(max(0.0, HOLD_SHARE * passage.aim_ms - held_ms)),
-            rank=int(left_of_aim if left_of_aim > 0 else remaining_ms),
+            again=passage.is_repeat or passage.attempts > 0,
+            wait_ms=int(self._wait_ms(passage, held_ms, remaining_ms)),
+            rank=0 if passage.is_call else int(left_of_aim if left_of_aim > 0 else remaining_ms),
             method=passage.request.method,
             target=passage.request.target,
             host=passage.host,
@@ -148,6 +161,13 @@
             self._policy.released(peer, passage.aim_ms)
             raise
 
+    @staticmethod
+    def _wait_ms(passage: _Passage, held_ms: float, remaining_ms: float) -> float:
+        """How long the request may stand in a gate's queue."""
+        if passage.is_call:
+            return CALL_HOLD_SHARE * remaining_ms
+        return max(0.0, HOLD_SHARE * passage.aim_ms - held_ms)
+
     def _judge(
         self, passage: _Passage, peer: Peer, outcome: Outcome, sent: float, candidates: list[Peer]
     ) -> HttpAnswer | None:
@@ -162,6 +182,8 @@
         failed = outcome.status >= 500
         latency_ms = None if failed else (now - sent) * 1000
         self._policy.landed(peer, passage.aim_ms, latency_ms, now, candidates)
+        if not failed:
+            self._policy.served(peer, passage.aim_ms, outcome.served_ms)
         passage.attempts += 1
         if failed and passage.route.repeatable and self._may_repeat(passage):
             return None
--- a/lupinreach/mesh/proxy/pool_policy.py
+++ b/lupinreach/mesh/proxy/pool_policy.py
@@ -12,9 +12,11 @@
 from dataclasses import dataclass, field
 
 from lupinreach.mesh.events import Event
-from lupinreach.mesh.proxy.peers import LocalPeer, Peer
+from lupinreach.mesh.proxy.peers import Peer
 
 NEWEST = 0.2  # weight of the newest latency sample
+PACE_NEWEST = 0.05  # weight of the newest sample in how quick a backend is beside the others
+MOST_PACE_SAMPLE = 4.0  # one answer never counts as slower than so many usual ones
 MISS = 2.0  # a failed attempt counts as a sample of so many aims
 HOLD_S = 5.0  # from an ejection to the trial
 KEEP = 0.5  # share of the ready backends that ejection leaves in a pool
@@ -56,7 +58,8 @@
         self._region_of = region_of
         self._log = log
         self._figures: dict[tuple[str, str, float], Figure] = {}
-        self._trial_share = 0.1
+        self._usual_ms: dict[tuple[str, float], float] = {}  # work at a backend, by service and aim
+        self._paces: dict[tuple[str, str], float] = {}  # by backend: its work beside the usual, 1 = as usual
 
     def _figure(self, peer: Peer, aim_ms: float) -> Figure:
         key = (peer.address, peer.status.instance_id, aim_ms)
@@ -74,8 +77,7 @@
         if trial is not None:
             return trial
         pool = [peer for peer in ready if not self._figure(peer, choice.aim_ms).ejected_until]
-        mean = self._mean(ready, choice.aim_ms)
-        return min(pool or ready, key=lambda peer: self._cost(peer, choice, mean, now))
+        return min(pool or ready, key=lambda peer: self._cost(peer, choice, now))
 
     def _usable(self, peer: Peer, choice: Choice) -> bool:
         if not peer.status.available or not peer.reachable or peer.address in choice.excluded:
@@ -94,8 +96,9 @@
         known = [f for peer in peers if (f := self._figure(peer, aim_ms).latency_ms) is not None]
         return sum(known) / len(known) if known else aim_ms / 3
 
-    def _cost(self, peer: Peer, choice: Choice, mean: float, now: float) -> float:
-        latency = self._figure(peer, choice.aim_ms).latency_ms or mean
+    def _cost(self, peer: Peer, choice: Choice, now: float) -> float:
+        usual = self._usual_ms.get((choice.service, choice.aim_ms), choice.aim_ms / 3)
+        latency = usual * self._paces.get((peer.address, peer.status.instance_id), 1.0)
         status = peer.status
         capacity = max(1, status.capacity)
         running = max(status.running, peer.in_flight)
@@ -123,6 +126,16 @@
         if figure.latency_ms > aim_ms:
             self._eject(peer, figure, aim_ms, now, ready)
 
+    def served(self, peer: Peer, aim_ms: float, served_ms: float) -> None:
+        """Learn how quick a backend is, from its own time for an answer, over all kinds of requests."""
+        kind = (peer.service, aim_ms)
+        usual = self._usual_ms.get(kind, served_ms)
+        self._usual_ms[kind] = usual + PACE_NEWEST * (served_ms - usual)
+        key = (peer.address, peer.status.instance_id)
+        pace = self._paces.get(key, 1.0)
+        sample = min(MOST_PACE_SAMPLE, served_ms / max(usual, 1.0))
+        self._paces[key] = pace + PACE_NEWEST * (sample - pace)
+
     def released(self, peer: Peer, aim_ms: float) -> None:
         """An attempt ended without evidence: it was not taken, or its client went away."""
         self._figure(peer, aim_ms).trial_out = False
@@ -149,7 +162,4 @@
         """Drop the figures of instances that are gone."""
         alive = {(peer.address, peer.status.instance_id) for peer in current}
         self._figures = {key: figure for key, figure in self._figures.items() if key[:2] in alive}
-
-    @staticmethod
-    def is_local(peer: Peer) -> bool:
-        return isinstance(peer, LocalPeer)
+        self._paces = {key: pace for key, pace in self._paces.items() if key in alive}
--- a/lupinreach/mesh/proxy/program.py
+++ b/lupinreach/mesh/proxy/program.py
@@ -61,7 +61,7 @@
         zones = settings.zones
         self.policy = PoolPolicy(settings.zone, lambda zone: zones.get(zone, ""), log.write)
         self.budget = RetryBudget(settings.bounds.retry_budget_ratio, settings.bounds.retry_budget_slack)
-        self.outbound = Outbound(settings.target_service, self.news, self.peers, self.policy, self.budget)
+        self.outbound = Outbound(settings.target_service, self.news, self.gate, self.peers, self.policy, self.budget)
         self.inbound = Inbound(self.gate, self.news)
         self._server = HttpServer(
             self.outbound.handle,
--- a/lupinreach/mesh/proxy/retry_budget.py
+++ b/lupinreach/mesh/proxy/retry_budget.py
@@ -26,10 +26,11 @@
         """How many proxies share the slack."""
         self._most = max(LEAST_SAVED, self._slack / max(1, count))
 
-    def first(self, service: str) -> None:
-        """A request is sent to a service for the first time."""
+    def first(self, service: str, of_repeat: bool = False) -> None:
+        """A request is sent to a service for the first time; as a call of a repeated run it is a repeat too."""
         saved = self._saved.get(service, self._most / 2)
-        self._saved[service] = min(self._most, saved + self._earned)
+        change = -1.0 if of_repeat else self._earned
+        self._saved[service] = max(-self._most, min(self._most, saved + change))
 
     def spend(self, service: str) -> bool:
         """If one more attempt may be made."""
--- a/lupinreach/mesh/registry/program.py
+++ b/lupinreach/mesh/registry/program.py
@@ -4,9 +4,11 @@
 
 import asyncio
 
+import msgpack
 from result import Err
 
-from lupinreach.mesh.configuration import is_newer, parse_configuration
+from lupinreach.mesh.configuration import is_newer
+from lupinreach.mesh.configuration_check import parse_configuration
 from lupinreach.mesh.dispatch import ANY, Dispatcher
 from lupinreach.mesh.errors import ErrorKind
 from lupinreach.mesh.events import Event, EventLog
@@ -178,7 +180,9 @@
     def _on_store_message(self, message: Message) -> None:
         if not isinstance(message, News) or message.stamp <= self._news.stamp:
             return
-        if message.config is None:
+        if message.config is not None:
+            message.config = _packed(message.config)
+        else:
             message.config = self._news.config
             message.config_version = self._news.config_version
         if is_newer(self._news.config_version, message.config_version):
@@ -236,3 +240,12 @@
 
     def _on_deregister(self, instance_id: str) -> None:
         """As for heartbeats."""
+
+
+def _packed(config: bytes) -> bytes | None:
+    """An operator's configuration as it travels to proxies; it was checked before the store took it."""
+    parsed = parse_configuration(config)
+    if isinstance(parsed, Err):
+        return None
+    packed: bytes = msgpack.packb(parsed.ok_value.to_list())
+    return packed
--- a/lupinreach/mesh/settings.py
+++ b/lupinreach/mesh/settings.py
@@ -5,26 +5,24 @@
 import os
 from dataclasses import dataclass, field
 
-import orjson
-from mashumaro import DataClassDictMixin
-from mashumaro.exceptions import InvalidFieldValue, MissingField
 from result import Err, Ok, Result
 
+from lupinreach.mesh.fields import FieldError, Fields, parse_object
 from lupinreach.mesh.link import Address, parse_address
 
 SETTINGS_VARIABLE = "LUPINREACH_SETTINGS"
 
 
 @dataclass(slots=True)
-class Limits(DataClassDictMixin):
+class Limits:
     """What the machine grants the process."""
 
-    memory_mb: int = 200
+    memory_mb: float = 200
     max_file_descriptors: int = 1024
 
 
 @dataclass(slots=True)
-class FaultTolerance(DataClassDictMixin):
+class FaultTolerance:
     """What may be lost at once with every promise kept."""
 
     machines: int = 0
@@ -33,7 +31,7 @@
 
 
 @dataclass(slots=True)
-class Bounds(DataClassDictMixin):
+class Bounds:
     """Figures of the rules in force, by the unit in their names."""
 
     contact_ms: float = 3000
@@ -51,7 +49,7 @@
 
 
 @dataclass(slots=True)
-class Settings(DataClassDictMixin):
+class Settings:
     """The fields that the mesh uses; others are skipped."""
 
     node_name: str
@@ -100,19 +98,54 @@
 
 def parse_settings(data: bytes) -> Result[Settings, str]:
     """The settings in a JSON text, or a complaint that names the key."""
+    parsed = parse_object(data)
+    if isinstance(parsed, Err):
+        return parsed
     try:
-        raw = orjson.loads(data)
-    except orjson.JSONDecodeError as failed:
-        return Err(f"not JSON: {failed}")
-    if not isinstance(raw, dict):
-        return Err("not a JSON object")
-    try:
-        settings = Settings.from_dict(raw)
-    except MissingField as missing:
-        return Err(f"{missing.field_name}: missing")
-    except InvalidFieldValue as invalid:
-        return Err(f"{invalid.field_name}: {invalid.field_value!r} does not fit")
-    return _checked(settings)
+        return _checked(_read(parsed.ok_value))
+    except FieldError as wrong:
+        return Err(str(wrong))
+
+
+def _read(fields: Fields) -> Settings:
+    return Settings(
+        node_name=fields.text("node_name"),
+        ip_address=fields.text("ip_address"),
+        zone=fields.text("zone"),
+        region=fields.text("region"),
+        zones=fields.text_map("zones"),
+        listen_addresses=fields.text_map("listen_addresses"),
+        internal_port_range=fields.integers("internal_port_range"),
+        seed_nodes=fields.texts("seed_nodes"),
+        first_start=fields.flag("first_start", False),
+        counted_in_quorum=fields.flag("counted_in_quorum", False),
+        limits=_read_limits(fields.object("limits")),
+        data_directory=fields.text("data_directory", None),
+        heartbeat_ms=fields.number("heartbeat_ms", 1500),
+        fault_tolerance=_read_tolerance(fields.object("fault_tolerance")),
+        bounds=_read_bounds(fields.object("bounds")),
+        app_address=fields.text("app_address", None),
+        target_service=fields.text("target_service", None),
+    )
+
+
+def _read_limits(fields: Fields) -> Limits:
+    held = Limits()
+    return Limits(
+        fields.number("memory_mb", held.memory_mb),
+        fields.integer("max_file_descriptors", held.max_file_descriptors),
+    )
+
+
+def _read_tolerance(fields: Fields) -> FaultTolerance:
+    return FaultTolerance(fields.integer("machines", 0), fields.integer("zones", 0), fields.integer("regions", 0))
+
+
+def _read_bounds(fields: Fields) -> Bounds:
+    bounds = Bounds()
+    for name in Bounds.__dataclass_fields__:
+        setattr(bounds, name, fields.number(name, getattr(bounds, name)))
+    return bounds
 
 
 def _checked(settings: Settings) -> Result[Settings, str]:
