--- a/lupinreach/mesh/link.py
+++ b/lupinreach/mesh/link.py
@@ -14,10 +14,12 @@
 from lupinreach.mesh.tasks import spawn
 
 MOST_MESSAGE = 96 << 20  # bytes of one message
+MOST_UNSENT = 80 << 20  # bytes that a peer has not taken: beyond that it is given up
 USER_TIMEOUT_MS = 3000  # unacknowledged bytes end the connection after so long
 CONNECT_TIMEOUT_S = 1.0
 FIRST_PAUSE_S = 0.1  # between two attempts to connect, doubled each time
 MOST_PAUSE_S = 1.0
+LIVED_S = 1.0  # a link that ends sooner counts as a failed attempt to connect
 
 Address = tuple[str, int]
 Handler = Callable[["Link", Any], None]
@@ -56,22 +58,31 @@
         self.last_heard = self._loop.time()
         try:
             self._unpacker.feed(data)
-            for values in self._unpacker:
-                self._deliver(values)
-        except (ValueError, TypeError, msgpack.exceptions.ExtraData, msgpack.exceptions.BufferFull):
+        except msgpack.exceptions.BufferFull:
             self.abort()
-
-    def _deliver(self, values: Any) -> None:
-        if not isinstance(values, list):
-            raise TypeError("a message is an array")
-        try:
-            message = decode(values)
-        except UnknownMessage:
             return
+        while self.open:
+            try:
+                message = decode(self._unpacker.unpack())
+            except msgpack.exceptions.OutOfData:
+                return
+            except UnknownMessage:
+                continue
+            except (ValueError, TypeError, msgpack.exceptions.UnpackException):
+                self.abort()
+                return
+            self._deliver(message)
+
+    def _deliver(self, message: Any) -> None:
         if isinstance(message, Ping):
             self.send(Pong(message.nonce))
-        elif self.open:
+            return
+        try:
             self._on_message(self, message)
+        except Exception as fault:
+            # A fault of this process in one message must not end what else the link carries.
+            what = f"{type(message).__name__} could not be handled"
+            self._loop.call_exception_handler({"message": what, "exception": fault})
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.open = False
@@ -79,13 +90,15 @@
 
     def send(self, message: Message) -> None:
         """Queue a message; silently dropped on a closed link, whose holder hears of the close."""
-        if self.open and self._transport is not None:
-            self._transport.write(encode(message))
+        self.send_encoded(encode(message))
 
     def send_encoded(self, data: bytes) -> None:
         """Queue a message that is encoded already, for one sent to many."""
-        if self.open and self._transport is not None:
-            self._transport.write(data)
+        if not self.open or self._transport is None:
+            return
+        self._transport.write(data)
+        if self._transport.get_write_buffer_size() > MOST_UNSENT:
+            self.abort()
 
     @property
     def unsent(self) -> int:
@@ -121,10 +134,11 @@
         self._on_message = on_message
         self._on_down = on_down
         self._closing = False
+        self._pause = FIRST_PAUSE_S
+        self._up_at = 0.0
         self._task = spawn(self._connect())
 
     async def _connect(self) -> None:
-        pause = FIRST_PAUSE_S
         loop = asyncio.get_running_loop()
         while not self._closing:
             link = Link(self._on_message, self._lost)
@@ -133,21 +147,32 @@
                     await loop.create_connection(lambda link=link: link, *self.address)
             except (OSError, TimeoutError):
                 self.failures += 1
-                await asyncio.sleep(pause * random.uniform(0.5, 1.0))
-                pause = min(MOST_PAUSE_S, 2 * pause)
+                await self._rest()
                 continue
             self.failures = 0
             self.link = link
+            self._up_at = loop.time()
             self._on_up(link)
             return
 
+    async def _rest(self) -> None:
+        await asyncio.sleep(self._pause * random.uniform(0.5, 1.0))
+        self._pause = min(MOST_PAUSE_S, 2 * self._pause)
+
     def _lost(self, link: Link) -> None:
         if link is not self.link:
             return
         self.link = None
         self._on_down(link)
         if not self._closing:
-            self._task = spawn(self._connect())
+            self._task = spawn(self._reconnect())
+
+    async def _reconnect(self) -> None:
+        if asyncio.get_running_loop().time() - self._up_at < LIVED_S:
+            await self._rest()
+        else:
+            self._pause = FIRST_PAUSE_S
+        await self._connect()
 
     def close(self) -> None:
         """Give the address up."""
--- a/lupinreach/mesh/messages.py
+++ b/lupinreach/mesh/messages.py
@@ -48,8 +48,10 @@
     return packed
 
 
-def decode(values: list[Any]) -> Any:
+def decode(values: Any) -> Any:
     """The message that an array of values stands for; UnknownMessage where this version has none."""
+    if not isinstance(values, list):
+        raise TypeError("a message is an array")
     found = _TYPES.get(values[0]) if values else None
     if found is None:
         raise UnknownMessage(values[0] if values else None)
