--- a/lupinreach/net/call.py
+++ b/lupinreach/net/call.py
@@ -95,7 +95,9 @@
 class Answers(Protocol):
     """The client's side of one API call: one whole answer, or one that is passed on."""
 
-    def whole(self, status: int, lines: Sequence[http.Slice | bytes] = (), body: http.Slice | bytes = b"") -> None: ...
+    def whole(
+        self, status: int, lines: Sequence[http.Slice | bytes] = (), body: http.Slice | bytes = b""
+    ) -> None: ...
 
     def begin(self, status: int, lines: Sequence[http.Slice | bytes], length: int | None) -> Reply: ...
 
@@ -106,8 +108,14 @@
 class ApiCall:
     """One API call. It is the token that the module names it by; the port puts the module's orders here."""
 
-    def __init__(self, serving: Serving, request: http.Message, arrived: float, answers: Answers,
-                 upload: Upload | None = None) -> None:
+    def __init__(
+        self,
+        serving: Serving,
+        request: http.Message,
+        arrived: float,
+        answers: Answers,
+        upload: Upload | None = None,
+    ) -> None:
         """Raises BadRequest where the request is none of the protocol's."""
         self._serving = serving
         self._request = request
@@ -133,8 +141,9 @@
         now, counters = serving.clock.now, serving.counters
         counters.taken[self._product] += 1
         call, shots = None, list[Out]()
-        overdue = asyncio.get_running_loop().call_at(serving.clock.on_loop(self._overdue),
-                                                     self.orders.put_nowait, Overdue())
+        overdue = asyncio.get_running_loop().call_at(
+            serving.clock.on_loop(self._overdue), self.orders.put_nowait, Overdue()
+        )
         try:
             if self._remember is not None and not await self._remembered(self._remember):
                 return
@@ -212,7 +221,9 @@
                 self._answer("errored", ERRORED)
             case Remembered.NOT_NOW:
                 limits = self._serving.settings.limits
-                self._rate_limit(min(self._serving.longest_wait, limits.max_retry_after) if limits.retry_after else 0.0)
+                self._rate_limit(
+                    min(self._serving.longest_wait, limits.max_retry_after) if limits.retry_after else 0.0
+                )
         return not self.answered.done()
 
     async def _settle(self, call: Call, shots: list[Out]) -> None:
@@ -236,8 +247,15 @@
         sent = serving.clock.now()
         message = upload.tail if upload else compose(request, (until - sent) / 1000, len(request.body))
         place = serving.directory.place(backend)
-        shot = Shot(serving.pool, place, message, serving.clock.on_loop(until), request.body,
-                    lambda: self.orders.put_nowait(Began(number)), upload)
+        shot = Shot(
+            serving.pool,
+            place,
+            message,
+            serving.clock.on_loop(until),
+            request.body,
+            lambda: self.orders.put_nowait(Began(number)),
+            upload,
+        )
         task = serving.tasks.spawn("shot", shot.run())
         task.add_done_callback(lambda _: self.orders.put_nowait(Landed(number)))
         return Out(shot, task, sent)
@@ -264,8 +282,13 @@
             self._answers.cut()
             self._close("left" if end is End.CALLED_OFF else "errored")
 
-    def _answer(self, what: str, status: int, body: http.Slice | bytes = b"",
-                headers: Sequence[http.Slice | bytes] = ()) -> None:
+    def _answer(
+        self,
+        what: str,
+        status: int,
+        body: http.Slice | bytes = b"",
+        headers: Sequence[http.Slice | bytes] = (),
+    ) -> None:
         if not self.answered.done():
             self._answers.whole(status, headers, body)
             self._close(what)
@@ -287,7 +310,9 @@
     return http.request(request.method, request.target, headers, request.headers.get(b"host", b""), length)
 
 
-def read_ask(token: ApiCall | None, request: http.Message, arrived: float, serving: Serving) -> tuple[Ask, float]:
+def read_ask(
+    token: ApiCall | None, request: http.Message, arrived: float, serving: Serving
+) -> tuple[Ask, float]:
     """A request in our words, and when its client stops waiting."""
     if request.method not in (b"GET", b"POST"):
         raise BadRequest("the method must be GET or POST")
@@ -314,7 +339,11 @@
     until = arrived + waits - min(serving.settings.rules.answer_slack, MARGIN * waits)
     key = protocol.KEY.fullmatch(request.target.partition(b"?")[0])
     return Ask(
-        token, index, until, cost=cost, again=request.header(protocol.RETRY) == b"1",
+        token,
+        index,
+        until,
+        cost=cost,
+        again=request.header(protocol.RETRY) == b"1",
         customer=serving.customers.get(request.header(protocol.CUSTOMER) or b"", 0),
         key=crc32(key[1]) if key else None,  # the same at all agents
     ), arrived + waits
--- a/lupinreach/net/channel.py
+++ b/lupinreach/net/channel.py
@@ -40,7 +40,7 @@
         if self._reading is None:
             self._make_room()
             try:
-                room = cast(bytearray, memoryview(self.buffer)[self.end:])  # a slice serves as well
+                room = cast(bytearray, memoryview(self.buffer)[self.end :])  # a slice serves as well
                 self._reading = cast("asyncio.Future[int]", self.stream.read_into(room, partial=True))
             except StreamClosedError as closed:
                 self._reading = _failed(closed)
@@ -77,7 +77,7 @@
     def _renew(self, size: int) -> None:
         old, self.buffer = self.buffer, bytearray(min(size, self._most))
         unread = self.end - self.start
-        self.buffer[:unread] = memoryview(old)[self.start:self.end]
+        self.buffer[:unread] = memoryview(old)[self.start : self.end]
         self.start, self.end = 0, unread
 
     @property
--- a/lupinreach/net/directory.py
+++ b/lupinreach/net/directory.py
@@ -39,8 +39,17 @@
 class Directory:
     """Follows the directory and tells the module; holds the address of each backend."""
 
-    def __init__(self, config: AgentConfig, clock: Clock, log: Log, counters: Counters, tasks: Tasks,
-                 sockets: Sockets, pool: Pool, listed: Callable[[News, list[Listing], bool], None]) -> None:
+    def __init__(
+        self,
+        config: AgentConfig,
+        clock: Clock,
+        log: Log,
+        counters: Counters,
+        tasks: Tasks,
+        sockets: Sockets,
+        pool: Pool,
+        listed: Callable[[News, list[Listing], bool], None],
+    ) -> None:
         self._seed = config.seed
         self._clock = clock
         self._log = log
@@ -178,7 +187,7 @@
                 raise Ended(End.FAULT)
             chunks, line = http.Chunks(bound=False), bytearray()
             while True:
-                pieces, used = chunks.feed(memoryview(channel.buffer)[channel.start:channel.end])
+                pieces, used = chunks.feed(memoryview(channel.buffer)[channel.start : channel.end])
                 channel.start += used
                 for piece in pieces:
                     *whole, rest = bytes(piece).split(b"\n")
@@ -199,7 +208,9 @@
     async def _send(self, address: Address, target: bytes) -> Channel:
         self._counters.directory["called"] += 1
         host = b"%s:%d" % (address[0].encode(), address[1])
-        channel = await connect(self._sockets, address, SILENT_BEATS * protocol.BEAT, http.MOST_HEAD + MOST_LIST)
+        channel = await connect(
+            self._sockets, address, SILENT_BEATS * protocol.BEAT, http.MOST_HEAD + MOST_LIST
+        )
         channel.write(http.request(b"GET", target, (), host))
         return channel
 
@@ -226,7 +237,9 @@
         read = [self._entry(e) for e in top.sections(protocol.ENTRIES, NEEDED)]
         older = news is not News.CACHED and self.older is not None and self.older(version)
         if older and news is News.FULL:
-            news = News.CHANGES  # guards against backends that are given up since an old list doesn't name them yet
+            news = (
+                News.CHANGES
+            )  # guards against backends that are given up since an old list doesn't name them yet
         now, pool = self._clock.now(), self._pool
         for uid, address, listing in read:
             entry = self._entries.get(uid)
--- a/lupinreach/net/http.py
+++ b/lupinreach/net/http.py
@@ -23,8 +23,24 @@
 from lupinreach.net.ends import End, Ended
 
 __all__ = [
-    "CONTINUE", "IN_PLACE", "MOST_HEAD", "Body", "Chunks", "Head", "Message", "Slice", "answer", "answer_body",
-    "answer_head", "message", "passed_on", "read_answer", "read_answer_head", "read_body", "read_head", "request",
+    "CONTINUE",
+    "IN_PLACE",
+    "MOST_HEAD",
+    "Body",
+    "Chunks",
+    "Head",
+    "Message",
+    "Slice",
+    "answer",
+    "answer_body",
+    "answer_head",
+    "message",
+    "passed_on",
+    "read_answer",
+    "read_answer_head",
+    "read_body",
+    "read_head",
+    "request",
 ]
 
 IN_PLACE = 64 << 10  # bytes of a body that is read into one buffer and is a slice of it
@@ -64,13 +80,13 @@
     def here(self) -> list[Slice]:
         """What has come and was not taken yet."""
         channel = self._channel
-        area = memoryview(channel.buffer)[channel.start:channel.end]
+        area = memoryview(channel.buffer)[channel.start : channel.end]
         if self._chunks is not None:
             pieces, used = self._chunks.feed(area)
             self.size += sum(map(len, pieces))
             self.done = self._chunks.done
         else:
-            piece = area if self.length is None else area[:self.length - self.size]
+            piece = area if self.length is None else area[: self.length - self.size]
             pieces, used = [piece] if len(piece) else [], len(piece)
             self.size += used
             self.done = self.done or self.size == self.length
--- a/lupinreach/net/listener.py
+++ b/lupinreach/net/listener.py
@@ -159,7 +159,9 @@
             self._keeps = False
         return self._keeps
 
-    def whole(self, status: int, lines: Sequence[http.Slice | bytes] = (), body: http.Slice | bytes = b"") -> None:
+    def whole(
+        self, status: int, lines: Sequence[http.Slice | bytes] = (), body: http.Slice | bytes = b""
+    ) -> None:
         """Write an answer as one piece."""
         self._writing = self.channel.write(http.answer(status, lines, body, self._stays()))
 
@@ -203,11 +205,14 @@
             raise Stopped
         upload = Upload(serving.pool, serving.directory.place(backend), body.length is None)
         serving.counters.others["requests sent ahead"] += 1
-        self.channel.least = http.IN_PLACE  # guards against a long request that is read in thousands of pieces
+        self.channel.least = (
+            http.IN_PLACE
+        )  # guards against a long request that is read in thousands of pieces
         left = (ask.until - serving.clock.now()) / 1000  # counts from the last byte
         try:
-            await upload.run(compose(request, left, body.length), kept, body, self._came,
-                             serving.longest_wait / 1000)
+            await upload.run(
+                compose(request, left, body.length), kept, body, self._came, serving.longest_wait / 1000
+            )
         except BaseException:
             upload.let_go()
             raise
@@ -248,8 +253,15 @@
 class Listener:
     """Accepts clients, as many as there are descriptors for."""
 
-    def __init__(self, serving: Serving, sockets: Sockets, address: Address, log: Log, most: int,
-                 inherited: int | None = None) -> None:
+    def __init__(
+        self,
+        serving: Serving,
+        sockets: Sockets,
+        address: Address,
+        log: Log,
+        most: int,
+        inherited: int | None = None,
+    ) -> None:
         self._serving = serving
         self._sockets = sockets
         self._wanted = address
--- a/lupinreach/net/peers.py
+++ b/lupinreach/net/peers.py
@@ -15,8 +15,13 @@
 class Peers(asyncio.DatagramProtocol):
     """The agents of this tier, by number."""
 
-    def __init__(self, peers: tuple[Address, ...], everybody: Address | None, counters: Counters,
-                 heard: Callable[[int, bytes], None]) -> None:
+    def __init__(
+        self,
+        peers: tuple[Address, ...],
+        everybody: Address | None,
+        counters: Counters,
+        heard: Callable[[int, bytes], None],
+    ) -> None:
         self._addresses = peers
         self._numbers = {address: number for number, address in enumerate(peers)}
         self._everybody = everybody
--- a/lupinreach/net/pool.py
+++ b/lupinreach/net/pool.py
@@ -26,8 +26,13 @@
 OUT_OF_DESCRIPTORS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
 
-async def connect(sockets: Sockets, address: Address, within: float, most: int = http.MOST_HEAD + http.IN_PLACE,
-                  patience: float = inf) -> Channel:
+async def connect(
+    sockets: Sockets,
+    address: Address,
+    within: float,
+    most: int = http.MOST_HEAD + http.IN_PLACE,
+    patience: float = inf,
+) -> Channel:
     """A new connection, in `within` ms."""
     try:
         channel = Channel(sockets.stream(address), most, patience)
@@ -61,8 +66,15 @@
 class Pool:
     """All connections to backends. One in use belongs to its shot; the others stand idle here."""
 
-    def __init__(self, most: int, connect_timeout: float, idle: float, counters: Counters,
-                 most_answer: int = MOST_BODY, sockets: Sockets | None = None) -> None:
+    def __init__(
+        self,
+        most: int,
+        connect_timeout: float,
+        idle: float,
+        counters: Counters,
+        most_answer: int = MOST_BODY,
+        sockets: Sockets | None = None,
+    ) -> None:
         self._most = most
         self._connect_timeout = connect_timeout or CONNECT_WITHIN
         self._idle_for = (idle or MOST_IDLE) * IDLE_SHARE / 1000
@@ -93,9 +105,13 @@
             self._close(oldest, End.MADE_ROOM)
         self.open += 1
         try:
-            channel = await connect(self._sockets, place.address, self._connect_timeout,
-                                    http.MOST_HEAD + http.IN_PLACE,
-                                    STANDS_STILL * self._connect_timeout / 1000)
+            channel = await connect(
+                self._sockets,
+                place.address,
+                self._connect_timeout,
+                http.MOST_HEAD + http.IN_PLACE,
+                STANDS_STILL * self._connect_timeout / 1000,
+            )
         except BaseException:
             self.open -= 1
             raise
--- a/lupinreach/net/port.py
+++ b/lupinreach/net/port.py
@@ -14,9 +14,16 @@
 class AgentPort:
     """The module's port. Orders for an API call go to that API call, which carries them out in turn."""
 
-    def __init__(self, clock: Clock, log: Log, limits: Limits, woke: Callable[[float, str], None],
-                 ask: Callable[[bool], None], probe: Callable[[int], None],
-                 tell: Callable[[bytes], None]) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        log: Log,
+        limits: Limits,
+        woke: Callable[[float, str], None],
+        ask: Callable[[bool], None],
+        probe: Callable[[int], None],
+        tell: Callable[[bytes], None],
+    ) -> None:
         self._clock = clock
         self._log = log
         self._limits = limits
--- a/lupinreach/net/protocol.py
+++ b/lupinreach/net/protocol.py
@@ -25,8 +25,12 @@
 # A load report's fields, by the names that the settings give them or by the protocol's own.
 # Guards against reports that come under the one kind of name and are looked for under the other.
 LOADS = config.LOADS | {
-    "inflight": "in_flight", "queue": "waiting", "util": "busy", "latency_ms": "latency",
-    "qps": "calls_per_s", "eps": "errors_per_s",
+    "inflight": "in_flight",
+    "queue": "waiting",
+    "util": "busy",
+    "latency_ms": "latency",
+    "qps": "calls_per_s",
+    "eps": "errors_per_s",
 }
 
 # The directory's lists.
--- a/lupinreach/net/reply.py
+++ b/lupinreach/net/reply.py
@@ -17,13 +17,23 @@
 class Reply:
     """One answer, written piece by piece. Each write ends when the kernel has taken it, which holds the backend back."""
 
-    def __init__(self, channel: Channel, status: int, lines: list[http.Slice | bytes], length: int | None,
-                 keeps: bool, old: bool) -> None:
+    def __init__(
+        self,
+        channel: Channel,
+        status: int,
+        lines: list[http.Slice | bytes],
+        length: int | None,
+        keeps: bool,
+        old: bool,
+    ) -> None:
         """`length` of the body, where it is known; `old`: the client knows no chunks, so it ends with its connection."""
         self._channel = channel
         self._chunked = length is None and not old
-        framing = b"Transfer-Encoding: chunked\r\n" if self._chunked else (
-            b"" if length is None else b"Content-Length: %d\r\n" % length)
+        framing = (
+            b"Transfer-Encoding: chunked\r\n"
+            if self._chunked
+            else (b"" if length is None else b"Content-Length: %d\r\n" % length)
+        )
         self._head = http.answer_head(status, lines, keeps, framing)
 
     async def write(self, piece: http.Slice | bytes) -> None:
--- a/lupinreach/net/shot.py
+++ b/lupinreach/net/shot.py
@@ -16,7 +16,9 @@
 from lupinreach.net.upload import Upload
 
 JOINED = 16 << 10  # bytes of a body up to which it is written in one piece with its head
-KEPT = 64 << 10  # bytes of an answer that is passed on whole, so that a spoilt one can be told from a good one;
+KEPT = (
+    64 << 10
+)  # bytes of an answer that is passed on whole, so that a spoilt one can be told from a good one;
 KEPT_UNSAID = 16 << 10  # where it doesn't say how long it is
 MOVES = 10.0  # s in which a long answer must bring something
 BUFFER = 64 << 10  # bytes that are read of one at once
@@ -25,8 +27,16 @@
 class Shot:
     """An exchange as it goes. `run` is a task of its own; to cancel it closes the connection."""
 
-    def __init__(self, pool: Pool, place: Place, message: bytes, until: float, body: http.Slice | bytes = b"",
-                 began: Callable[[], None] | None = None, upload: Upload | None = None) -> None:
+    def __init__(
+        self,
+        pool: Pool,
+        place: Place,
+        message: bytes,
+        until: float,
+        body: http.Slice | bytes = b"",
+        began: Callable[[], None] | None = None,
+        upload: Upload | None = None,
+    ) -> None:
         """`began` is called when a long answer has begun, which then waits for `pass_on`; `upload` went ahead."""
         self._pool = pool
         self._place = place
--- a/lupinreach/net/sockets.py
+++ b/lupinreach/net/sockets.py
@@ -30,8 +30,11 @@
             sock = socket.socket(fileno=descriptor)
         except OSError as failed:
             raise BadConfig(f"PROXY_FD: descriptor {descriptor}: {failed.strerror}") from None
-        if (sock.family not in (socket.AF_INET, socket.AF_INET6) or sock.type != socket.SOCK_STREAM
-                or not sock.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN)):
+        if (
+            sock.family not in (socket.AF_INET, socket.AF_INET6)
+            or sock.type != socket.SOCK_STREAM
+            or not sock.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN)
+        ):
             sock.detach()  # not ours to close
             raise BadConfig(f"PROXY_FD: descriptor {descriptor} is no listening TCP socket")
         sock.setblocking(False)
--- a/lupinreach/net/upload.py
+++ b/lupinreach/net/upload.py
@@ -29,8 +29,14 @@
         self.place = place
         self.tail: bytes = b""  # what makes it whole
 
-    async def run(self, head: bytes, begun: bytes | bytearray, body: http.Body, came: Callable[[int], None],
-                  within: float) -> None:
+    async def run(
+        self,
+        head: bytes,
+        begun: bytes | bytearray,
+        body: http.Body,
+        came: Callable[[int], None],
+        within: float,
+    ) -> None:
         """Send it ahead; each write may take so many s. Raises Stopped for the backend's end, Ended for the client's."""
         try:
             self._channel = await self._pool.take(self.place)
--- a/lupinreach/ops/carry.py
+++ b/lupinreach/ops/carry.py
@@ -30,10 +30,14 @@
 def plain(learnt: Learnt, at: float) -> dict[str, Any]:
     """The value; of more backends than it may name, the rest is left out."""
     return {
-        "form": FORM, "at": at, "slos": learnt.slos, "live_weights": learnt.live_weights,
+        "form": FORM,
+        "at": at,
+        "slos": learnt.slos,
+        "live_weights": learnt.live_weights,
         "usual": learnt.usual,
-        "backends": [(m.name, m.boot_time, m.listed, m.figures, m.ill)
-                     for m in learnt.backends[:MOST_BACKENDS]],
+        "backends": [
+            (m.name, m.boot_time, m.listed, m.figures, m.ill) for m in learnt.backends[:MOST_BACKENDS]
+        ],
     }
 
 
--- a/lupinreach/ops/door.py
+++ b/lupinreach/ops/door.py
@@ -18,7 +18,9 @@
 from lupinreach.net.sockets import Sockets
 from lupinreach.ops import figures
 
-MOST_HELD = 16  # connections at once, of the agent's descriptors; with all held, the one held longest makes room
+MOST_HELD = (
+    16  # connections at once, of the agent's descriptors; with all held, the one held longest makes room
+)
 WHOLE_WITHIN = 2.0  # s from connecting for all of a call
 WRITTEN_WITHIN = 2.0  # s for its answer to be taken
 LINGER = 0.2  # s for what follows a call that was refused, so that its caller gets to see why
@@ -56,7 +58,9 @@
         self._wanted = address
         self._sockets = sockets or Sockets()
         self._socket: socket.socket | None = None
-        self._held: dict[Channel, asyncio.Task[None] | None] = {}  # longest first; each leaves when it is closed
+        self._held: dict[
+            Channel, asyncio.Task[None] | None
+        ] = {}  # longest first; each leaves when it is closed
         # By path and method.
         self._calls: dict[bytes, tuple[bytes, Callable[[], Said]]] = {
             b"/_ready": (b"GET", self._ready),
@@ -161,7 +165,9 @@
     def _vars(self) -> Said:
         agent = self._agent
         products = [product.name for product in agent.config.settings.products]
-        found = figures.report(products, agent.counters, agent.directory.listed, agent.balancer.avoided(agent.clock.now()))
+        found = figures.report(
+            products, agent.counters, agent.directory.listed, agent.balancer.avoided(agent.clock.now())
+        )
         return Said(200, figures=found if agent.tells is None else found | {"fleet": agent.tells()})
 
     def _drain(self, on: bool) -> Said:
--- a/lupinreach/ops/figures.py
+++ b/lupinreach/ops/figures.py
@@ -18,9 +18,15 @@
     All counts run from the start of the process and never go back.
     """
     names = list(products)
-    figures: dict[str, Any] = {word: _each(names, counters.outcomes[outcome]) for outcome, word in WORDS.items()}
-    return figures | {SHOTS: counters.written, OPEN: counters.open, LISTED: listed,
-                      AVOIDED: min(listed, avoided)}
+    figures: dict[str, Any] = {
+        word: _each(names, counters.outcomes[outcome]) for outcome, word in WORDS.items()
+    }
+    return figures | {
+        SHOTS: counters.written,
+        OPEN: counters.open,
+        LISTED: listed,
+        AVOIDED: min(listed, avoided),
+    }
 
 
 def _each(names: list[str], counts: Mapping[str, int]) -> dict[str, int]:
--- a/lupinreach/ops/returning.py
+++ b/lupinreach/ops/returning.py
@@ -41,8 +41,15 @@
 class Returning:
     """One agent's part in the fleet, from its start to its end. Its tables are bounded by agents, backends and drains."""
 
-    def __init__(self, agent: Agent, store: Store, found: Found, config: FleetConfig, token: int | None = None,
-                 asked: Callable[[bool], None] = lambda _: None) -> None:
+    def __init__(
+        self,
+        agent: Agent,
+        store: Store,
+        found: Found,
+        config: FleetConfig,
+        token: int | None = None,
+        asked: Callable[[bool], None] = lambda _: None,
+    ) -> None:
         """`token` tells two lives with one number apart; the system's chance unless given.
 
         `asked` hears when peers were, and if they have met a later life than the disk knows of.
@@ -62,8 +69,15 @@
         self.members = Members(self._me, settings.agents, config.beat, self._chance)
         self.floor = Floor(_whole(kept.get("floor")), settings.rules.ask_within)
         self.drains = Drains(_drains(kept))
-        self.returned = Return(now, Stays(READ, config.ask * (1 + SPREAD), HOLD * max(p.slo for p in settings.products),
-                                          settings.rules.cold))
+        self.returned = Return(
+            now,
+            Stays(
+                READ,
+                config.ask * (1 + SPREAD),
+                HOLD * max(p.slo for p in settings.products),
+                settings.rules.cold,
+            ),
+        )
         self._cold = settings.rules.cold
         self._raw: dict[int, Listing] = {}  # by index, as the registry last said; each leaves as it goes
         self._held: set[int] = set()  # indices that the module was told to drain, though a list says ready
@@ -72,7 +86,9 @@
         # copy looks like a sound one. Until peers were asked the module has the registry's own word alone.
         self._withheld = True
         self._told_asked = asked
-        self._seen = dict(_seen(kept.get("seen"), settings.agents))  # of the agents before it, as far as `WITNESSES`
+        self._seen = dict(
+            _seen(kept.get("seen"), settings.agents)
+        )  # of the agents before it, as far as `WITNESSES`
         self._asking: Asking | None = None
         self._synced: asyncio.Task[None] | None = None  # the last writing
         self._marking: asyncio.Task[None] | None = None  # the last mark after payments
@@ -82,8 +98,14 @@
         if config.share:
             from lupinreach.ops.sharing import Sharing  # an agent that shares nothing doesn't load it
 
-            self.sharing = Sharing(agent, config, self.members, lambda: (self.own.life.number, self.own.superseded),
-                                   lambda peer, kind, more: self._send(peer, self._message(kind, **more)), self._chance)
+            self.sharing = Sharing(
+                agent,
+                config,
+                self.members,
+                lambda: (self.own.life.number, self.own.superseded),
+                lambda peer, kind, more: self._send(peer, self._message(kind, **more)),
+                self._chance,
+            )
             agent.tasks.spawn("sharing", self.sharing.run())
         store.put("life", self.own.life.number)
         self._put_beat()
@@ -141,7 +163,10 @@
         return self._as_held([*entries, *also])
 
     def _as_held(self, entries: Iterable[Listing]) -> list[Listing]:
-        return [replace(e, state=State.DRAINING) if e.backend in self._held and e.state is State.READY else e for e in entries]
+        return [
+            replace(e, state=State.DRAINING) if e.backend in self._held and e.state is State.READY else e
+            for e in entries
+        ]
 
     def _lifted(self, e: Listing) -> None:
         if self.drains.lifted(e.name, int(e.boot_time)):
@@ -158,13 +183,20 @@
         self._held = held
         if self._withheld:
             self._withheld = False
-            self._agent.balancer.listed(self._agent.clock.now(), News.CACHED, self._as_held(self._raw.values()))
+            self._agent.balancer.listed(
+                self._agent.clock.now(), News.CACHED, self._as_held(self._raw.values())
+            )
             self._agent.standing.listed = self._agent.standing.listed or bool(self._raw)
             return
-        changed = [replace(self._raw[i], state=State.DRAINING if i in held else State.READY)
-                   for i in sorted(held ^ before) if i in self._raw and self._raw[i].state is State.READY]
+        changed = [
+            replace(self._raw[i], state=State.DRAINING if i in held else State.READY)
+            for i in sorted(held ^ before)
+            if i in self._raw and self._raw[i].state is State.READY
+        ]
         if changed:
-            self._agent.counters.others["fleet: held by others' word"] += sum(e.state is State.DRAINING for e in changed)
+            self._agent.counters.others["fleet: held by others' word"] += sum(
+                e.state is State.DRAINING for e in changed
+            )
             self._agent.balancer.listed(self._agent.clock.now(), News.CHANGES, changed)
 
     # Datagrams.
@@ -192,7 +224,11 @@
             if self.own.hear(sender, life, beat):
                 self._store.put("life", self.own.life.number)
                 self._put_beat()
-        if self.sharing is not None and m.kind in (wire.NEWS, wire.WANT, wire.GRANT) and not self.own.superseded:
+        if (
+            self.sharing is not None
+            and m.kind in (wire.NEWS, wire.WANT, wire.GRANT)
+            and not self.own.superseded
+        ):
             self.sharing.hear(m)
         elif m.kind == wire.ASK and not self.own.superseded:
             self._answer(m, known)
@@ -205,30 +241,54 @@
                 self._hold()
 
     def _message(self, kind: int, **more: object) -> Message:
-        return Message(kind, self._me, self.own.life, self.members.beat, self.floor.revision > 0,
-                       self.floor.revision, **more)  # type: ignore[arg-type]
+        return Message(
+            kind,
+            self._me,
+            self.own.life,
+            self.members.beat,
+            self.floor.revision > 0,
+            self.floor.revision,
+            **more,
+        )  # type: ignore[arg-type]
 
     def _send(self, peer: int, message: Message) -> None:
         self._agent.peers.send(peer, wire.written(message))
 
     def _answer(self, m: Message, known: tuple[Life, int]) -> None:
-        drains = self.drains.all()[:wire.DRAINS * wire.MOST_PARTS]
-        parts = [tuple(drains[i:i + wire.DRAINS]) for i in range(0, len(drains), wire.DRAINS)] or [()]
+        drains = self.drains.all()[: wire.DRAINS * wire.MOST_PARTS]
+        parts = [tuple(drains[i : i + wire.DRAINS]) for i in range(0, len(drains), wire.DRAINS)] or [()]
         for i, part in enumerate(parts):
-            self._send(m.sender, self._message(
-                wire.TELL, nonce=m.nonce, part=i, parts=len(parts), standing=self.members.count(self._agent.clock.now()),
-                known=known[0], known_beat=known[1], drains=part))
+            self._send(
+                m.sender,
+                self._message(
+                    wire.TELL,
+                    nonce=m.nonce,
+                    part=i,
+                    parts=len(parts),
+                    standing=self.members.count(self._agent.clock.now()),
+                    known=known[0],
+                    known_beat=known[1],
+                    drains=part,
+                ),
+            )
 
     def figures(self) -> dict[str, object]:
         """What operators see: where it is on its way back, who it is, whom it knows, what it believes."""
         now = self._agent.clock.now()
         return {
-            "stage": self.returned.stage.name.lower(), "life": self.own.life.number, "superseded": self.own.superseded,
-            "own": self.members.own(now).value, "standing": self.members.count(now),
+            "stage": self.returned.stage.name.lower(),
+            "life": self.own.life.number,
+            "superseded": self.own.superseded,
+            "own": self.members.own(now).value,
+            "standing": self.members.count(now),
             "agents": {str(n): [life.number, standing.value] for n, life, standing in self.members.all(now)},
-            "floor": self.floor.revision, "list": self._agent.directory.version,
-            "drains": [d.backend for d in self.drains.all()], "held": len(self._held), "store": self._store.well,
-            **({"shared": self.sharing.figures()} if self.sharing else {})}
+            "floor": self.floor.revision,
+            "list": self._agent.directory.version,
+            "drains": [d.backend for d in self.drains.all()],
+            "held": len(self._held),
+            "store": self._store.well,
+            **({"shared": self.sharing.figures()} if self.sharing else {}),
+        }
 
     # From start to end.
 
@@ -246,8 +306,15 @@
         while not self._asking.over(clock.now()):
             await asyncio.sleep(self._config.ask / 20000)
         self._conclude()
-        log.event("asked", peers=len(self._asking.peers), answered=len(self._asking.answers), life=[self.own.life.number, self.own.life.token],
-                  floor=self.floor.revision, standing=self._asking.standing(), held=len(self._held))
+        log.event(
+            "asked",
+            peers=len(self._asking.peers),
+            answered=len(self._asking.answers),
+            life=[self.own.life.number, self.own.life.token],
+            floor=self.floor.revision,
+            standing=self._asking.standing(),
+            held=len(self._held),
+        )
         said = Selfhood.SOUND, False
         while True:
             await asyncio.sleep(self._config.beat * (1 + JITTER * (self._chance() - 0.5)) / 1000)
@@ -309,7 +376,10 @@
         for agent in self._witnesses(-1):
             if (known := self._known(agent)) != NOBODY:
                 self._seen[agent] = known
-        self._store.put("seen", [[agent, life.number, life.token, beat] for agent, (life, beat) in sorted(self._seen.items())])
+        self._store.put(
+            "seen",
+            [[agent, life.number, life.token, beat] for agent, (life, beat) in sorted(self._seen.items())],
+        )
 
     def _ask(self) -> None:
         """Those that haven't answered."""
@@ -322,11 +392,15 @@
         agents = self._agent.config.settings.agents
         first = self._witnesses(1)
         others = [n for n in range(agents) if n != self._me and n not in first]
-        return first + [others.pop(int(self._chance() * len(others))) for _ in range(min(ASKED - len(first), len(others)))]
+        return first + [
+            others.pop(int(self._chance() * len(others))) for _ in range(min(ASKED - len(first), len(others)))
+        ]
 
     def _conclude(self) -> None:
         self._asked = True
-        self._claims_until = self._agent.clock.now() + RESET_AFTER * self._agent.config.settings.rules.ask_within
+        self._claims_until = (
+            self._agent.clock.now() + RESET_AFTER * self._agent.config.settings.rules.ask_within
+        )
         self.own.settled = True
         self._told_asked(self.own.behind)
         self._hold()
@@ -340,10 +414,18 @@
             self._hold()
         ready = [e for e in self._raw.values() if e.state is State.READY]
         cold = sum(e.boot_time > 0 and now < e.boot_time + self._cold for e in ready)
-        facts = Facts(True, self._asked, len(ready), self._registry, self._agent.counters.answered["fulfilled"] > 0,
-                      2 * cold >= len(ready))
+        facts = Facts(
+            True,
+            self._asked,
+            len(ready),
+            self._registry,
+            self._agent.counters.answered["fulfilled"] > 0,
+            2 * cold >= len(ready),
+        )
         for stage, took in self.returned.look(now, facts):
-            self._agent.log.event("returned", stage=stage.name.lower(), took_ms=round(took), to=Stage(stage + 1).name.lower())
+            self._agent.log.event(
+                "returned", stage=stage.name.lower(), took_ms=round(took), to=Stage(stage + 1).name.lower()
+            )
         self._agent.standing.returning = not self.returned.ready
 
 
@@ -362,7 +444,12 @@
 
 def _seen(value: object, agents: int) -> Iterable[tuple[int, tuple[Life, int]]]:
     for row in value[:WITNESSES] if isinstance(value, list) else ():
-        if isinstance(row, list) and len(row) == 4 and all(type(n) is int and 0 <= n < 1 << 32 for n in row) and row[0] < agents:
+        if (
+            isinstance(row, list)
+            and len(row) == 4
+            and all(type(n) is int and 0 <= n < 1 << 32 for n in row)
+            and row[0] < agents
+        ):
             yield row[0], (Life(row[1], row[2]), row[3])
 
 
--- a/lupinreach/ops/sharing.py
+++ b/lupinreach/ops/sharing.py
@@ -25,7 +25,10 @@
 
 JITTER = 0.2  # of the time between two words
 WINDOW = 5.0  # x the time between two words: over which rates of customers are taken
-AGEING, ALONE = 4.0, 16.0  # x the time between two words without any: what is shared is ageing, then the agent is alone
+AGEING, ALONE = (
+    4.0,
+    16.0,
+)  # x the time between two words without any: what is shared is ageing, then the agent is alone
 OVER = 1.5  # x its fraction of all that is asked: from there on a customer is over its share
 WELL = 1.0  # x SLO: below it others have met a backend well
 TRIALS = 0  # the number of the budget
@@ -43,8 +46,15 @@
 class Sharing:
     """One agent's part. Its tables are those of `Evidence`, `Counts` and `Budget`, each bounded there."""
 
-    def __init__(self, agent: Agent, config: FleetConfig, members: Members, me: Callable[[], tuple[int, bool]],
-                 send: Callable[[int, int, dict[str, object]], None], chance: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        agent: Agent,
+        config: FleetConfig,
+        members: Members,
+        me: Callable[[], tuple[int, bool]],
+        send: Callable[[int, int, dict[str, object]], None],
+        chance: Callable[[], float],
+    ) -> None:
         """`me` gives this agent's life and if a newer one has taken its place; `send` a peer, a kind and what is said."""
         settings = agent.config.settings
         now = agent.clock.now()
@@ -82,9 +92,15 @@
             own = self.trials.own
             if m.kind == wire.WANT:
                 spare = self.trials.usable(now) - self._wants()
-                amount = self.trials.grant(now, m.sender, m.life.number, m.nonce, m.amount / 1000 * own, spare)
+                amount = self.trials.grant(
+                    now, m.sender, m.life.number, m.nonce, m.amount / 1000 * own, spare
+                )
                 if amount:
-                    self._send(m.sender, wire.GRANT, {"nonce": m.nonce, "budget": TRIALS, "amount": int(1000 * amount / own)})
+                    self._send(
+                        m.sender,
+                        wire.GRANT,
+                        {"nonce": m.nonce, "budget": TRIALS, "amount": int(1000 * amount / own)},
+                    )
             elif self.trials.granted(now, m.nonce, m.amount / 1000 * own):
                 self._agent.counters.others["shared: trials borrowed"] += 1
 
@@ -99,12 +115,23 @@
         """Once between two words: take what is own, and hand the module what follows from all of it."""
         now, balancer = self._agent.clock.now(), self._agent.balancer
         silent = now - self._heard_at
-        self.stage = Silence.FRESH if silent <= AGEING * self._config.share else \
-            Silence.AGEING if silent <= ALONE * self._config.share else Silence.ALONE
+        self.stage = (
+            Silence.FRESH
+            if silent <= AGEING * self._config.share
+            else Silence.AGEING
+            if silent <= ALONE * self._config.share
+            else Silence.ALONE
+        )
         met = balancer.evidence()
         known = {(b.name, boot_mark(b.boot_time)): (b, figure) for b, figure in met}
-        self.evidence.own(now, [Met(self.evidence.me, self.evidence.zone, name, boot, figure, now - b.met_at)
-                                for (name, boot), (b, figure) in known.items() if b.figure[0] is not None])
+        self.evidence.own(
+            now,
+            [
+                Met(self.evidence.me, self.evidence.zone, name, boot, figure, now - b.met_at)
+                for (name, boot), (b, figure) in known.items()
+                if b.figure[0] is not None
+            ],
+        )
         self.evidence.look(now, known)
         self.counts.look(now, self._self()[0], now - self._began)
         self._budget(now, len(met))
@@ -113,10 +140,21 @@
         self.warmth.look(now, young)
         own = {key: (figure, b.met_at) for key, (b, figure) in known.items()}
         dearer = {name: factor for (name, _), factor in self.evidence.factors(now, own).items()}
-        due = frozenset(name for (name, boot), (figure, _) in self.evidence.said(now, own).items()
-                        if figure < WELL and any(known[name, boot][0].held))
-        balancer.shared(now, Shared(dearer, due, self._over(now), None if self.trials is None else self.trials.usable(now) / 1000,
-                                    self.warmth.since(self._began, {name: b.refused_at for name, b in young.items()})))
+        due = frozenset(
+            name
+            for (name, boot), (figure, _) in self.evidence.said(now, own).items()
+            if figure < WELL and any(known[name, boot][0].held)
+        )
+        balancer.shared(
+            now,
+            Shared(
+                dearer,
+                due,
+                self._over(now),
+                None if self.trials is None else self.trials.usable(now) / 1000,
+                self.warmth.since(self._began, {name: b.refused_at for name, b in young.items()}),
+            ),
+        )
 
     def _budget(self, now: float, backends: int) -> None:
         if backends > self._backends:
@@ -133,14 +171,21 @@
         total = sum(rates)
         if total <= 0:
             return None
-        return frozenset(i for i, (rate, part) in enumerate(zip(rates, self._fractions, strict=True)) if rate > OVER * part * total)
+        return frozenset(
+            i
+            for i, (rate, part) in enumerate(zip(rates, self._fractions, strict=True))
+            if rate > OVER * part * total
+        )
 
     def figures(self) -> dict[str, object]:
         """What operators see."""
         now = self._agent.clock.now()
         met = self._agent.balancer.evidence()
         return {
-            "stage": self.stage.value, "rows": len(self.evidence), "counts": len(self.counts), "stood": len(self.warmth),
+            "stage": self.stage.value,
+            "rows": len(self.evidence),
+            "counts": len(self.counts),
+            "stood": len(self.warmth),
             "refused": self.evidence.refused + self.counts.refused + self.warmth.refused,
             "dearer": {str(b.name): round(b.dearer, 2) for b, _ in met if b.dearer > 1},
             "customers_per_s": [round(rate, 2) for rate in self.counts.rates(now)],
@@ -169,7 +214,9 @@
                 # Guards against a late answer to a question of the life before, which would pass its owner's lease.
                 number = (self._self()[0] & 0xFFFF) << 16 | self._count & 0xFFFF
                 self.trials.ask(now, number)
-                self._send(self._members.targets()[0], wire.WANT, {"nonce": number, "budget": TRIALS, "amount": 1000})
+                self._send(
+                    self._members.targets()[0], wire.WANT, {"nonce": number, "budget": TRIALS, "amount": 1000}
+                )
 
     def _news(self, now: float) -> dict[str, object]:
         """As much as a datagram takes: half of it for who stands, where there is so much, half of the rest for each of the others."""
--- a/lupinreach/store/records.py
+++ b/lupinreach/store/records.py
@@ -24,7 +24,9 @@
 MOST_FILE = 4 << 20  # bytes
 MOST_RECORD = 1 << 20
 MOST_KEYS = 4096
-OLDER = b"{"  # how the carried file began before there was a store: one object, which is the value of `learnt`
+OLDER = (
+    b"{"  # how the carried file began before there was a store: one object, which is the value of `learnt`
+)
 
 State = dict[str, Any]
 
@@ -95,8 +97,8 @@
     size, check = HEAD.unpack_from(text, at)
     if size > MOST_RECORD or at + HEAD.size + size > len(text):
         return None
-    body = text[at + HEAD.size:at + HEAD.size + size]
-    return body if crc32(text[at:at + 4] + body) == check else None
+    body = text[at + HEAD.size : at + HEAD.size + size]
+    return body if crc32(text[at : at + 4] + body) == check else None
 
 
 def _older(text: bytes) -> Found:
--- a/lupinreach/store/store.py
+++ b/lupinreach/store/store.py
@@ -24,8 +24,9 @@
     `failed` hears once of a disk that can't be written, and `well` says if it could be of late.
     """
 
-    def __init__(self, path: str, agent: str, disk: Disk | None = None,
-                 failed: Callable[[str], None] = lambda _: None) -> None:
+    def __init__(
+        self, path: str, agent: str, disk: Disk | None = None, failed: Callable[[str], None] = lambda _: None
+    ) -> None:
         self._path = path
         self._agent = agent
         self._disk = disk or Disk()
--- a/lupinreach/store/trust.py
+++ b/lupinreach/store/trust.py
@@ -27,24 +27,54 @@
     why: str
 
 
-ITEMS = {item.name: item for item in (
-    Item("life", Trust.AS_IT_IS, "a higher one that peers have heard", "a number must never come twice"),
-    Item("beat", Trust.AS_IT_IS, "a later one of that life that peers have heard", "who is behind it has an older disk"),
-    Item("seen", Trust.AS_IT_IS, "a later beat of theirs", "what others have told they have told"),
-    Item("floor", Trust.AS_IT_IS, "a registry that is told to be reset on purpose",
-         "what the registry has said at that revision it has said"),
-    Item("drain", Trust.AS_IT_IS, "the registry above the floor, or a restart of that backend",
-         "a drain that was told once holds although an older list says ready"),
-    Item("ran", Trust.AS_IT_IS, "the longest client timeout", "a non-idempotent API call may have run"),
-    Item("learnt", Trust.GUESS, "a restart of that backend, by its boot time; else by each sample",
-         "measured: the speeds of former processes are worth nothing to a cold fleet"),
-    Item("listed", Trust.GUESS, "the registry's first word", "addresses outlive a power loss more often than not"),
-    Item("load", Trust.NEVER, "", "a second old and wrong"),
-    Item("flight", Trust.NEVER, "", "ended with the process's connections"),
-    Item("credit", Trust.NEVER, "", "would be spent twice"),
-    Item("lease", Trust.NEVER, "", "ran out by a clock that no longer runs; what was granted counts as spent"),
-    Item("rest", Trust.NEVER, "", "ended with what caused it"),
-)}
+ITEMS = {
+    item.name: item
+    for item in (
+        Item("life", Trust.AS_IT_IS, "a higher one that peers have heard", "a number must never come twice"),
+        Item(
+            "beat",
+            Trust.AS_IT_IS,
+            "a later one of that life that peers have heard",
+            "who is behind it has an older disk",
+        ),
+        Item("seen", Trust.AS_IT_IS, "a later beat of theirs", "what others have told they have told"),
+        Item(
+            "floor",
+            Trust.AS_IT_IS,
+            "a registry that is told to be reset on purpose",
+            "what the registry has said at that revision it has said",
+        ),
+        Item(
+            "drain",
+            Trust.AS_IT_IS,
+            "the registry above the floor, or a restart of that backend",
+            "a drain that was told once holds although an older list says ready",
+        ),
+        Item("ran", Trust.AS_IT_IS, "the longest client timeout", "a non-idempotent API call may have run"),
+        Item(
+            "learnt",
+            Trust.GUESS,
+            "a restart of that backend, by its boot time; else by each sample",
+            "measured: the speeds of former processes are worth nothing to a cold fleet",
+        ),
+        Item(
+            "listed",
+            Trust.GUESS,
+            "the registry's first word",
+            "addresses outlive a power loss more often than not",
+        ),
+        Item("load", Trust.NEVER, "", "a second old and wrong"),
+        Item("flight", Trust.NEVER, "", "ended with the process's connections"),
+        Item("credit", Trust.NEVER, "", "would be spent twice"),
+        Item(
+            "lease",
+            Trust.NEVER,
+            "",
+            "ran out by a clock that no longer runs; what was granted counts as spent",
+        ),
+        Item("rest", Trust.NEVER, "", "ended with what caused it"),
+    )
+}
 
 
 def item(key: str) -> Item | None:
--- a/lupinreach/trial/bounds.py
+++ b/lupinreach/trial/bounds.py
@@ -30,8 +30,18 @@
     def __init__(self, agents: int) -> None:
         self.agents = agents
         self.parts: dict[int, Sharing] = {}  # the newest life of each
-        self.counted: dict[tuple[int, int, int], list[tuple[float, int]]] = {}  # by cell, agent and life, by its own clock
-        self.most = {"trials": 0.0, "dearer": 0.0, "counts": 0.0, "stood": 0.0, "lent": 0, "heard": 0, "looks": 0}
+        self.counted: dict[
+            tuple[int, int, int], list[tuple[float, int]]
+        ] = {}  # by cell, agent and life, by its own clock
+        self.most = {
+            "trials": 0.0,
+            "dearer": 0.0,
+            "counts": 0.0,
+            "stood": 0.0,
+            "lent": 0,
+            "heard": 0,
+            "looks": 0,
+        }
 
     def look(self, part: Sharing) -> None:
         n, now = part.evidence.me, part._agent.clock.now()
@@ -46,8 +56,12 @@
         factors = [b.dearer for b, _ in part._agent.balancer.evidence()]
         if factors:
             moved = sum(1 - 1 / f for f in factors) / len(factors)
-            most["dearer"] = max(most["dearer"], moved / harm() / EXACT, max(factors) / MOST / EXACT,
-                                 sum(f > 1 for f in factors) / len(factors) / SHARE / EXACT)
+            most["dearer"] = max(
+                most["dearer"],
+                moved / harm() / EXACT,
+                max(factors) / MOST / EXACT,
+                sum(f > 1 for f in factors) / len(factors) / SHARE / EXACT,
+            )
         refused = {b.name: b.refused_at for b in part._agent.balancer.young(now)}
         for name, since in part.warmth.since(part._began, refused).items():
             most["stood"] = max(most["stood"], 1.0 if since >= earliest(part._began, refused[name]) else 2.0)
--- a/lupinreach/trial/campaign/book.py
+++ b/lupinreach/trial/campaign/book.py
@@ -63,24 +63,48 @@
             raise NoBook(f"{path}: of form {rows[0][0]} and seed {rows[0][1]}, not {FORM} and {seed}")
 
     def add(self, h: History) -> None:
-        self._at.execute("insert or replace into histories values (?, ?, ?, ?, ?, ?, ?, ?, ?, ?, ?)", (
-            h.number, h.mode, h.parent, json.dumps(h.raw), h.verdict, h.unsure, json.dumps(h.broken), json.dumps(h.passed),
-            json.dumps(h.figures), json.dumps(sorted(h.reached)), h.took))
+        self._at.execute(
+            "insert or replace into histories values (?, ?, ?, ?, ?, ?, ?, ?, ?, ?, ?)",
+            (
+                h.number,
+                h.mode,
+                h.parent,
+                json.dumps(h.raw),
+                h.verdict,
+                h.unsure,
+                json.dumps(h.broken),
+                json.dumps(h.passed),
+                json.dumps(h.figures),
+                json.dumps(sorted(h.reached)),
+                h.took,
+            ),
+        )
 
     def keep(self, number: int, why: str, what: str, file: str) -> None:
         """A history that was shrunk: why it was, what its file is called and shows."""
         self._at.execute("insert or replace into kept values (?, ?, ?, ?)", (number, why, what, file))
 
     def numbers(self, mode: str) -> set[int]:
-        return {n for n, in self._at.execute("select number from histories where mode = ?", (mode,))}
+        return {n for (n,) in self._at.execute("select number from histories where mode = ?", (mode,))}
 
     def histories(self, mode: str | None = None) -> Iterator[History]:
         """In the order of their numbers."""
         where, given = ("where mode = ?", (mode,)) if mode else ("", ())
         for row in self._at.execute(f"select * from histories {where} order by number, mode", given):
             number, mode_, parent, raw, verdict, unsure, broken, passed, figures, reached, took = row
-            yield History(number, mode_, parent, json.loads(raw), verdict, unsure, tuple(json.loads(broken)), tuple(json.loads(passed)),
-                          json.loads(figures), frozenset(json.loads(reached)), took)
+            yield History(
+                number,
+                mode_,
+                parent,
+                json.loads(raw),
+                verdict,
+                unsure,
+                tuple(json.loads(broken)),
+                tuple(json.loads(passed)),
+                json.loads(figures),
+                frozenset(json.loads(reached)),
+                took,
+            )
 
     def kept(self) -> list[tuple[int, str, str, str]]:
         return self._at.execute("select * from kept order by number").fetchall()
--- a/lupinreach/trial/campaign/draw.py
+++ b/lupinreach/trial/campaign/draw.py
@@ -17,14 +17,27 @@
 LENGTH = 12.0  # s of arrivals
 FIRST, LAST = 1.0, 7.0  # s: when what fails begins; the rest is left for what comes after
 SPAN = 0.3, 3.5  # s that it lasts
-STOPS = 2.5  # s that a process takes to stop at most: the longest client timeout and what it goes on accepting
+STOPS = (
+    2.5  # s that a process takes to stop at most: the longest client timeout and what it goes on accepting
+)
 MOST_FAULTS = 5
 SHARE_MS = 300.0
 # What can fail, by what it fails; the weight of each room is alike, so that the many kinds of disks don't crowd out power.
 ROOMS: dict[str, tuple[str, ...]] = {
     "processes": ("kill-agents", "restart-agents", "sleep-agents", "twin-agents", "busy-agents"),
     "backends": ("crash", "replace", "drain", "slow", "silent", "vanish", "stall", "reset", "fail", "narrow"),
-    "links": ("cut", "cut-reset", "loss", "apart", "apart-one-way", "deaf-agents", "dumb-agents", "datagrams-doubled", "datagrams-late", "latency"),
+    "links": (
+        "cut",
+        "cut-reset",
+        "loss",
+        "apart",
+        "apart-one-way",
+        "deaf-agents",
+        "dumb-agents",
+        "datagrams-doubled",
+        "datagrams-late",
+        "latency",
+    ),
     "disks": ("disk-torn", "disk-lost", "disk-older", "disk-other", "disk-hangs", "disk-stuck"),
     "clocks": ("clock-agents", "drift-agents"),
     "registry": ("registry-down", "registry-back", "registry-older"),
@@ -45,22 +58,50 @@
 def plain(seed: int, number: int) -> Raw:
     """The history of that number of a campaign, drawn with no look at any other."""
     chance = stream(seed, "campaign", number)
-    agents, backends, cores = int(chance.integers(2, 8)), int(chance.integers(3, 9)), int(chance.integers(1, 3))
+    agents, backends, cores = (
+        int(chance.integers(2, 8)),
+        int(chance.integers(3, 9)),
+        int(chance.integers(1, 3)),
+    )
     touch = bool(chance.random() < 0.8)
     share = touch and bool(chance.random() < 0.7)
     raw: Raw = {
-        "name": f"history-{number}", "seconds": LENGTH, "zones": ["a", "b"],
-        "agents": {"count": agents, "store": touch, "fleet": touch, "ran": touch, "share_ms": SHARE_MS if share else 0.0},
-        "limits": {"peers": touch}, "clients": {"replays": touch and bool(chance.random() < 0.5), "retries": int(chance.integers(0, 3))},
+        "name": f"history-{number}",
+        "seconds": LENGTH,
+        "zones": ["a", "b"],
+        "agents": {
+            "count": agents,
+            "store": touch,
+            "fleet": touch,
+            "ran": touch,
+            "share_ms": SHARE_MS if share else 0.0,
+        },
+        "limits": {"peers": touch},
+        "clients": {"replays": touch and bool(chance.random() < 0.5), "retries": int(chance.integers(0, 3))},
         "backends": [{"count": backends, "cores": cores, "speed": [0.6, 1.5]}],
-        "products": [{"name": "look", "work": 30, "slo": 500, "timeout": 1500},
-                     {"name": "pay", "kind": "non-idempotent", "work": 30, "slo": 500, "timeout": 1500, "value": 5}],
+        "products": [
+            {"name": "look", "work": 30, "slo": 500, "timeout": 1500},
+            {"name": "pay", "kind": "non-idempotent", "work": 30, "slo": 500, "timeout": 1500, "value": 5},
+        ],
         "customers": [{"name": "one", "share": 0.6}, {"name": "two", "share": 0.4}],
         "traffic": {"calls_per_s": round(min(150.0, among(chance, 0.2, 0.8) * backends * cores * 33))},
         "backend": {"choke_at": 4, "choke_after": 1500, "choke_slower": 2.5},
-        "rules": {"cold": 3000.0, "drain_grace": 500.0, "fall": 1000.0, "start_capacity": among(chance, 0.1, 0.5), "ask_within": 3000.0},
-        "registry": {"lag": [100, 300], "silent_lag": [500, 900], "call_cost": round(among(chance, 0.0, 30.0)), "ask": bool(chance.random() < 0.7)},
-        "faults": [power(chance)] if chance.random() < POWER else [], "troubles": []}
+        "rules": {
+            "cold": 3000.0,
+            "drain_grace": 500.0,
+            "fall": 1000.0,
+            "start_capacity": among(chance, 0.1, 0.5),
+            "ask_within": 3000.0,
+        },
+        "registry": {
+            "lag": [100, 300],
+            "silent_lag": [500, 900],
+            "call_cost": round(among(chance, 0.0, 30.0)),
+            "ask": bool(chance.random() < 0.7),
+        },
+        "faults": [power(chance)] if chance.random() < POWER else [],
+        "troubles": [],
+    }
     for _ in range(int(chance.integers(1, MOST_FAULTS + 1))):
         raw["troubles"].append(trouble(chance))
     return raw
@@ -126,7 +167,9 @@
         elif step == "power":
             found["faults"] = [power(chance)]
         elif step == "load":
-            found["traffic"]["calls_per_s"] = round(min(200.0, found["traffic"]["calls_per_s"] * among(chance, 0.6, 1.6)))
+            found["traffic"]["calls_per_s"] = round(
+                min(200.0, found["traffic"]["calls_per_s"] * among(chance, 0.6, 1.6))
+            )
     return found
 
 
--- a/lupinreach/trial/campaign/hunt.py
+++ b/lupinreach/trial/campaign/hunt.py
@@ -14,9 +14,9 @@
 from pathlib import Path
 
 from lupinreach.bed.commands.search import smaller
+from lupinreach.bed.ways import virtual
 from lupinreach.bed.world.chance import Stream, stream
 from lupinreach.bed.world.spec import to_toml
-from lupinreach.bed.ways import virtual
 from lupinreach.config import BadConfig
 from lupinreach.trial import bounds, play, spec
 from lupinreach.trial.campaign import draw, reach
@@ -34,6 +34,7 @@
 
 def _ends_with(parent: int) -> None:
     """In a worker: guards against one that waits for ever for work from a campaign that was killed."""
+
     def watch() -> None:
         while os.getppid() == parent:
             time.sleep(LOOKS)
@@ -59,8 +60,19 @@
         reached = reach.words(trial.world, ledger.records, played, passed)
     else:
         played, mode, reached = play.run(trial, seed), PROCESSES, frozenset[str]()
-    return History(number, mode, parent, raw, played.verdict, played.unsure, tuple(sorted({b.name for b in played.result.breaches})),
-                   tuple(passed), played.recovery.plain(), reached, time.process_time() - began)
+    return History(
+        number,
+        mode,
+        parent,
+        raw,
+        played.verdict,
+        played.unsure,
+        tuple(sorted({b.name for b in played.result.breaches})),
+        tuple(passed),
+        played.recovery.plain(),
+        reached,
+        time.process_time() - began,
+    )
 
 
 class Guide:
@@ -85,7 +97,9 @@
 class Campaign:
     """Plays until so many histories are in the book."""
 
-    def __init__(self, book: Book, seed: int, guided: float = GUIDED, told: Callable[[str], None] = lambda _: None) -> None:
+    def __init__(
+        self, book: Book, seed: int, guided: float = GUIDED, told: Callable[[str], None] = lambda _: None
+    ) -> None:
         self._book = book
         self._seed = seed
         self._guided = guided
@@ -102,11 +116,13 @@
             return number, parent, draw.near(raw, self._seed, number), number
         return number, None, draw.plain(self._seed, number), number
 
-    def play(self, many: int, workers: int | None = None, until: Callable[[History], bool] = lambda _: False) -> list[History]:
+    def play(
+        self, many: int, workers: int | None = None, until: Callable[[History], bool] = lambda _: False
+    ) -> list[History]:
         """Those of the first `many` numbers that aren't in the book yet; ends early where `until` says so."""
         workers = workers or os.cpu_count() or 1
-        left = (n for n in range(1, many + 1) if n not in done)
         done, found = self._book.numbers(VIRTUAL), list[History]()
+        left = (n for n in range(1, many + 1) if n not in done)
         with pool_of(workers) as pool:
             out: set[Future[History]] = set()
             try:
@@ -150,13 +166,19 @@
         """The files of the smallest of what breaks something, and of the `most` that do worst."""
         bad = [h for h in self._book.histories(VIRTUAL) if h.broken or h.passed]
         well = [h for h in self._book.histories(VIRTUAL) if not (h.broken or h.passed)]
-        worst = sorted(well, key=lambda h: (h.figures["whole"], h.number))[:max(0, most - len(bad))]
+        worst = sorted(well, key=lambda h: (h.figures["whole"], h.number))[: max(0, most - len(bad))]
         folder.mkdir(parents=True, exist_ok=True)
         kept, files = {row[0] for row in self._book.kept()}, []
         for h in [*bad, *worst]:
             if h.number in kept:
                 continue
-            why = f"breaks {h.broken[0]!r}" if h.broken else f"passes the bound of {h.passed[0]}" if h.passed else "worst service"
+            why = (
+                f"breaks {h.broken[0]!r}"
+                if h.broken
+                else f"passes the bound of {h.passed[0]}"
+                if h.passed
+                else "worst service"
+            )
             trial, seed = smallest(h)
             path = folder / f"history-{h.number}.toml"
             path.write_text(f"# Seed {seed}: {why}.\n" + to_toml(replace(trial.world, seeds=(seed,))))
--- a/lupinreach/trial/campaign/reach.py
+++ b/lupinreach/trial/campaign/reach.py
@@ -23,7 +23,9 @@
         if r[0] == "said":
             event, fields = r[3], r[4]
             if event == "returned":
-                counted[f"stage: {fields['stage']} to {fields['to']}"] = counted.get(f"stage: {fields['stage']} to {fields['to']}", 0) + 1
+                counted[f"stage: {fields['stage']} to {fields['to']}"] = (
+                    counted.get(f"stage: {fields['stage']} to {fields['to']}", 0) + 1
+                )
             elif event == "shared":
                 found.add(f"silence: {fields['stage']}")
             elif event == "fleet":
@@ -40,7 +42,9 @@
         if begin < ends and begins < end:
             found.add(f"pair: {one} + {other}")
     recovery = played.recovery
-    found.add(f"back: {'never' if recovery.back_after == float('inf') else 'soon' if recovery.back_after < 2000 else 'late'}")
+    found.add(
+        f"back: {'never' if recovery.back_after == float('inf') else 'soon' if recovery.back_after < 2000 else 'late'}"
+    )
     found.add(f"first 10 s: {int(5 * recovery.first_10s)}/5")
     found.add(f"cold load: {int(4 * recovery.cold_load)}/4")
     if recovery.to_draining:
--- a/lupinreach/trial/commands.py
+++ b/lupinreach/trial/commands.py
@@ -27,10 +27,15 @@
         found = spec.read_file(file)
     except BadConfig as wrong:
         bad(wrong)
-    world = replace(found.world, seeds=seed or found.world.seeds, policy=policy or found.world.policy,
-                    mode=MODES[mode] if mode else found.world.mode)
+    world = replace(
+        found.world,
+        seeds=seed or found.world.seeds,
+        policy=policy or found.world.policy,
+        mode=MODES[mode] if mode else found.world.mode,
+    )
     if world.mode != "virtual":
         from lupinreach.trial.rig.stage import fits
+
         if why := fits(world):
             bad(why)
     return replace(found, world=world)
@@ -47,8 +52,10 @@
         else:
             found = spec.read_file(file)
             world = found.world
-            print(f"{file}: good; world {world.name}, {world.agents} agents, {world.fleet} backends, "
-                  f"{len(world.troubles)} troubles")
+            print(
+                f"{file}: good; world {world.name}, {world.agents} agents, {world.fleet} backends, "
+                f"{len(world.troubles)} troubles"
+            )
     except BadConfig as wrong:
         bad(wrong)
 
@@ -67,14 +74,23 @@
 
 @trial.command()
 @click.argument("file")
-@click.option("--seed", type=click.IntRange(0), multiple=True, help="in place of the file's; may be given again")
+@click.option(
+    "--seed", type=click.IntRange(0), multiple=True, help="in place of the file's; may be given again"
+)
 @click.option("--policy", type=click.Choice(list(POLICIES)))
 @click.option("--mode", type=click.Choice(list(MODES)), help="in virtual time, or with every part a process")
 @click.option("--jobs", type=click.IntRange(1), help="runs beside each other")
 @click.option("--json", "out", type=click.Path(dir_okay=False), help="write every run's figures to a file")
 @click.option("--report", type=click.Path(file_okay=False), help="write a page with plots of the first seed")
-def run(file: str, seed: tuple[int, ...], policy: str | None, mode: str | None, jobs: int | None, out: str | None,
-        report: str | None) -> None:
+def run(
+    file: str,
+    seed: tuple[int, ...],
+    policy: str | None,
+    mode: str | None,
+    jobs: int | None,
+    out: str | None,
+    report: str | None,
+) -> None:
     """Play a trial; ends with one line of JSON.
 
     Exit 0: rules kept, 1: one broken or less than expected, 2: a bad file, 3: unsure, 130: stopped.
@@ -98,15 +114,29 @@
         for line in p.missed:
             told.print(f"seed {p.result.seed}: {line}", markup=False)
     if not played:
-        print(json.dumps({"trial": one.world.name, "verdict": "stopped" if stopped else play.UNSURE, "seeds": []}))
+        print(
+            json.dumps(
+                {"trial": one.world.name, "verdict": "stopped" if stopped else play.UNSURE, "seeds": []}
+            )
+        )
         sys.exit(STOPPED if stopped else UNSURE)
     if out:
-        rows = [{"seed": p.result.seed, "verdict": p.verdict, **p.recovery.plain(), "missed": p.missed,
-                 "seconds": [vars(s) for s in p.seconds], "rig": p.rig, "breaches": [vars(b) for b in p.result.breaches]}
-                for p in played]
+        rows = [
+            {
+                "seed": p.result.seed,
+                "verdict": p.verdict,
+                **p.recovery.plain(),
+                "missed": p.missed,
+                "seconds": [vars(s) for s in p.seconds],
+                "rig": p.rig,
+                "breaches": [vars(b) for b in p.result.breaches],
+            }
+            for p in played
+        ]
         Path(out).write_text(json.dumps({"trial": one.world.name, "runs": rows}, indent=1) + "\n")
     if report:
         from lupinreach.trial.report import write
+
         told.print(f"report: {write(Path(report), one, played)}")
     found = play.summary(one, played)
     print(json.dumps(found | ({"stopped": True} if stopped else {})))
@@ -132,25 +162,63 @@
     lines = {}
     for name, runs in found.items():
         lines[name] = total = play.summary(replace(one, world=replace(one.world, policy=name)), runs)
-        table.add_row(name, *(f"{total[k]:.3f}" for k in ("first_10s", "first_20s", "whole")),
-                      str(total["back_after_s"]), f"{total['cold_load']:.2f}", total["verdict"])
+        table.add_row(
+            name,
+            *(f"{total[k]:.3f}" for k in ("first_10s", "first_20s", "whole")),
+            str(total["back_after_s"]),
+            f"{total['cold_load']:.2f}",
+            total["verdict"],
+        )
     told.print(table)
     keep = ("verdict", "first_10s", "first_20s", "whole", "back_after_s", "cold_load", "service")
-    print(json.dumps({"trial": one.world.name, "seeds": list(one.world.seeds),
-                      "policies": {name: {k: total[k] for k in keep} for name, total in lines.items()}}))
+    print(
+        json.dumps(
+            {
+                "trial": one.world.name,
+                "seeds": list(one.world.seeds),
+                "policies": {name: {k: total[k] for k in keep} for name, total in lines.items()},
+            }
+        )
+    )
     sys.exit(KEPT if lines[one.world.policy]["verdict"] == play.KEPT else BROKEN)
 
 
 @trial.command()
 @click.argument("file", type=click.Path(dir_okay=False))
-@click.option("--histories", type=click.IntRange(0), default=100, help="so many in all, those in the file among them")
+@click.option(
+    "--histories", type=click.IntRange(0), default=100, help="so many in all, those in the file among them"
+)
 @click.option("--seed", type=click.IntRange(0), default=1, help="of the whole campaign")
 @click.option("--plain", is_flag=True, help="draw all of them with no look at what was reached")
-@click.option("--processes", type=click.FloatRange(0.0, 1.0), default=0.0, help="this share again with every part a process")
-@click.option("--shrink", "most", type=click.IntRange(0), default=0, help="shrink what breaks something, and the worst, so many in all")
+@click.option(
+    "--processes",
+    type=click.FloatRange(0.0, 1.0),
+    default=0.0,
+    help="this share again with every part a process",
+)
+@click.option(
+    "--shrink",
+    "most",
+    type=click.IntRange(0),
+    default=0,
+    help="shrink what breaks something, and the worst, so many in all",
+)
 @click.option("--jobs", type=click.IntRange(1), help="histories beside each other")
-@click.option("--report", type=click.Path(file_okay=False), help="write a page, and the files of what was shrunk, to a folder")
-def campaign(file: str, histories: int, seed: int, plain: bool, processes: float, most: int, jobs: int | None, report: str | None) -> None:
+@click.option(
+    "--report",
+    type=click.Path(file_okay=False),
+    help="write a page, and the files of what was shrunk, to a folder",
+)
+def campaign(
+    file: str,
+    histories: int,
+    seed: int,
+    plain: bool,
+    processes: float,
+    most: int,
+    jobs: int | None,
+    report: str | None,
+) -> None:
     """Draw whole-fleet failures, play and judge them, and keep all of it in FILE; a campaign that was stopped goes on.
 
     Ends with one line of JSON. Exit 0: no rule broken and no bound passed, 1: one was, 2: a bad file, 130: stopped.
@@ -162,7 +230,9 @@
         book = Book(Path(file), seed)
     except NoBook as wrong:
         bad(BadConfig(str(wrong)))
-    one = hunt.Campaign(book, seed, 0.0 if plain else hunt.GUIDED, lambda text: told.print(text, markup=False))
+    one = hunt.Campaign(
+        book, seed, 0.0 if plain else hunt.GUIDED, lambda text: told.print(text, markup=False)
+    )
     stopped = False
     try:
         one.play(histories, jobs)
@@ -182,6 +252,8 @@
 
 def _line(p: Played) -> str:
     r = p.recovery
-    return (f"seed {p.result.seed}: {p.verdict}, served over possible {r.first_10s:.3f} in the first 10 s, "
-            f"{r.first_20s:.3f} in the first 20, back after {r.back_after / 1000:.0f} s, "
-            f"cold load {r.cold_load:.2f}{', ' + p.unsure if p.unsure else ''}")
+    return (
+        f"seed {p.result.seed}: {p.verdict}, served over possible {r.first_10s:.3f} in the first 10 s, "
+        f"{r.first_20s:.3f} in the first 20, back after {r.back_after / 1000:.0f} s, "
+        f"cold load {r.cold_load:.2f}{', ' + p.unsure if p.unsure else ''}"
+    )
--- a/lupinreach/trial/figures.py
+++ b/lupinreach/trial/figures.py
@@ -51,7 +51,9 @@
     back_after: float  # ms until it is at 0.95 of the possible for 3 s; infinite: never
     wasted: float  # share of the shots since then
     queries: int  # most in one second since then
-    to_draining: int  # shots to a backend that drains, past the grace and the registry's lag, whatever a list said
+    to_draining: (
+        int  # shots to a backend that drains, past the grace and the registry's lag, whatever a list said
+    )
     cold_load: float  # greatest work on a cold backend over what the rule allows; 1 is the rule's edge
 
     def plain(self) -> dict[str, Any]:
@@ -71,7 +73,11 @@
         if not self.up:
             return 0.0
         age = now - self.booted
-        part = 1.0 if not self.cold or age >= self.cold else self.start + (1 - self.start) * max(0.0, age) / self.cold
+        part = (
+            1.0
+            if not self.cold or age >= self.cold
+            else self.start + (1 - self.start) * max(0.0, age) / self.cold
+        )
         return self.capacity * part / slower
 
 
@@ -111,8 +117,12 @@
 Grain = tuple[int, int]  # number of the grain, side of a cut
 
 
-def _grains(world: World, records: Iterable[Record], products: dict[str, Any], length: int,
-            ) -> tuple[dict[Grain, tuple[float, float, int | None]], dict[Grain, float]]:
+def _grains(
+    world: World,
+    records: Iterable[Record],
+    products: dict[str, Any],
+    length: int,
+) -> tuple[dict[Grain, tuple[float, float, int | None]], dict[Grain, float]]:
     """By grain and side: what is asked (value, work, and if any agent that is up was asked), and the capacity."""
     asked: dict[Grain, list[float]] = defaultdict(lambda: [0.0, 0.0])
     able: dict[Grain, float] = defaultdict(float)
@@ -187,13 +197,22 @@
 
     back = inf
     for i in range(len(after) - STAYS + 1):
-        if all(s.possible > FEW and s.served >= NEARLY * s.possible for s in after[i:i + STAYS]):
+        if all(s.possible > FEW and s.served >= NEARLY * s.possible for s in after[i : i + STAYS]):
             back = (first + i) * SECOND - since
             break
     shots = sum(s.shots for s in after)
-    return Recovery(over(after[:10]), over(after[:20]), over(after), done(after[:10]), done(after[:20]), max(0.0, back),
-                    sum(s.wasted for s in after) / shots if shots else 0.0,
-                    max((s.queries for s in after), default=0), to_draining(world, records, since), cold_load(world, records))
+    return Recovery(
+        over(after[:10]),
+        over(after[:20]),
+        over(after),
+        done(after[:10]),
+        done(after[:20]),
+        max(0.0, back),
+        sum(s.wasted for s in after) / shots if shots else 0.0,
+        max((s.queries for s in after), default=0),
+        to_draining(world, records, since),
+        cold_load(world, records),
+    )
 
 
 def _over(part: float, whole: float) -> float:
--- a/lupinreach/trial/models/lending.py
+++ b/lupinreach/trial/models/lending.py
@@ -13,7 +13,9 @@
 
 LEASE, TOTAL, AGENTS = 8.0, 3.0, 3
 EXACT = 1e-9
-Word = tuple[str, int, int, int, int, float]  # kind, whose question, of which life, to whom, its number, what is granted
+Word = tuple[
+    str, int, int, int, int, float
+]  # kind, whose question, of which life, to whom, its number, what is granted
 
 
 class Fleet:
@@ -45,9 +47,19 @@
 
     def key(self) -> tuple[Any, ...]:
         def plain(table: dict[Any, Any]) -> tuple[Any, ...]:
-            return tuple(sorted((k, v if isinstance(v, float) else (v.amount, v.until)) for k, v in table.items()))
-        return (self.t, self.lives, self.said, self.asked,
-                tuple((b._bound_until, plain(b._lent), plain(b._borrowed), plain(b._asked)) for b in self.budgets))
+            return tuple(
+                sorted((k, v if isinstance(v, float) else (v.amount, v.until)) for k, v in table.items())
+            )
+
+        return (
+            self.t,
+            self.lives,
+            self.said,
+            self.asked,
+            tuple(
+                (b._bound_until, plain(b._lent), plain(b._borrowed), plain(b._asked)) for b in self.budgets
+            ),
+        )
 
     def next(self) -> Iterator[tuple[str, Callable[[Fleet], None]]]:
         """All that may happen next, each with its name."""
@@ -72,8 +84,10 @@
         self.said |= {("want", n, self.lives[n], to, number, 0.0)}
 
     def _restart(self, n: int) -> None:
-        self.lives = self.lives[:n] + (2,) + self.lives[n + 1:]
-        self.budgets = self.budgets[:n] + (self.of(self.now(n), TOTAL, AGENTS, LEASE),) + self.budgets[n + 1:]
+        self.lives = self.lives[:n] + (2,) + self.lives[n + 1 :]
+        self.budgets = (
+            self.budgets[:n] + (self.of(self.now(n), TOTAL, AGENTS, LEASE),) + self.budgets[n + 1 :]
+        )
 
     def _come(self, word: Word) -> None:
         kind, n, life, to, number, amount = word
--- a/lupinreach/trial/models/order.py
+++ b/lupinreach/trial/models/order.py
@@ -26,7 +26,9 @@
 class Order:
     """The model, with the `Return` that it is played on."""
 
-    def __init__(self, of: type[Return] = Return, fair: frozenset[str] = frozenset({"time", "listed"})) -> None:
+    def __init__(
+        self, of: type[Return] = Return, fair: frozenset[str] = frozenset({"time", "listed"})
+    ) -> None:
         self._of = of
         self.fair = fair
 
@@ -36,9 +38,14 @@
     def moves(self, state: State) -> Iterator[tuple[str, State]]:
         yield "time", self._looked(state)
         facts = state.facts
-        for name, after in (("read", replace(facts, read=True)), ("asked", replace(facts, asked=True)), ("listed", replace(facts, listed=3)),
-                            ("registry", replace(facts, registry=True)), ("answered", replace(facts, answered=True)),
-                            ("warm", replace(facts, cold=False))):
+        for name, after in (
+            ("read", replace(facts, read=True)),
+            ("asked", replace(facts, asked=True)),
+            ("listed", replace(facts, listed=3)),
+            ("registry", replace(facts, registry=True)),
+            ("answered", replace(facts, answered=True)),
+            ("warm", replace(facts, cold=False)),
+        ):
             if after != facts:
                 yield name, replace(state, facts=after)
 
@@ -47,13 +54,17 @@
         one.stage, one._since = state.stage, -state.stayed
         passed = one.look(1.0, state.facts)
         wrong = ""
-        if [stage for stage, _ in passed] != list(Stage)[state.stage:one.stage]:
+        if [stage for stage, _ in passed] != list(Stage)[state.stage : one.stage]:
             wrong = "skips a stage, or goes back"
         elif one.ready != (one.stage >= Stage.LISTENING):
             wrong = "says ready, or not, at the wrong stage"
-        elif one.stage is state.stage is not Stage.FULL and state.stayed + 1 >= getattr(STAYS, TABLE[one.stage].longest):
+        elif one.stage is state.stage is not Stage.FULL and state.stayed + 1 >= getattr(
+            STAYS, TABLE[one.stage].longest
+        ):
             wrong = f"stays in {one.stage.name.lower()} too long"
-        return State(one.stage, min(LONGEST, state.stayed + 1) if one.stage is state.stage else 0.0, state.facts, wrong)
+        return State(
+            one.stage, min(LONGEST, state.stayed + 1) if one.stage is state.stage else 0.0, state.facts, wrong
+        )
 
     def key(self, state: State) -> Hashable:
         return state
--- a/lupinreach/trial/models/search.py
+++ b/lupinreach/trial/models/search.py
@@ -42,7 +42,9 @@
 class Found:
     states: int
     moves: int
-    story: tuple[str, ...] | None  # the shortest to a wrong state, what is wrong last; or to where it stays for ever
+    story: (
+        tuple[str, ...] | None
+    )  # the shortest to a wrong state, what is wrong last; or to where it stays for ever
     cycle: tuple[str, ...] = ()  # what happens there again and again; empty: nothing can happen
 
     @property
@@ -93,7 +95,9 @@
     return tuple(reversed(names))
 
 
-def _stuck(nexts: dict[Hashable, list[tuple[str, Hashable]]], waits: set[Hashable], fair: frozenset[str]) -> tuple[Hashable, tuple[str, ...]] | None:
+def _stuck(
+    nexts: dict[Hashable, list[tuple[str, Hashable]]], waits: set[Hashable], fair: frozenset[str]
+) -> tuple[Hashable, tuple[str, ...]] | None:
     """A place where it can wait for ever though what is fair happens: a dead end, or a round in which each fair move is made or isn't always possible."""
     order = {key: i for i, key in enumerate(nexts)}
     for key in nexts:
@@ -110,7 +114,9 @@
     return None
 
 
-def _components(nexts: dict[Hashable, list[tuple[str, Hashable]]], waits: set[Hashable]) -> Iterator[set[Hashable]]:
+def _components(
+    nexts: dict[Hashable, list[tuple[str, Hashable]]], waits: set[Hashable]
+) -> Iterator[set[Hashable]]:
     """Strongly connected parts of the states that wait (Tarjan's, without recursion)."""
     index: dict[Hashable, int] = {}
     low: dict[Hashable, int] = {}
--- a/lupinreach/trial/play.py
+++ b/lupinreach/trial/play.py
@@ -10,9 +10,9 @@
 from typing import Any
 
 from lupinreach.bed.commands import experiment
+from lupinreach.bed.commands.experiment import Result
 from lupinreach.bed.judging import check
 from lupinreach.bed.ways import virtual
-from lupinreach.bed.commands.experiment import Result
 from lupinreach.bed.world.ledger import Ledger
 from lupinreach.trial import figures
 from lupinreach.trial.spec import Trial
@@ -32,7 +32,9 @@
     late: float = 0.0  # ms that the rig itself was late at p99.9; 0 in virtual time
     unsure: str = ""  # why no verdict can be given
     stopped: bool = False
-    rig: dict[str, Any] = field(default_factory=dict)  # lateness by process, and what starting and stopping took
+    rig: dict[str, Any] = field(
+        default_factory=dict
+    )  # lateness by process, and what starting and stopping took
 
     @property
     def verdict(self) -> str:
@@ -53,6 +55,7 @@
     if trial.world.mode == "virtual":
         return judge(trial, seed, virtual.play(trial.world, seed))
     from lupinreach.trial.rig import stage
+
     ledger, late, took = stage.play(trial.world, seed)
     played = judge(trial, seed, ledger)
     played.stopped, played.rig = ledger.stopped, {"late": late, "unheard": played.result.unheard, **took}
@@ -67,8 +70,9 @@
     return played
 
 
-def run_many(jobs: list[tuple[Trial, int]], workers: int | None = None,
-             done: Callable[[Played], None] = lambda _: None) -> list[Played]:
+def run_many(
+    jobs: list[tuple[Trial, int]], workers: int | None = None, done: Callable[[Played], None] = lambda _: None
+) -> list[Played]:
     """In the order given; in processes of their own where there are several."""
     workers = min(len(jobs), workers or os.cpu_count() or 1)
     results: list[Played] = []
@@ -102,19 +106,30 @@
         "verdict": BROKEN if BROKEN in verdicts else UNSURE if UNSURE in verdicts else KEPT,
         "as_expected": not any(p.missed for p in runs),
         "missed": sorted({line.split(":")[0] for p in runs for line in p.missed}),
-        "rules": total["rules"], "policy": trial.world.policy, "seeds": total["seeds"],
-        **{name: mean(name) for name in ("first_10s", "first_20s", "whole", "done_10s", "done_20s", "wasted")},
+        "rules": total["rules"],
+        "policy": trial.world.policy,
+        "seeds": total["seeds"],
+        **{
+            name: mean(name) for name in ("first_10s", "first_20s", "whole", "done_10s", "done_20s", "wasted")
+        },
         "back_after_s": None if inf in backs else round(max(backs) / 1000, 1),
         "queries_in_a_second": max(p.recovery.queries for p in runs),
         "to_draining": sum(p.recovery.to_draining for p in runs),
         "cold_load": round(max(p.recovery.cold_load for p in runs), 3),
         "rig_late_ms": round(max(p.late for p in runs), 2),
-        "answers": total["answers"], "service": total["service"], "calls": total["calls"], "digest": total["digest"],
+        "answers": total["answers"],
+        "service": total["service"],
+        "calls": total["calls"],
+        "digest": total["digest"],
     }
 
 
-def compare(trial: Trial, policies: list[str], seeds: tuple[int, ...], workers: int | None) -> dict[str, list[Played]]:
+def compare(
+    trial: Trial, policies: list[str], seeds: tuple[int, ...], workers: int | None
+) -> dict[str, list[Played]]:
     """The same seeds under several policies."""
-    jobs = [(replace(trial, world=replace(trial.world, policy=name)), seed) for name in policies for seed in seeds]
+    jobs = [
+        (replace(trial, world=replace(trial.world, policy=name)), seed) for name in policies for seed in seeds
+    ]
     found = run_many(jobs, workers)
-    return {name: found[i * len(seeds):(i + 1) * len(seeds)] for i, name in enumerate(policies)}
+    return {name: found[i * len(seeds) : (i + 1) * len(seeds)] for i, name in enumerate(policies)}
--- a/lupinreach/trial/report.py
+++ b/lupinreach/trial/report.py
@@ -22,8 +22,11 @@
 
 
 def page(trial: Trial, played: list[Played]) -> str:
-    troubles = [(t.kind, t.at / 1000, (t.at + t.length) / 1000) for t in trial.world.troubles
-                if t.length < trial.world.length]
+    troubles = [
+        (t.kind, t.at / 1000, (t.at + t.length) / 1000)
+        for t in trial.world.troubles
+        if t.length < trial.world.length
+    ]
     troubles = list(dict.fromkeys(troubles))[:12]
     rows = played[0].seconds
     figures: list[tuple[str, str, Any]] = []
@@ -46,12 +49,20 @@
     head = "".join(f"<th>{html.escape(n)}</th>" for n in ("seed", "verdict", *names))
     body = "".join(
         f"<tr><td>{p.result.seed}</td><td class='{'' if p.result.kept else 'broken'}'>{p.verdict}</td>"
-        + "".join(f"<td>{v}</td>" for v in p.recovery.plain().values()) + "</tr>" for p in played)
-    broken = "".join(f"<li>seed {p.result.seed}, {b.at:.0f} ms: {html.escape(b.name)}: {html.escape(b.what)}</li>"
-                     for p in played for b in p.result.breaches[:5])
+        + "".join(f"<td>{v}</td>" for v in p.recovery.plain().values())
+        + "</tr>"
+        for p in played
+    )
+    broken = "".join(
+        f"<li>seed {p.result.seed}, {b.at:.0f} ms: {html.escape(b.name)}: {html.escape(b.what)}</li>"
+        for p in played
+        for b in p.result.breaches[:5]
+    )
     plots = "".join(f"<h2>{title}</h2><p>{words}</p>{svg(figure)}" for title, words, figure in figures)
     plt.close("all")
-    return (f"<!doctype html><html lang='en'><meta charset='utf-8'><title>{html.escape(trial.world.name)}</title>"
-            f"<style>{STYLE}</style><h1>{html.escape(trial.world.name)}</h1>"
-            f"<p>Simulated backends, clients and network. Recovery counts from {trial.since / 1000:g} s on.</p>"
-            f"<table><tr>{head}</tr>{body}</table><ul>{broken}</ul>{plots}</html>")
+    return (
+        f"<!doctype html><html lang='en'><meta charset='utf-8'><title>{html.escape(trial.world.name)}</title>"
+        f"<style>{STYLE}</style><h1>{html.escape(trial.world.name)}</h1>"
+        f"<p>Simulated backends, clients and network. Recovery counts from {trial.since / 1000:g} s on.</p>"
+        f"<table><tr>{head}</tr>{body}</table><ul>{broken}</ul>{plots}</html>"
+    )
--- a/lupinreach/trial/rig/host.py
+++ b/lupinreach/trial/rig/host.py
@@ -17,16 +17,16 @@
 import orjson
 import uvloop
 
+from lupinreach.bed.peers.clients import ClientHost
+from lupinreach.bed.peers.registry import Entry, Registry
+from lupinreach.bed.peers.servers import SAMPLE, BackendHost, BackendLine, RegistryHost, RegistryLine
+from lupinreach.bed.ways.loopback import BACKLOG, LoopbackGround
+from lupinreach.bed.ways.stage import draw
 from lupinreach.bed.world import ledger as books
 from lupinreach.bed.world import spec as beds
 from lupinreach.bed.world.chance import stream
-from lupinreach.bed.peers.clients import ClientHost
 from lupinreach.bed.world.ledger import Ledger
-from lupinreach.bed.ways.loopback import BACKLOG, LoopbackGround
 from lupinreach.bed.world.network import Machine, Paths
-from lupinreach.bed.peers.registry import Entry, Registry
-from lupinreach.bed.peers.servers import SAMPLE, BackendHost, BackendLine, RegistryHost, RegistryLine
-from lupinreach.bed.ways.stage import draw
 from lupinreach.bed.world.traffic import arrivals
 from lupinreach.config import Address
 from lupinreach.trial.rig.late import Lateness
@@ -47,7 +47,9 @@
         self.addresses = places
         self.ledger = Ledger(begin)
 
-    async def _open(self, machine: Machine, address: Address, protocol: Callable[[], asyncio.Protocol]) -> None:
+    async def _open(
+        self, machine: Machine, address: Address, protocol: Callable[[], asyncio.Protocol]
+    ) -> None:
         server = await self.loop.create_server(protocol, *address, backlog=BACKLOG, reuse_address=True)
         if machine in self._shut:
             server.close()
@@ -91,11 +93,19 @@
         self.hosts = {}
         for b in draw(self.world, self.seed).backends:
             if b.number in self.mine:
-                host = BackendHost(self.ground, self.world, b, Machine(f"backend {b.number}", b.zone),
-                                   stream(self.seed, "backend", b.number), self.asked, self._fell)
+                host = BackendHost(
+                    self.ground,
+                    self.world,
+                    b,
+                    Machine(f"backend {b.number}", b.zone),
+                    stream(self.seed, "backend", b.number),
+                    self.asked,
+                    self._fell,
+                )
                 self.hosts[b.number] = host
-                await self.ground.serve(self.places.backend(b.number), host.machine,
-                                        lambda host=host: BackendLine(host))  # type: ignore[misc]
+                await self.ground.serve(
+                    self.places.backend(b.number), host.machine, lambda host=host: BackendLine(host)
+                )  # type: ignore[misc]
         self.loop.call_later(SAMPLE / 1000, self._sample)
 
     def _fell(self, host: BackendHost) -> None:
@@ -108,7 +118,9 @@
             host.step()
             b = host.backend
             if b.up:
-                self.ground.ledger.note(books.LOAD, now, n, len(b.running), len(b.queue), round(b.part(now), 3))
+                self.ground.ledger.note(
+                    books.LOAD, now, n, len(b.running), len(b.queue), round(b.part(now), 3)
+                )
         self.loop.call_later(SAMPLE / 1000, self._sample)
 
     async def do_boot(self, backend: int, cold: bool) -> None:
@@ -145,16 +157,24 @@
         machine = Machine("registry", 0)
         self.registry = Registry()
         agents = [Machine(f"agent {n}", n % len(self.world.zones)) for n in range(self.world.agents)]
-        self.host = EndpointsFor(self.ground, self.registry, machine, lambda _: 0, agents.__getitem__, self.world.registry)
+        self.host = EndpointsFor(
+            self.ground, self.registry, machine, lambda _: 0, agents.__getitem__, self.world.registry
+        )
         self.host.places = self.places
         self.machine = machine
         self.machines = {m.name: m for m in (machine, *agents)}
         for n in range(self.world.agents):
-            await self.ground.serve(self.places.registry(n), machine,
-                                    lambda n=n: RegistryLine(self.host, n))  # type: ignore[misc]
-
-    async def do_plane(self, cut: list[int], refused: list[int], deaf: list[str], dumb: list[str],
-                       parted: list[tuple[str, str]], **_: Any) -> None:
+            await self.ground.serve(self.places.registry(n), machine, lambda n=n: RegistryLine(self.host, n))  # type: ignore[misc]
+
+    async def do_plane(
+        self,
+        cut: list[int],
+        refused: list[int],
+        deaf: list[str],
+        dumb: list[str],
+        parted: list[tuple[str, str]],
+        **_: Any,
+    ) -> None:
         """Whom its word reaches now: what a relay holds back was told to nobody yet."""
         some, paths = self.machines, self.ground.paths
         paths.cut, paths.refused, paths.parted = set(cut), set(refused), {(a, b) for a, b in parted}
@@ -178,8 +198,10 @@
     """The applications beside some agents."""
 
     async def open(self) -> None:
-        self.hosts = {n: ClientHost(self.ground, self.world, n, Machine(f"agent {n}", 0), self.places.front(n))
-                      for n in self.mine}
+        self.hosts = {
+            n: ClientHost(self.ground, self.world, n, Machine(f"agent {n}", 0), self.places.front(n))
+            for n in self.mine
+        }
 
     async def do_begin(self, at: float) -> None:
         self.ground._spawn(self._ask(at))
@@ -201,7 +223,13 @@
 
     async def open(self) -> None:
         network, zones = self.world.network, len(self.world.zones)
-        paths = Paths(network.same, network.cross, network.jitter, network.loss, stream(self.seed, "paths", *self.mine[:1]))
+        paths = Paths(
+            network.same,
+            network.cross,
+            network.jitter,
+            network.loss,
+            stream(self.seed, "paths", *self.mine[:1]),
+        )
         self.plane = Plane(paths, stream(self.seed, "relay", *self.mine[:1]))
         places, self.machines = self.places, {"registry": Machine("registry", 0)}
         backends = [(b.number, b.zone) for b in draw(self.world, self.seed).backends]
@@ -213,14 +241,23 @@
             agent = self.machines[f"agent {n}"]
             # Clients stand on their agent's machine: faults of the network don't come between, delays of it neither.
             await self.plane.door(places.front(n), agent, agent, places.agent(n), self._passed)
-            await self.plane.door(places.registry_for(n), agent, self.machines["registry"], places.registry(n))
+            await self.plane.door(
+                places.registry_for(n), agent, self.machines["registry"], places.registry(n)
+            )
             for b, _ in backends:
-                await self.plane.door(places.backend_for(n, b), agent, self.machines[f"backend {b}"], places.backend(b),
-                                      sent=lambda name, n=n, b=b: self._sent(name, n, b))  # type: ignore[misc]
+                await self.plane.door(
+                    places.backend_for(n, b),
+                    agent,
+                    self.machines[f"backend {b}"],
+                    places.backend(b),
+                    sent=lambda name, n=n, b=b: self._sent(name, n, b),
+                )  # type: ignore[misc]
         self.posts = Posts(self.plane, lambda n: self.machines[f"agent {n}"], places.peer)
         if self.world.limits.peers:
             everyone = range(self.world.agents)
-            for n in everyone:  # one relay holds all datagrams: a pair's two addresses are one socket each way
+            for (
+                n
+            ) in everyone:  # one relay holds all datagrams: a pair's two addresses are one socket each way
                 if self.mine[0] == 0:
                     await self.posts.everybody(n, everyone, places.everybody_for(n))
                     for other in everyone:
@@ -234,8 +271,17 @@
         # As it leaves the agent: what a cut holds back for seconds was sent in time.
         self.ground.ledger.note(books.SENT, self.ground.now(), agent, 0, backend, name)
 
-    async def do_plane(self, cut: list[int], refused: list[int], loss: float, posts: list[float], deaf: list[str],
-                       dumb: list[str], parted: list[tuple[str, str]], machines: dict[str, dict[str, Any]]) -> None:
+    async def do_plane(
+        self,
+        cut: list[int],
+        refused: list[int],
+        loss: float,
+        posts: list[float],
+        deaf: list[str],
+        dumb: list[str],
+        parted: list[tuple[str, str]],
+        machines: dict[str, dict[str, Any]],
+    ) -> None:
         """How all links are from now on."""
         paths = self.plane.paths
         paths.doubled, paths.late, paths.late_by = posts
@@ -255,7 +301,12 @@
         await self.plane.shut(name, on)
 
 
-ROLES: dict[str, type[Host]] = {"backends": Backends, "registry": TheRegistry, "clients": Clients, "relay": Relay}
+ROLES: dict[str, type[Host]] = {
+    "backends": Backends,
+    "registry": TheRegistry,
+    "clients": Clients,
+    "relay": Relay,
+}
 
 
 def say(event: dict[str, Any]) -> None:
@@ -265,7 +316,9 @@
 
 async def main() -> int:
     with contextlib.suppress(OSError):
-        os.setpriority(os.PRIO_PROCESS, 0, FIRST)  # guards against a verdict on a rig that waits for its agents' cores
+        os.setpriority(
+            os.PRIO_PROCESS, 0, FIRST
+        )  # guards against a verdict on a rig that waits for its agents' cores
     loop = asyncio.get_running_loop()
     reader = asyncio.StreamReader(limit=MOST_LINE)
     await loop.connect_read_pipe(lambda: asyncio.StreamReaderProtocol(reader), sys.stdin)
@@ -278,7 +331,9 @@
     late = Lateness()
     watching = loop.create_task(late.watch())
     faults: list[str] = []
-    loop.set_exception_handler(lambda _, context: faults.append(f"{context['message']}: {context.get('exception')!r}"))
+    loop.set_exception_handler(
+        lambda _, context: faults.append(f"{context['message']}: {context.get('exception')!r}")
+    )
     say({"event": "open"})
     while line := await reader.readline():
         order = orjson.loads(line)
--- a/lupinreach/trial/rig/late.py
+++ b/lupinreach/trial/rig/late.py
@@ -34,8 +34,12 @@
 
     def told(self) -> dict[str, float]:
         """Ms: at p99.9, at most, and in all what this process waited for a core."""
-        return {"p999": self._took.get_value_at_percentile(99.9) / SCALE, "most": round(self.worst, 3), "at": round(self.at),
-                "kept_back": round(_delayed() - self._delayed, 1)}
+        return {
+            "p999": self._took.get_value_at_percentile(99.9) / SCALE,
+            "most": round(self.worst, 3),
+            "at": round(self.at),
+            "kept_back": round(_delayed() - self._delayed, 1),
+        }
 
 
 def _delayed() -> float:
--- a/lupinreach/trial/rig/relay.py
+++ b/lupinreach/trial/rig/relay.py
@@ -29,13 +29,15 @@
 def name_in(piece: bytes) -> str:
     """The try that these bytes begin; empty where they begin none."""
     at = piece.find(NAME)
-    return piece[at + len(NAME):piece.find(b"\r", at)].decode("latin-1") if at >= 0 else ""
+    return piece[at + len(NAME) : piece.find(b"\r", at)].decode("latin-1") if at >= 0 else ""
 
 
 class Way:
     """One direction of a connection: in order, each piece after its delay, or held until it can pass."""
 
-    def __init__(self, plane: Plane, source: Machine, sink: Machine, deliver: Callable[[bytes | None], None]) -> None:
+    def __init__(
+        self, plane: Plane, source: Machine, sink: Machine, deliver: Callable[[bytes | None], None]
+    ) -> None:
         self._plane = plane
         self._ends = source, sink
         self._deliver = deliver
@@ -54,8 +56,10 @@
             plane.waiting[self] = None
             return
         took = plane.paths.delay(*self._ends) / 1000
-        self._due = (max(self._due, plane.loop.time() + took)
-                     + plane.paths.passing(*self._ends, len(piece or b"")) / 1000)
+        self._due = (
+            max(self._due, plane.loop.time() + took)
+            + plane.paths.passing(*self._ends, len(piece or b"")) / 1000
+        )
         plane.loop.call_at(self._due, self._deliver, piece)
 
     def again(self) -> None:
@@ -90,8 +94,15 @@
 class Link:
     """A connection of `near`'s to `far`, as two."""
 
-    def __init__(self, plane: Plane, near: Machine, far: Machine, address: Address, book: Book | None = None,
-                 sent: Sent | None = None) -> None:
+    def __init__(
+        self,
+        plane: Plane,
+        near: Machine,
+        far: Machine,
+        address: Address,
+        book: Book | None = None,
+        sent: Sent | None = None,
+    ) -> None:
         self._plane = plane
         self._book, self._sent = book, sent
         self._asked = ""  # the try that is under way, where it is booked
@@ -99,8 +110,10 @@
         self._address = address
         self.sides = Side(self, True), Side(self, False)
         self._early: list[bytes | None] = []  # from the near side, before the far one is up
-        self._ways = (Way(plane, near, far, lambda p: self._write(1, p)),
-                      Way(plane, far, near, lambda p: self._write(0, p)))
+        self._ways = (
+            Way(plane, near, far, lambda p: self._write(1, p)),
+            Way(plane, far, near, lambda p: self._write(0, p)),
+        )
         self._closed = False
 
     def up(self, first: bool) -> None:
@@ -122,7 +135,7 @@
         if first and data and self._sent is not None and (name := name_in(data)):
             self._sent(name)
         if first and data and self.far.breaks and self._plane.chance.random() < self.far.breaks:
-            self._ways[0].put(data[:len(data) // 2])
+            self._ways[0].put(data[: len(data) // 2])
             self._plane.loop.call_later(0.001, self.reset)
             return
         self._ways[0 if first else 1].put(data)
@@ -201,17 +214,29 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def door(self, at: Address, near: Machine, far: Machine, address: Address, book: Book | None = None,
-                   sent: Sent | None = None) -> None:
+    async def door(
+        self,
+        at: Address,
+        near: Machine,
+        far: Machine,
+        address: Address,
+        book: Book | None = None,
+        sent: Sent | None = None,
+    ) -> None:
         """Connections that `near` makes to `at` go to `far`, at its own address; `book` and `sent` hear of tries."""
         self._doors.append((at, near, far, address, book, sent))
         await self._unlock(at, near, far, address, book, sent)
 
-    async def _unlock(self, at: Address, near: Machine, far: Machine, address: Address, book: Book | None,
-                      sent: Sent | None) -> None:
+    async def _unlock(
+        self, at: Address, near: Machine, far: Machine, address: Address, book: Book | None, sent: Sent | None
+    ) -> None:
         if at not in self._open:
-            self._open[at] = await self.loop.create_server(lambda: Link(self, near, far, address, book, sent).sides[0],
-                                                           *at, backlog=BACKLOG, reuse_address=True)
+            self._open[at] = await self.loop.create_server(
+                lambda: Link(self, near, far, address, book, sent).sides[0],
+                *at,
+                backlog=BACKLOG,
+                reuse_address=True,
+            )
 
     async def shut(self, name: str, on: bool) -> None:
         """A machine's process is gone: connections to it are refused, those that it had are reset."""
@@ -228,7 +253,9 @@
                     await self._unlock(at, near, far, address, book, sent)
                 elif at in self._open:
                     self._open.pop(at).close()
-                await asyncio.sleep(0)  # guards against a relay that stands still while a whole fleet comes and goes
+                await asyncio.sleep(
+                    0
+                )  # guards against a relay that stands still while a whole fleet comes and goes
         for link in [link for link in self.links if some(link.near, link.far)]:
             if link.far.shut or self.paths.refuses(link.near, link.far):
                 link.reset()
@@ -266,7 +293,9 @@
 class Posts:
     """Datagrams between agents: each comes from the address that its receiver knows the sender by."""
 
-    def __init__(self, plane: Plane, machines: Callable[[int], Machine], peer: Callable[[int], Address]) -> None:
+    def __init__(
+        self, plane: Plane, machines: Callable[[int], Machine], peer: Callable[[int], Address]
+    ) -> None:
         self._plane = plane
         self._machines = machines
         self._peer = peer
@@ -275,11 +304,18 @@
     async def pair(self, agent: int, other: int, at: Address) -> None:
         """`agent` knows `other` by this address."""
         self._from[agent, other] = await self._plane.datagrams(
-            at, lambda data, addr: self._pass(agent, other, data) if addr == self._peer(agent) else None)
+            at, lambda data, addr: self._pass(agent, other, data) if addr == self._peer(agent) else None
+        )
 
     async def everybody(self, agent: int, agents: range, at: Address) -> None:
-        await self._plane.datagrams(at, lambda data, addr: [self._pass(agent, other, data) for other in agents
-                                                            if other != agent and addr == self._peer(agent)])
+        await self._plane.datagrams(
+            at,
+            lambda data, addr: [
+                self._pass(agent, other, data)
+                for other in agents
+                if other != agent and addr == self._peer(agent)
+            ],
+        )
 
     def _pass(self, agent: int, other: int, data: bytes) -> None:
         plane = self._plane
--- a/lupinreach/trial/rig/stage.py
+++ b/lupinreach/trial/rig/stage.py
@@ -18,20 +18,24 @@
 
 import orjson
 
-from lupinreach.bed.world import ledger as books
 from lupinreach.bed.peers.backend import Backend
-from lupinreach.bed.world.ledger import Ledger, Record
+from lupinreach.bed.peers.registry import Entry
 from lupinreach.bed.ways.faults import FAULTS
 from lupinreach.bed.ways.loopback import ENDS_WITHIN, LoopbackGround, free_port
-from lupinreach.bed.world.network import Machine
-from lupinreach.bed.peers.registry import Entry
-from lupinreach.bed.world.spec import Trouble, World, plain
 from lupinreach.bed.ways.stage import SETTLES, Stage, text
 from lupinreach.bed.ways.stopping import until_stopped
+from lupinreach.bed.world import ledger as books
+from lupinreach.bed.world.ledger import Ledger, Record
+from lupinreach.bed.world.network import Machine
+from lupinreach.bed.world.spec import Trouble, World, plain
 from lupinreach.trial.rig.late import Lateness
 from lupinreach.trial.rig.places import MOST_AGENTS, MOST_BACKENDS, Places
 
-BACKENDS_EACH, CLIENTS_EACH, AGENTS_EACH = 12, 12, 12  # that one process of the rig plays, and one relay serves
+BACKENDS_EACH, CLIENTS_EACH, AGENTS_EACH = (
+    12,
+    12,
+    12,
+)  # that one process of the rig plays, and one relay serves
 BEGINS_IN = 0.3  # s from the word to begin until the first arrival
 MOST_LINE = 16 << 20
 TOLD_OF = ("slower", "silent", "fails", "stalls", "report_age", "stolen")  # of a backend
@@ -54,12 +58,22 @@
         self.late: dict[str, float] = {}
         self.ledger: Path | None = None
 
-    async def start(self, order: dict[str, Any], folder: Path, heard: Callable[[dict[str, Any]], None]) -> None:
+    async def start(
+        self, order: dict[str, Any], folder: Path, heard: Callable[[dict[str, Any]], None]
+    ) -> None:
         self.ledger = folder / f"{self.role}-{self.mine[0] if self.mine else 0}.ledger"
         self.process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "lupinreach.trial.rig.host", stdin=asyncio.subprocess.PIPE,
-            stdout=asyncio.subprocess.PIPE, limit=MOST_LINE, start_new_session=True)
-        self.tell(order | {"role": self.role, "mine": self.mine, "folder": str(folder), "ledger": str(self.ledger)})
+            sys.executable,
+            "-m",
+            "lupinreach.trial.rig.host",
+            stdin=asyncio.subprocess.PIPE,
+            stdout=asyncio.subprocess.PIPE,
+            limit=MOST_LINE,
+            start_new_session=True,
+        )
+        self.tell(
+            order | {"role": self.role, "mine": self.mine, "folder": str(folder), "ledger": str(self.ledger)}
+        )
         self._heard = heard
         self._reads = asyncio.create_task(self._read())
 
@@ -135,7 +149,9 @@
     def changed(self) -> None:
         registry = self._stage.registry
         held = [[version, vars(entry)] for version, entry in registry.copy().values()]
-        self._stage.ground.tell_registry({"do": "hold", "version": registry.version, "up": registry.up, "entries": held})
+        self._stage.ground.tell_registry(
+            {"do": "hold", "version": registry.version, "up": registry.up, "entries": held}
+        )
 
     def down(self) -> None:
         self._stage.registry.up = False
@@ -146,11 +162,20 @@
 
     def told(self, agent: int, version: int, entries: list[Entry], whole: bool) -> None:
         ground = self._stage.ground
-        ground.ledger.note(books.TOLD, ground.now(), agent, self._stage.agents[agent], version,
-                           [[e.backend, e.state] for e in entries], whole)
+        ground.ledger.note(
+            books.TOLD,
+            ground.now(),
+            agent,
+            self._stage.agents[agent],
+            version,
+            [[e.backend, e.state] for e in entries],
+            whole,
+        )
 
     def wire(self, agent: int, entry: Entry) -> dict[str, Any]:
-        return entry.wire() | {"endpoint": text(self._stage.ground.addresses.backend_for(agent, entry.backend))}
+        return entry.wire() | {
+            "endpoint": text(self._stage.ground.addresses.backend_for(agent, entry.backend))
+        }
 
 
 class RigGround(LoopbackGround):
@@ -170,16 +195,24 @@
 
     async def open(self) -> None:
         """Start the rig's processes and wait until all of them are open."""
+
         def shares(total: int, each: int) -> list[list[int]]:
             parts = -(-total // each)
             return [list(range(total))[i::parts] for i in range(parts)]
 
         world = self._world
         self._processes = [
-            *(Process("backends", mine) for mine in shares(world.fleet, BACKENDS_EACH)), Process("registry", []),
+            *(Process("backends", mine) for mine in shares(world.fleet, BACKENDS_EACH)),
+            Process("registry", []),
             *(Process("clients", mine) for mine in shares(world.agents, CLIENTS_EACH)),
-            *(Process("relay", mine) for mine in shares(world.agents, AGENTS_EACH))]
-        order = {"world": plain(world), "seed": self._seed, "port": self.addresses.port, "begin": self.ledger._start}
+            *(Process("relay", mine) for mine in shares(world.agents, AGENTS_EACH)),
+        ]
+        order = {
+            "world": plain(world),
+            "seed": self._seed,
+            "port": self.addresses.port,
+            "begin": self.ledger._start,
+        }
         await asyncio.gather(*(p.start(order, self._folder, self._heard) for p in self._processes))
         for p in self._processes:
             assert p.process is not None
@@ -232,8 +265,15 @@
         super().kill_agent(number)
         self.tell_relays({"do": "shut", "name": f"agent {number}", "on": True})
 
-    async def start_agent(self, number: int, life: int, raw: dict[str, Any], ended: Callable[[], None],
-                          ahead: float = 0.0, drift: float = 0.0) -> None:
+    async def start_agent(
+        self,
+        number: int,
+        life: int,
+        raw: dict[str, Any],
+        ended: Callable[[], None],
+        ahead: float = 0.0,
+        drift: float = 0.0,
+    ) -> None:
         def over() -> None:
             self.tell_relays({"do": "shut", "name": f"agent {number}", "on": True})
             ended()
@@ -260,7 +300,9 @@
         for p in self._processes:
             if p.ledger is not None and p.ledger.exists():
                 booked = (tuple(orjson.loads(line)) for line in p.ledger.read_bytes().splitlines())
-                rows += [r for r in booked if r[0] == books.FAULT or r[1] <= (until - self.ledger._start) * 1000]
+                rows += [
+                    r for r in booked if r[0] == books.FAULT or r[1] <= (until - self.ledger._start) * 1000
+                ]
         rows.sort(key=lambda r: (r[1], r[0] != books.AGENT))
         lives: dict[int, int] = {}
         merged = Ledger(self.ledger._start)
@@ -288,16 +330,27 @@
         machine = Machine(f"backend {b.number}", b.zone)
         self.hosts.append(RemoteBackend(self.ground, b, machine))  # type: ignore[arg-type]
         address = self.ground.addresses.backend(b.number)
-        self.entries.append(Entry(f"b-{b.number:04x}{suffix}", b.number, text(address), self.world.zones[b.zone], kind,
-                                  b.cell, float(b.cores)))
+        self.entries.append(
+            Entry(
+                f"b-{b.number:04x}{suffix}",
+                b.number,
+                text(address),
+                self.world.zones[b.zone],
+                kind,
+                b.cell,
+                float(b.cores),
+            )
+        )
 
     def _told(self, n: int, raw: dict[str, Any]) -> dict[str, Any]:
         """Everything that it knows others by is the relay's."""
         at = self.ground.addresses
         raw = raw | {"discovery": text(at.registry_for(n))}
         if self.world.limits.peers:
-            raw |= {"peers_all": text(at.everybody_for(n)),
-                    "peers": [text(at.peer_for(n, other)) for other in range(self.world.agents)]}
+            raw |= {
+                "peers_all": text(at.everybody_for(n)),
+                "peers": [text(at.peer_for(n, other)) for other in range(self.world.agents)],
+            }
         return raw
 
     async def play(self) -> None:
@@ -325,11 +378,22 @@
     def _strike(self, trouble: Trouble, targets: list[int], on: bool) -> None:
         super()._strike(trouble, targets, on)
         paths = self.ground.paths
-        machines = {h.machine.name: {k: getattr(h.machine, k) for k in MADE_BY_RELAY} for h in self.hosts
-                    if any(getattr(h.machine, k) for k in MADE_BY_RELAY)}
-        plane = {"do": "plane", "cut": sorted(paths.cut), "refused": sorted(paths.refused), "loss": paths.loss,
-                 "posts": [paths.doubled, paths.late, paths.late_by], "parted": sorted(paths.parted),
-                 "deaf": sorted(m.name for m in paths.deaf), "dumb": sorted(m.name for m in paths.dumb), "machines": machines}
+        machines = {
+            h.machine.name: {k: getattr(h.machine, k) for k in MADE_BY_RELAY}
+            for h in self.hosts
+            if any(getattr(h.machine, k) for k in MADE_BY_RELAY)
+        }
+        plane = {
+            "do": "plane",
+            "cut": sorted(paths.cut),
+            "refused": sorted(paths.refused),
+            "loss": paths.loss,
+            "posts": [paths.doubled, paths.late, paths.late_by],
+            "parted": sorted(paths.parted),
+            "deaf": sorted(m.name for m in paths.deaf),
+            "dumb": sorted(m.name for m in paths.dumb),
+            "machines": machines,
+        }
         self.ground.tell_registry(plane)
         self.ground.tell_relays(plane)
 
--- a/lupinreach/trial/spec.py
+++ b/lupinreach/trial/spec.py
@@ -19,8 +19,21 @@
 TRIALS = Path(__file__).parent / "trials"
 FOLDERS = (TRIALS, beds.WORLDS)
 NEVER = 86_400.0  # s: longer than any run
-FIGURES = ("first_10s", "first_20s", "whole", "done_10s", "done_20s", "back_after", "to_draining", "cold_load")
-AT_MOST = ("back_after", "to_draining", "cold_load")  # what is expected of these is a most, of the others a least
+FIGURES = (
+    "first_10s",
+    "first_20s",
+    "whole",
+    "done_10s",
+    "done_20s",
+    "back_after",
+    "to_draining",
+    "cold_load",
+)
+AT_MOST = (
+    "back_after",
+    "to_draining",
+    "cold_load",
+)  # what is expected of these is a most, of the others a least
 
 
 @dataclass(frozen=True)
@@ -37,7 +50,9 @@
         for name, bound in self.expect:
             value = found[name]
             if value > bound if name in AT_MOST else value < bound:
-                lines.append(f"expect.{name}: {value:.3f}, wanted {'at most' if name in AT_MOST else 'at least'} {bound:g}")
+                lines.append(
+                    f"expect.{name}: {value:.3f}, wanted {'at most' if name in AT_MOST else 'at least'} {bound:g}"
+                )
         return lines
 
 
@@ -103,16 +118,23 @@
         if returns is None or not some:
             continue
         if spread:
-            troubles += [Trouble(kind, at, returns + spread * i / len(some), 0.0, (n,), 0.0) for i, n in enumerate(some)]
+            troubles += [
+                Trouble(kind, at, returns + spread * i / len(some), 0.0, (n,), 0.0)
+                for i, n in enumerate(some)
+            ]
         else:
             troubles.append(Trouble(kind, at, returns, 0.0, tuple(some), 0.0))
         back.append(at + returns)
     returns = _returns(s, "registry")
     if returns is not None:
         older = s.number("registry_older", 0.0) * 1000
-        troubles.append(Trouble("registry-older" if older else "registry-down", at, returns, 0.0, (), older / 1000))
+        troubles.append(
+            Trouble("registry-older" if older else "registry-down", at, returns, 0.0, (), older / 1000)
+        )
     if not troubles:
-        raise BadConfig(f"{s.at('agents')}: nothing is struck; give agents, backends or registry a time to return")
+        raise BadConfig(
+            f"{s.at('agents')}: nothing is struck; give agents, backends or registry a time to return"
+        )
     over.done()
     s.done()
     return troubles, max(back, default=at)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -15,12 +15,20 @@
 
 
 def pytest_configure(config):
-    config.addinivalue_line("markers", "rig(raw): the trial of which the fixture `played` is a run with processes")
+    config.addinivalue_line(
+        "markers", "rig(raw): the trial of which the fixture `played` is a run with processes"
+    )
 
 
 def pytest_collection_finish(session):
-    session.config.stash[RIGS] = {item.nodeid: item.get_closest_marker("rig").args[0]
-                                  for item in session.items if item.get_closest_marker("rig")}, {}
+    session.config.stash[RIGS] = (
+        {
+            item.nodeid: item.get_closest_marker("rig").args[0]
+            for item in session.items
+            if item.get_closest_marker("rig")
+        },
+        {},
+    )
 
 
 @pytest.fixture
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -14,7 +14,18 @@
 from lupinreach.balance import Balancer
 from lupinreach.config import read_agent
 from lupinreach.model import (
-    NEVER_RAN, Ask, Ending, Group, Kind, Limits, Listing, News, Product, Rules, Settings, State,
+    NEVER_RAN,
+    Ask,
+    Ending,
+    Group,
+    Kind,
+    Limits,
+    Listing,
+    News,
+    Product,
+    Rules,
+    Settings,
+    State,
 )
 from lupinreach.net.agent import Agent
 from lupinreach.net.clock import Clock
@@ -23,13 +34,31 @@
 READY, DRAINING, GONE = State.READY, State.DRAINING, State.GONE
 
 
-def settings(kinds=((Kind.IDEMPOTENT, Group.ALL),), slo=400.0, timeout=2000.0, memory=1000.0, shots=4,
-             copies=True, cold=10_000.0, start=0.2, agents=1, customers=(), **more: Any) -> Settings:
-    products = tuple(Product(f"p{i}", slo, timeout, 1.0 + i, kind, group, memory)
-                     for i, (kind, group) in enumerate(kinds))
-    return Settings(products, Rules(500.0, 3.0, 2000.0, start, cold, 10_000.0, 20.0),
-                    Limits(shots, copies, True, retry_after=True, max_retry_after=1000.0),
-                    customers=customers, agents=agents, step=1.0, **more)
+def settings(
+    kinds=((Kind.IDEMPOTENT, Group.ALL),),
+    slo=400.0,
+    timeout=2000.0,
+    memory=1000.0,
+    shots=4,
+    copies=True,
+    cold=10_000.0,
+    start=0.2,
+    agents=1,
+    customers=(),
+    **more: Any,
+) -> Settings:
+    products = tuple(
+        Product(f"p{i}", slo, timeout, 1.0 + i, kind, group, memory) for i, (kind, group) in enumerate(kinds)
+    )
+    return Settings(
+        products,
+        Rules(500.0, 3.0, 2000.0, start, cold, 10_000.0, 20.0),
+        Limits(shots, copies, True, retry_after=True, max_retry_after=1000.0),
+        customers=customers,
+        agents=agents,
+        step=1.0,
+        **more,
+    )
 
 
 class Recorder:
@@ -211,11 +240,20 @@
         {"name": "look", "semantics": "repeatable", "aim": 400.0, "give_up": 2000.0, "credit": 1.0},
         {"name": "pay", "semantics": "once", "aim": 400.0, "give_up": 2000.0, "credit": 5.0},
     ],
-    "ceilings": {"max_attempts": 3, "may_cancel": True, "retry_after": True, "max_retry_after": 1000.0,
-                 "connect_timeout": 200.0, "conn_idle": 60_000.0, "probes": True, "peer_messages": True},
+    "ceilings": {
+        "max_attempts": 3,
+        "may_cancel": True,
+        "retry_after": True,
+        "max_retry_after": 1000.0,
+        "connect_timeout": 200.0,
+        "conn_idle": 60_000.0,
+        "probes": True,
+        "peer_messages": True,
+    },
     "invariants": {"ask_within": 4000.0, "answer_slack": 20.0, "start_capacity": 0.2, "cold": 10_000.0},
     "report": {"fields": ["outstanding", "backlog"], "how": "inline"},
-    "discovery": "on_request", "zones": ["a", "b"],
+    "discovery": "on_request",
+    "zones": ["a", "b"],
 }
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfine"
 
@@ -257,8 +295,10 @@
 
 def says(answer: bytes):
     """A script that always gives this answer."""
+
     async def script(request, writer):
         writer.write(answer)
+
     return script
 
 
@@ -270,8 +310,16 @@
 
 
 def target(uid: str, address: str, state="Ready", **more) -> dict[str, Any]:
-    return {"uid": uid, "endpoint": address, "az": "a", "model": "m", "pod_group": 0, "state": state,
-            "capacity_hint": 1.0, "boot_ms": 0} | more
+    return {
+        "uid": uid,
+        "endpoint": address,
+        "az": "a",
+        "model": "m",
+        "pod_group": 0,
+        "state": state,
+        "capacity_hint": 1.0,
+        "boot_ms": 0,
+    } | more
 
 
 def full_list(*targets, rev=1, whole=True) -> dict[str, Any]:
@@ -282,8 +330,14 @@
     """One agent with its clients; the directory is silent unless a peer is given for it."""
 
     def __init__(self, *targets, directory="127.0.0.1:9", settings=None, **config) -> None:
-        self.raw = {"name": "n", "listen": "127.0.0.1:0", "seed": "07", "discovery": directory,
-                    "known": full_list(*targets), "settings": settings or AGENT_SETTINGS} | config
+        self.raw = {
+            "name": "n",
+            "listen": "127.0.0.1:0",
+            "seed": "07",
+            "discovery": directory,
+            "known": full_list(*targets),
+            "settings": settings or AGENT_SETTINGS,
+        } | config
 
     async def __aenter__(self):
         with tempfile.NamedTemporaryFile("w", suffix=".json") as file:
@@ -317,15 +371,29 @@
             await asyncio.sleep(0)
 
 
-numbers = itertools.count(0x9b1f)
+numbers = itertools.count(0x9B1F)
 
 
 def look(kind=b"look", deadline=b"1.5", more=b"", method=b"GET", path=b"/api", body=b"", name=None) -> bytes:
     """A request with an id of its own."""
     name = b"%x" % next(numbers) if name is None else name
     length = b"Content-Length: %d\r\n" % len(body) if body else b""
-    return (method + b" " + path + b" HTTP/1.1\r\nHost: app.svc\r\nReq-Id: " + name + b"\r\nReq-Kind: " + kind +
-            b"\r\nReq-Deadline: " + deadline + b"\r\n" + more + length + b"\r\n" + body)
+    return (
+        method
+        + b" "
+        + path
+        + b" HTTP/1.1\r\nHost: app.svc\r\nReq-Id: "
+        + name
+        + b"\r\nReq-Kind: "
+        + kind
+        + b"\r\nReq-Deadline: "
+        + deadline
+        + b"\r\n"
+        + more
+        + length
+        + b"\r\n"
+        + body
+    )
 
 
 def run(work) -> Any:
--- a/tests/mesh/scenario.py
+++ b/tests/mesh/scenario.py
@@ -34,7 +34,9 @@
                 verb = getattr(self, "do_" + words[0].replace("-", "_"))
                 problem = verb(*words[1:])
                 if problem:
-                    self.failures.append(f"line {number} at {self.world.now:.2f} s: {' '.join(words)}: {problem}")
+                    self.failures.append(
+                        f"line {number} at {self.world.now:.2f} s: {' '.join(words)}: {problem}"
+                    )
             self.failures += [f"fault: {fault}" for fault in self.world.loop.faults]
         finally:
             self.world.end()
@@ -107,7 +109,9 @@
 
     def do_evacuate(self, host: str, zone: str, verb: str) -> None:
         async def order() -> None:
-            self.statuses[zone + verb] = (await self.world.call(host, 8306, "POST", f"/evacuations/{zone}/{verb}"))[0]
+            self.statuses[zone + verb] = (
+                await self.world.call(host, 8306, "POST", f"/evacuations/{zone}/{verb}")
+            )[0]
 
         self._spawn(order())
 
@@ -178,12 +182,16 @@
         return None if found <= int(most) else f"found {found}"
 
     def do_expect_served(self, prefix: str, least: str) -> str | None:
-        found = sum(status == 200 for name, (status, _) in self.world.answers.items() if name.startswith(prefix))
+        found = sum(
+            status == 200 for name, (status, _) in self.world.answers.items() if name.startswith(prefix)
+        )
         return None if found >= int(least) else f"found {found}"
 
     def do_expect_answered(self, prefix: str) -> str | None:
         """Nobody was left without an answer."""
-        lost = [name for name, (status, _) in self.world.answers.items() if name.startswith(prefix) and not status]
+        lost = [
+            name for name, (status, _) in self.world.answers.items() if name.startswith(prefix) and not status
+        ]
         return f"no answer for {lost[:5]}" if lost else None
 
     def do_expect_ran_once(self, prefix: str) -> str | None:
--- a/tests/mesh/world.py
+++ b/tests/mesh/world.py
@@ -325,7 +325,9 @@
 
     # Clients and operators.
 
-    async def call(self, host: str, port: int, method: str, path: str, body: bytes = b"", headers: str = "") -> tuple[int, bytes]:
+    async def call(
+        self, host: str, port: int, method: str, path: str, body: bytes = b"", headers: str = ""
+    ) -> tuple[int, bytes]:
         """One HTTP call from outside; status 0 where the connection ends without an answer."""
         connection = BackendConnection()
         self.loop.hosts.setdefault(OWNER.get(), "outside")
@@ -340,7 +342,9 @@
             connection.close()
         return whole.head.first[2], whole.body
 
-    async def ask(self, host: str, path: str, request_id: str, deadline_ms: int = 2000, method: str = "GET") -> int:
+    async def ask(
+        self, host: str, path: str, request_id: str, deadline_ms: int = 2000, method: str = "GET"
+    ) -> int:
         """A client's request at a proxy."""
         began = self.now
         headers = f"Lupinreach-Request-Id: {request_id}\r\nLupinreach-Request-Deadline: {deadline_ms}\r\n"
@@ -360,7 +364,8 @@
             for kind in ("safe", "unsafe")
         )
         services = ",".join(
-            f'{{"name":"{known}","cold_per_s":5}}' for known in sorted({b.service for b in self.backends.values()} | {"alpha"})
+            f'{{"name":"{known}","cold_per_s":5}}'
+            for known in sorted({b.service for b in self.backends.values()} | {"alpha"})
         )
         text = (
             f'{{"version":"{version}","services":[{services}],"limits":{{}},'
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -11,7 +11,9 @@
     "categories": [{"aim": 400.0, "give_up": 2000.0, "credit": 1.0, "semantics": "repeatable", "name": "p"}],
     "ceilings": {"max_attempts": 3, "may_cancel": True, "a_new_key": 1},
     "invariants": {"start_capacity": 0.2, "cold": 10_000.0, "fall": 2000.0, "ask_within": 10_000.0},
-    "discovery": "on_request", "step": 5.0, "report": {"fields": ["outstanding", "novel"], "how": "inline"},
+    "discovery": "on_request",
+    "step": 5.0,
+    "report": {"fields": ["outstanding", "novel"], "how": "inline"},
 }
 HOSTS = [{"backend": 70, "lifecycle": 1}, {"backend": 71, "lifecycle": 1, "locality": 1, "nominal": 2}]
 
@@ -25,8 +27,10 @@
 
 
 def attach(i=0, settings=None, page=0):
-    return [{"t": "attach", "i": i, "prng": 5, "settings": settings or SETTINGS},
-            {"t": "directory_update", "i": i, "page": page, "rev": 1, "how": 2}]
+    return [
+        {"t": "attach", "i": i, "prng": 5, "settings": settings or SETTINGS},
+        {"t": "directory_update", "i": i, "page": page, "rev": 1, "how": 2},
+    ]
 
 
 def req(tid, i=0, until=3000.0):
@@ -52,20 +56,35 @@
     assert {"t": "track", "i": 0, "enable": True} in first
     sent = tries(acts(host, 1005.0, req(9)))
     assert len(sent) == 1 and sent[0]["backend"] in (70, 71) and sent[0]["try_until"] == 3000.0
-    reply = {"t": "reply", "i": 0, "tid": 9, "try": 0, "backend": sent[0]["backend"], "ending": "delivered",
-             "rtt": 50.0, "complete": True, "metrics": [3, 1]}
+    reply = {
+        "t": "reply",
+        "i": 0,
+        "tid": 9,
+        "try": 0,
+        "backend": sent[0]["backend"],
+        "ending": "delivered",
+        "rtt": 50.0,
+        "complete": True,
+        "metrics": [3, 1],
+    }
     assert acts(host, 1055.0, reply) == []
     late = [reply, {"t": "cancelled_by_client", "i": 0, "tid": 9}, {"t": "head_received", "i": 0, "tid": 9}]
     assert acts(host, 1060.0, *late) == []
 
 
-@pytest.mark.parametrize("metrics", [[-1, 0], [1e300, 0], ["many", 1], [True, 1], [None, 2], [float("nan"), 1]])
+@pytest.mark.parametrize(
+    "metrics", [[-1, 0], [1e300, 0], ["many", 1], [True, 1], [None, 2], [float("nan"), 1]]
+)
 def test_a_report_that_no_backend_can_make_is_none(metrics, monkeypatch):
     host, _ = started()
     told = []
     monkeypatch.setattr("lupinreach.balance.Balancer.probed", lambda self, *what: told.append(what[-1]))
-    acts(host, 1005.0, {"t": "check_result", "i": 0, "backend": 70, "ending": "delivered", "metrics": metrics})
-    acts(host, 1005.0, {"t": "check_result", "i": 0, "backend": 4711, "ending": "delivered", "metrics": [3, 1]})
+    acts(
+        host, 1005.0, {"t": "check_result", "i": 0, "backend": 70, "ending": "delivered", "metrics": metrics}
+    )
+    acts(
+        host, 1005.0, {"t": "check_result", "i": 0, "backend": 4711, "ending": "delivered", "metrics": [3, 1]}
+    )
     assert told[0] is None and told[1] is not None
     assert {a["backend"] for a in tries(acts(host, 1006.0, *(req(n) for n in range(20))))} <= {70, 71}
 
@@ -74,23 +93,40 @@
 def test_every_failure_leads_to_another_shot_or_an_answer(ending):
     host, _ = started()
     backend = tries(acts(host, 1005.0, req(9)))[0]["backend"]
-    got = acts(host, 1010.0, {"t": "reply", "i": 0, "tid": 9, "try": 0, "backend": backend, "ending": ending,
-                              "rtt": 5.0})
+    got = acts(
+        host,
+        1010.0,
+        {"t": "reply", "i": 0, "tid": 9, "try": 0, "backend": backend, "ending": ending, "rtt": 5.0},
+    )
     assert [a["t"] for a in got if a["t"] in ("try", "busy", "surrender")]
 
 
 def test_list_numbers_are_resolved_in_event_order():
     host = Host()
-    got = acts(host, 1000.0, {"t": "inventory", "page": 3, "hosts": HOSTS[:1]}, *attach(0, page=3),
-               {"t": "inventory", "page": 3, "hosts": HOSTS[1:]}, *attach(1, page=3), req(1, 0), req(2, 1))
+    got = acts(
+        host,
+        1000.0,
+        {"t": "inventory", "page": 3, "hosts": HOSTS[:1]},
+        *attach(0, page=3),
+        {"t": "inventory", "page": 3, "hosts": HOSTS[1:]},
+        *attach(1, page=3),
+        req(1, 0),
+        req(2, 1),
+    )
     assert {(a["i"], a["backend"]) for a in tries(got)} == {(0, 70), (1, 71)}
 
 
 def test_stop_and_start_in_one_batch_forgets_all():
     host, _ = started()
     acts(host, 1005.0, req(9))
-    got = acts(host, 1010.0, {"t": "power_off", "i": 0}, *attach(0), req(10),
-               {"t": "reply", "i": 0, "tid": 9, "try": 0, "backend": 70, "ending": "shed", "rtt": 5.0})
+    got = acts(
+        host,
+        1010.0,
+        {"t": "power_off", "i": 0},
+        *attach(0),
+        req(10),
+        {"t": "reply", "i": 0, "tid": 9, "try": 0, "backend": 70, "ending": "shed", "rtt": 5.0},
+    )
     assert [a["tid"] for a in tries(got)] == [10]
 
 
@@ -110,13 +146,19 @@
     assert fault["t"] == "bug" and "ZeroDivisionError on req" in fault["note_text"]
 
 
-@pytest.mark.parametrize("change, text", [
-    ({"categories": None}, "categories: missing"),
-    ({"categories": []}, "categories: empty"),
-    ({"categories": [{"aim": 1.0, "semantics": "once"}]}, "categories[0].give_up: missing"),
-    ({"categories": [{"give_up": 5.0, "semantics": "twice"}]}, "categories[0].semantics: unknown 'twice'"),
-    ({"ceilings": 3}, "ceilings: must be an object"),
-])
+@pytest.mark.parametrize(
+    "change, text",
+    [
+        ({"categories": None}, "categories: missing"),
+        ({"categories": []}, "categories: empty"),
+        ({"categories": [{"aim": 1.0, "semantics": "once"}]}, "categories[0].give_up: missing"),
+        (
+            {"categories": [{"give_up": 5.0, "semantics": "twice"}]},
+            "categories[0].semantics: unknown 'twice'",
+        ),
+        ({"ceilings": 3}, "ceilings: must be an object"),
+    ],
+)
 def test_malformed_settings_are_reported_for_their_instance(change, text):
     host = Host()
     hosts = {"t": "inventory", "page": 0, "hosts": HOSTS}
@@ -125,17 +167,20 @@
     assert len(bugs) == 1 and bugs[0]["i"] == 4 and text in bugs[0]["note_text"]
 
 
-@pytest.mark.parametrize("line, text", [
-    ("no json", "not JSON"),
-    ("[]", "must be an object"),
-    ('{"news":[]}', "ts is missing"),
-    ('{"ts":1}', "news is missing"),
-    ('{"ts":1,"news":[3]}', "an event must be an object"),
-    ('{"ts":1,"news":[{"t":"wat","i":0}]}', "unknown event 'wat'"),
-    ('{"ts":1,"news":[{"t":"req","i":0}]}', "never attached"),
-    ('{"ts":1,"news":[{"t":"inventory","page":16,"hosts":[]}]}', "no list number"),
-    (batch(1.0, *attach(page=2)), "list 2 was never sent"),
-])
+@pytest.mark.parametrize(
+    "line, text",
+    [
+        ("no json", "not JSON"),
+        ("[]", "must be an object"),
+        ('{"news":[]}', "ts is missing"),
+        ('{"ts":1}', "news is missing"),
+        ('{"ts":1,"news":[3]}', "an event must be an object"),
+        ('{"ts":1,"news":[{"t":"wat","i":0}]}', "unknown event 'wat'"),
+        ('{"ts":1,"news":[{"t":"req","i":0}]}', "never attached"),
+        ('{"ts":1,"news":[{"t":"inventory","page":16,"hosts":[]}]}', "no list number"),
+        (batch(1.0, *attach(page=2)), "list 2 was never sent"),
+    ],
+)
 def test_bad_input_is_named(line, text):
     with pytest.raises(BadInput, match=text):
         Host().batch(line)
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -10,8 +10,8 @@
 from zlib import crc32
 
 import pytest
-
 from helpers import AGENT_SETTINGS, OK, Peer, Site, full_list, look, read_http, run, says, target
+
 from lupinreach import logs
 from lupinreach.config import LOADS
 from lupinreach.model import NEVER_RAN, Ending, Load
@@ -63,11 +63,16 @@
 
 
 def test_an_api_call_goes_on_unchanged_and_its_answer_comes_back():
-    head = (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nSrv-Load: inflight=7,queue=2\r\n"
-            b"Content-Type: text/x\r\nSet-Cookie: a=b\r\n\r\n")
-    answer, backend, _ = run(one_call(
-        says(head + b"2\r\nfi\r\n2\r\nne\r\n0\r\n\r\n"),
-        look(**PAY, name=b"beef", path=b"/api/x?y=%20z", more=b"Accept: any\r\nTE: trailers\r\n")))
+    head = (
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nSrv-Load: inflight=7,queue=2\r\n"
+        b"Content-Type: text/x\r\nSet-Cookie: a=b\r\n\r\n"
+    )
+    answer, backend, _ = run(
+        one_call(
+            says(head + b"2\r\nfi\r\n2\r\nne\r\n0\r\n\r\n"),
+            look(**PAY, name=b"beef", path=b"/api/x?y=%20z", more=b"Accept: any\r\nTE: trailers\r\n"),
+        )
+    )
     head, _, body = backend.requests[0].partition(b"\r\n\r\n")
     assert head.startswith(b"POST /api/x?y=%20z HTTP/1.1\r\nHost: app.svc\r\n") and body == b"sum=3"
     assert b"Req-Id: beef" in head and b"Accept: any" in head and b"TE:" not in head
@@ -81,8 +86,9 @@
         settings = AGENT_SETTINGS | {"accounts": [{"name": "hill"}, {"name": "dale"}]}
         async with Site(settings=settings) as site:
             asks, take = [], site.agent.balancer.take
-            monkeypatch.setattr(site.agent.balancer, "take",
-                                lambda now, ask: asks.append(ask) or take(now, ask))
+            monkeypatch.setattr(
+                site.agent.balancer, "take", lambda now, ask: asks.append(ask) or take(now, ask)
+            )
             more = b"Req-Owner: dale\r\nReq-Cost: 1500.5\r\nReq-Retry: 1\r\nReq-Extra: a=1\r\n"
             await site.ask(look(b"pay", more=more, method=b"POST", path=b"/api/00fe?x=/y", deadline=b"9"))
             await site.ask(look(more=b"Req-Owner: nobody\r\n", deadline=b".5"))
@@ -92,6 +98,7 @@
             assert (first.key, second.key) == (crc32(b"00fe"), None)
             now = site.agent.clock.now()  # no longer than the product's client timeout, less the margin
             assert now + 1900 < first.until <= now + 1980 and now + 400 < second.until <= now + 480
+
     run(work())
 
 
@@ -102,15 +109,22 @@
             for _ in range(5):
                 assert status(await site.ask(look(), client)) == 200
             assert backend.connections == 1 and site.agent.counters.connections["client opened"] == 1
+
     run(work())
 
 
-@pytest.mark.parametrize("script, most", [
-    (says(failed(500)), 3), (says(failed(404)), 3),
-    (says(failed(503)), 3),  # it doesn't say that it never ran
-    (breaks, 3), (cut_short, 3),
-    (says(b"nonsense\r\n\r\n"), 3), (says(b"HTTP/1.1 100 Go on\r\n\r\n" * 20), 3),  # spoilt, by any backend
-])
+@pytest.mark.parametrize(
+    "script, most",
+    [
+        (says(failed(500)), 3),
+        (says(failed(404)), 3),
+        (says(failed(503)), 3),  # it doesn't say that it never ran
+        (breaks, 3),
+        (cut_short, 3),
+        (says(b"nonsense\r\n\r\n"), 3),
+        (says(b"HTTP/1.1 100 Go on\r\n\r\n" * 20), 3),  # spoilt, by any backend
+    ],
+)
 def test_what_may_have_run_is_sent_again_only_if_idempotent(script, most):
     async def work():
         async with Peer(script) as one, Peer(script) as two:
@@ -119,6 +133,7 @@
                     assert status(await site.ask(raw)) == code
                     assert sum(site.agent.counters.shots.values()) == shots
             assert len(one.requests) + len(two.requests) == 1 + most
+
     run(work())
 
 
@@ -129,11 +144,12 @@
                 for _ in range(4):
                     assert status(await site.ask(look(**PAY))) == 200
                 assert busy.requests and len(good.requests) == 4
+
     run(work())
     answer, _, agent = run(one_call(says(DECLINED), look(**PAY)))
     assert status(answer) == 429 and b"Retry-After: 0.100" in answer and agent.counters.shots["turned away"]
     refused = target("s-2", "127.0.0.1:9")
-    answer, backend, agent = run(one_call(says(OK), look(**PAY) , refused))
+    answer, backend, agent = run(one_call(says(OK), look(**PAY), refused))
     assert status(answer) == 200 and len(backend.requests) == 1
 
 
@@ -148,6 +164,7 @@
             assert status(answer) == 502 and 0.7 < now() - began < 1.0
             await site.settled()
             assert site.agent.counters.shots == {"silent": 1} and site.agent.pool.open == 0
+
     run(work())
 
 
@@ -158,6 +175,7 @@
         async def script(request, writer):
             arrived.set()
             await writer.wait_closed()  # until the agent closes
+
         async with Peer(script) as backend, Site(target("s-1", backend.address)) as site:
             reader, writer = await site.client()
             writer.write(look())
@@ -168,20 +186,33 @@
             await site.settled()
             assert site.agent.counters.shots == {"called off": 1}
             assert site.agent.counters.answered == {"left": 1}
+
     run(work())
 
 
-@pytest.mark.parametrize("raw, code, why", [
-    (look(name=b"").replace(b"Req-Id: \r\n", b""), 400, b"Req-Id"), (look(b"steal"), 400, b"Req-Kind"),
-    (look(method=b"PUT"), 400, b"method"), (look(deadline=b"soon"), 400, b"Req-Deadline"),
-    (look(deadline=b"0"), 400, b"Req-Deadline"), (look(deadline=b"nan"), 400, b"Req-Deadline"),
-    (look(more=b"Req-Cost: much\r\n"), 400, b"Req-Cost"), (look(more=b"Req-Extra: a\r\n"), 400, b"Req-Extra"),
-    (look(more=b"Req-Id: other\r\n"), 400, b"twice"), (look(more=b"Connection: req-id\r\n"), 400, b"named"),
-    (look(b"pay"), 400, b"GET"), (look(body=b"x"), 400, b"GET"), (look(name=b"9" * 200), 400, b"Req-Id"),
-    (look(path=b"api"), 400, b"malformed"), (look(more=b"Broken\r\n"), 400, b"malformed"), (b"\x00\x01\r\n\r\n", 400, b"malformed"),
-    (look(method=b"POST", more=b"Content-Length: 41943041\r\n"), 413, b"too large"),
-    (look(more=b"A: " + b"x" * 20000 + b"\r\n"), 413, b"too large"),
-])
+@pytest.mark.parametrize(
+    "raw, code, why",
+    [
+        (look(name=b"").replace(b"Req-Id: \r\n", b""), 400, b"Req-Id"),
+        (look(b"steal"), 400, b"Req-Kind"),
+        (look(method=b"PUT"), 400, b"method"),
+        (look(deadline=b"soon"), 400, b"Req-Deadline"),
+        (look(deadline=b"0"), 400, b"Req-Deadline"),
+        (look(deadline=b"nan"), 400, b"Req-Deadline"),
+        (look(more=b"Req-Cost: much\r\n"), 400, b"Req-Cost"),
+        (look(more=b"Req-Extra: a\r\n"), 400, b"Req-Extra"),
+        (look(more=b"Req-Id: other\r\n"), 400, b"twice"),
+        (look(more=b"Connection: req-id\r\n"), 400, b"named"),
+        (look(b"pay"), 400, b"GET"),
+        (look(body=b"x"), 400, b"GET"),
+        (look(name=b"9" * 200), 400, b"Req-Id"),
+        (look(path=b"api"), 400, b"malformed"),
+        (look(more=b"Broken\r\n"), 400, b"malformed"),
+        (b"\x00\x01\r\n\r\n", 400, b"malformed"),
+        (look(method=b"POST", more=b"Content-Length: 41943041\r\n"), 413, b"too large"),
+        (look(more=b"A: " + b"x" * 20000 + b"\r\n"), 413, b"too large"),
+    ],
+)
 def test_what_is_no_request_is_refused_and_goes_nowhere(raw, code, why):
     answer, backend, agent = run(one_call(says(OK), raw))
     assert status(answer) == code and why in answer and not backend.requests
@@ -192,10 +223,13 @@
     async def work():
         async with Peer(says(OK)) as backend, Site(target("s-1", backend.address)) as site:
             reader, writer = await site.client()
-            raw = look(more=b"Req-Cost: 1200\r\nReq-Extra: a=1,b=2\r\nReq-Retry: 1\r\n", method=b"POST",
-                       body=b"x" * 60000)
+            raw = look(
+                more=b"Req-Cost: 1200\r\nReq-Extra: a=1,b=2\r\nReq-Retry: 1\r\n",
+                method=b"POST",
+                body=b"x" * 60000,
+            )
             for at in range(0, len(raw), 7001):
-                writer.write(raw[at:at + 7001])
+                writer.write(raw[at : at + 7001])
                 await writer.drain()
                 await asyncio.sleep(0)
             assert status(await read_http(reader)) == 200
@@ -204,6 +238,7 @@
             assert status(await read_http(reader)) == 100
             writer.write(b"ab")
             assert status(await read_http(reader)) == 200
+
     run(work())
 
 
@@ -213,16 +248,24 @@
             writer.write(OK + last_words)
             if not last_words:
                 writer.close()
+
         async with Peer(script) as backend, Site(target("s-1", backend.address)) as site:
             for _ in range(6):
                 assert status(await site.ask(look(**PAY))) == 200
             assert backend.connections == 6 and site.agent.counters.shots == {"served": 6}
+
     run(work(b""))
     run(work(failed(500)))
 
 
-@pytest.mark.parametrize("begun", [b"HTTP/1.1 200 OK\r\nX-Pad: p", OK[:-2], b"HTTP/1.1 200 OK\r\nTransfer-Encoding: "
-                                   b"chunked\r\n\r\n2\r\nfi"])
+@pytest.mark.parametrize(
+    "begun",
+    [
+        b"HTTP/1.1 200 OK\r\nX-Pad: p",
+        OK[:-2],
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nfi",
+    ],
+)
 def test_an_answer_that_stands_still_ends_long_before_the_deadline(begun):
     async def work():
         async with Peer(says(begun)) as backend, Site(target("s-1", backend.address)) as site:
@@ -231,15 +274,23 @@
             assert status(await site.ask(look(**PAY, deadline=b"1.9"))) == 502 and loop.time() - began < 1.0
             await site.settled()
             assert site.agent.counters.shots == {"stood still": 1} and site.agent.pool.open == 0
+
     run(work())
 
 
 def test_an_answer_of_some_hundred_kilobytes_is_passed_on_and_one_without_end_is_not():
     body = bytes(range(256)) * 1300
-    answer, _, agent = run(one_call(says(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body),
-                                    look(**PAY), limits={"memory_mb": 32}))
+    answer, _, agent = run(
+        one_call(
+            says(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body),
+            look(**PAY),
+            limits={"memory_mb": 32},
+        )
+    )
     assert status(answer) == 200 and answer.endswith(b"\r\n\r\n" + body)
-    answer, _, agent = run(one_call(says(b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nx"), look(**PAY)))
+    answer, _, agent = run(
+        one_call(says(b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nx"), look(**PAY))
+    )
     assert status(answer) == 502 and agent.counters.shots == {"too large": 1} and agent.pool.open == 0
 
 
@@ -256,6 +307,7 @@
             if b"Req-Id: aa" in request:
                 await release.wait()
             writer.write(OK)
+
         async with Peer(script) as backend, Site(target("s-1", backend.address)) as site:
             agent = site.agent
             assert status(await site.ask(look())) == 200 and agent.pool.open == 1  # one idle
@@ -271,6 +323,7 @@
             await site.settled()
             assert agent.pool.open == 0 and not agent.pool._by_place  # the late one is not kept either
             assert status(await site.ask(look())) == 200 and backend.connections == 3
+
     run(work())
 
 
@@ -290,6 +343,7 @@
             assert agent.counters.others["fault: api call"] == 2 and agent.balancer._flight == 0
             assert "ZeroDivisionError" in os.read(site.sink, 65536).decode()
             assert status(await site.ask(look())) == 200
+
     run(work())
 
 
@@ -301,6 +355,7 @@
             at = site.agent.clock.now() + 1e6
             site.agent.woke(at, "look")
             assert told == [(at, "look")]
+
     run(work())
 
 
@@ -315,6 +370,7 @@
             site.agent.listener._accept()
             await read_http(reader)
             assert 0.9 < asyncio.get_running_loop().time() - began < 1.4
+
     run(work())
 
 
@@ -328,6 +384,7 @@
         async def script(request, writer):
             await release.wait()
             writer.write(OK)
+
         async with Peer(script) as backend, Site(target("s-1", backend.address)) as site:
             raw, client = look(**PAY), await site.client()
             client[1].write(raw)
@@ -342,6 +399,7 @@
             site.agent.serving.ids.turn()
             site.agent.serving.ids.turn()
             assert status(await site.ask(raw)) == 200  # forgotten, so nothing grows
+
     run(work())
 
 
@@ -352,6 +410,7 @@
             writer.write(look() + look())
             assert status(await read_http(reader)) == 400 and await reader.read() == b""
             assert not backend.requests and not site.agent.counters.taken
+
     run(work())
 
 
@@ -371,6 +430,7 @@
             assert status(await late[0].read()) == 408
             assert status(await site.ask(look(), kept)) == 200  # stood idle, and there is room
             assert len(site.agent.listener.clients) == 1 and not site.agent.listener.reading
+
     run(work())
 
 
@@ -388,6 +448,7 @@
             for client in clients[1:]:
                 assert status(await site.ask(look(), client)) == 200  # two of six are not many
             assert site.agent.counters.connections["client idle"] == 1
+
     run(work())
 
 
@@ -399,7 +460,10 @@
             answers = [await site.ask(look(), client) for client in clients]
             assert [b"Connection: close" in answer for answer in answers] == [False, False, True]
             assert await clients[2][0].read() == b""
-            assert status(await site.ask(look(), clients[0])) == 200  # the others were told that they may stay
+            assert (
+                status(await site.ask(look(), clients[0])) == 200
+            )  # the others were told that they may stay
+
     run(work())
 
 
@@ -422,6 +486,7 @@
             assert answers[0] == b"" and [status(a) for a in answers[1:]] == [400, 400]  # two are held up
             assert loop.time() - began >= 0.3 and not backend.requests
             assert status(await site.ask(look())) == 200
+
     run(work())
 
 
@@ -435,6 +500,7 @@
                 await asyncio.sleep(0.001)
             assert site.agent.counters.connections["client too large"] == 1
             writer.close()
+
     run(work())
 
 
@@ -470,6 +536,7 @@
             assert status(await read_http(second[0])) == 502 and len(backend.requests) == 2
             assert status(await read_http(sixth[0])) == 200  # a connection that fell idle made room
             assert site.agent.counters.answered["no room"] == 1 and not fifth[0].at_eof()
+
     run(work())
 
 
@@ -488,6 +555,7 @@
             for client in clients:
                 assert status(await site.ask(look(), client)) == 200
             assert agent.counters.connections["client made room"] == 2
+
     run(work())
 
 
@@ -509,6 +577,7 @@
             held.cancel()
             await asyncio.wait([held])
             assert shots[1].end is End.CALLED_OFF and pool.open == 0
+
     run(work())
 
 
@@ -517,9 +586,12 @@
         async with Peer(says(OK)) as backend, Site() as site:
             pool = Pool(9, 200.0, 40.0, site.agent.counters)
             site.agent.tasks.spawn("idle backends", pool.sweep(lambda: None, 0.0))
-            await Shot(pool, place(pool, backend.address), look(), asyncio.get_running_loop().time() + 5).run()
+            await Shot(
+                pool, place(pool, backend.address), look(), asyncio.get_running_loop().time() + 5
+            ).run()
             await asyncio.wait_for(backend.gone.wait(), 1)
             assert pool.open == 0 and site.agent.counters.connections["backend idle"] == 1
+
     run(work())
 
 
@@ -546,16 +618,28 @@
             task.cancel()
             await asyncio.wait([task])
             ends = [s.end for s in (refused, late, unwritten, written, unbegun)]
-            assert [ENDINGS[e] for e in ends] == [Ending.REFUSED, Ending.UNREACHABLE, Ending.UNREACHABLE,
-                                                  Ending.TIMED_OUT, Ending.UNSENT]
+            assert [ENDINGS[e] for e in ends] == [
+                Ending.REFUSED,
+                Ending.UNREACHABLE,
+                Ending.UNREACHABLE,
+                Ending.TIMED_OUT,
+                Ending.UNSENT,
+            ]
+
     run(work())
 
 
 def test_every_end_has_its_meaning():
     assert set(ENDINGS) == set(End)
     assert {e for e, ending in ENDINGS.items() if ending in NEVER_RAN} == {
-        End.TURNED_AWAY, End.NO_ROOM, End.REFUSED, End.NEVER_UP, End.BROKE_SENDING, End.LATE_SENDING,
-        End.CALLED_OFF_SENDING}
+        End.TURNED_AWAY,
+        End.NO_ROOM,
+        End.REFUSED,
+        End.NEVER_UP,
+        End.BROKE_SENDING,
+        End.LATE_SENDING,
+        End.CALLED_OFF_SENDING,
+    }
 
 
 # The directory.
@@ -594,8 +678,14 @@
         async with Peer(registry.script) as directory, Peer(says(OK)) as old, Peer(says(OK)) as new:
             async with Site(target("s-1", old.address), directory=directory.address) as site:
                 assert status(await site.ask(look())) == 200
-                registry.tell(full_list(target("s-1", old.address, "Terminating"),
-                                        target("s-2", new.address, az="elsewhere"), rev=3, whole=False))
+                registry.tell(
+                    full_list(
+                        target("s-1", old.address, "Terminating"),
+                        target("s-2", new.address, az="elsewhere"),
+                        rev=3,
+                        whole=False,
+                    )
+                )
                 registry.lines.put_nowait(b"")
                 await counted(site, "news: changes")
                 for _ in range(3):
@@ -609,25 +699,33 @@
                     assert status(await site.ask(look())) == 200
                 assert len(old.requests) == 4 and len(new.requests) == 3  # s-2 is missing, so it is gone
                 await counted(site, "called", 3)
+
     run(work())
 
 
 def test_a_failed_directory_is_asked_again_and_the_list_kept(monkeypatch):
     monkeypatch.setattr(protocol, "BEAT", 30.0)
     for script in (says(failed(503)), breaks, silent):
+
         async def work(script=script):
             async with Peer(script) as directory, Peer(says(OK)) as backend:
                 async with Site(target("s-1", backend.address), directory=directory.address) as site:
                     await counted(site, "called", 2)
                     assert status(await site.ask(look())) == 200
+
         run(work())
 
 
-@pytest.mark.parametrize("line, why", [
-    (b"{", "list: no JSON"), (b"[]", "list: must be an object"), (b"{}", "list.rev: missing"),
-    (full_list(target("s", "nowhere")), "list.targets[0].endpoint: 'nowhere'"),
-    (full_list(target("s", "127.0.0.1:1"), target("t", "127.0.0.1:1", "Odd")), "[1].state: unknown"),
-])
+@pytest.mark.parametrize(
+    "line, why",
+    [
+        (b"{", "list: no JSON"),
+        (b"[]", "list: must be an object"),
+        (b"{}", "list.rev: missing"),
+        (full_list(target("s", "nowhere")), "list.targets[0].endpoint: 'nowhere'"),
+        (full_list(target("s", "127.0.0.1:1"), target("t", "127.0.0.1:1", "Odd")), "[1].state: unknown"),
+    ],
+)
 def test_a_malformed_list_changes_nothing_and_is_named(line, why):
     async def work():
         registry = Registry()
@@ -638,6 +736,7 @@
                 told = [json.loads(text) for text in os.read(site.sink, 65536).splitlines()]
                 assert any(e["event"] == "directory failed" and why in e["where"] for e in told)
                 assert status(await site.ask(look())) == 200
+
     run(work())
 
 
@@ -653,6 +752,7 @@
                 assert len(new.requests) == 1 and list(site.agent.balancer._backends) == [0]
                 assert site.agent.directory._by_index == {0: place(site.agent.pool, new.address)}
                 assert site.agent.pool.open == 1  # the idle one to the old address is closed
+
     run(work())
 
 
@@ -663,6 +763,7 @@
             directory._keep = -1.0
             directory._take_in(full_list(target("s-1", "127.0.0.1:9", "Gone"), rev=2, whole=False), "list")
             assert not directory._entries and not directory._by_index and not site.agent.balancer._backends
+
     run(work())
 
 
@@ -677,6 +778,7 @@
             registry.tell(full_list(target("s-1", "127.0.0.1:9"), rev=2))
             await counted(site, "news: full")
             assert status(await site.ask(READY)) == 200
+
     run(work())
 
 
@@ -687,6 +789,7 @@
         async def script(request, writer):
             await release.wait()
             writer.write(OK)
+
         async with Peer(script) as backend, Site(target("s-1", backend.address)) as site:
             busy, idle = await site.client(), await site.client()
             assert status(await site.ask(READY, idle)) == 200
@@ -710,11 +813,13 @@
             await stopping
             with pytest.raises(ConnectionRefusedError):
                 await site.client()
+
     run(work())
 
 
 def test_a_stop_under_traffic_loses_nothing():
     """Clients as the protocol has them: kept connections, and once more on a new one if one closes."""
+
     async def work():
         loop, codes = asyncio.get_running_loop(), []
 
@@ -741,6 +846,7 @@
             await asyncio.sleep(0.3)
             await asyncio.gather(site.agent.stop(), *clients)
             assert set(codes) <= {200, 429} and codes.count(200) > 20 and not site.agent.listener.clients
+
     run(work())
 
 
@@ -748,8 +854,13 @@
     path = tmp_path / "config.json"
     path.write_text(json.dumps(config))
     return await asyncio.create_subprocess_exec(
-        sys.executable, "-m", "lupinreach", env=os.environ | {"PROXY_CONFIG": str(path)},
-        stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.PIPE)
+        sys.executable,
+        "-m",
+        "lupinreach",
+        env=os.environ | {"PROXY_CONFIG": str(path)},
+        stdout=asyncio.subprocess.PIPE,
+        stderr=asyncio.subprocess.PIPE,
+    )
 
 
 async def event(agent, name):
@@ -776,11 +887,13 @@
             await event(agent, "stopping")
             assert (await event(agent, "stopped"))["answered"] == {"fulfilled": 1}
             assert await agent.communicate() == (b"", b"") and agent.returncode == 0
+
     run(work())
 
 
 def test_a_new_configuration_moves_the_agent_to_another_directory(tmp_path):
     """Under traffic: a bad file is refused, versions start anew, a failure is tried again, the old one goes."""
+
     async def work():
         first, second, fails = Registry(), Registry(), [failed(503), b"HTTP/1.1 200 OK\r\n\r\n"]
 
@@ -790,12 +903,26 @@
                 writer.close()
             else:
                 await second.script(request, writer)
-        async with Peer(first.script) as old, Peer(script) as new, Peer(says(OK)) as one, Peer(says(OK)) as two:
+
+        async with (
+            Peer(first.script) as old,
+            Peer(script) as new,
+            Peer(says(OK)) as one,
+            Peer(says(OK)) as two,
+        ):
             listed = full_list(target("s-1", one.address), rev=900)
-            raw = {"name": "n", "listen": "127.0.0.1:0", "seed": "07", "discovery": old.address,
-                   "known": listed, "settings": AGENT_SETTINGS}
+            raw = {
+                "name": "n",
+                "listen": "127.0.0.1:0",
+                "seed": "07",
+                "discovery": old.address,
+                "known": listed,
+                "settings": AGENT_SETTINGS,
+            }
             second.list = json.dumps(full_list(target("s-2", two.address), rev=3)).encode()
-            os.environ["PROXY_DISCOVERY"] = old.address  # of the start; the file that is read again goes first
+            os.environ["PROXY_DISCOVERY"] = (
+                old.address
+            )  # of the start; the file that is read again goes first
             try:
                 agent = await process(tmp_path, raw)
             finally:
@@ -819,6 +946,7 @@
             agent.terminate()
             await agent.communicate()
             assert agent.returncode == 0
+
     run(work())
 
 
@@ -827,6 +955,7 @@
         agent = await process(tmp_path, {"name": "n", "listen": "here", "seed": "1"})
         _, err = await agent.communicate()
         assert (agent.returncode, err) == (2, b"lupinreach: listen: 'here' is no address (host:port)\n")
+
     run(work())
 
 
@@ -842,6 +971,7 @@
             _, index, got, _, report = await told
             assert (index, got) == (0, ending) and (report.in_flight if report else None) == load
             assert backend.requests[0].startswith(b"GET /stats HTTP/1.1\r\n")
+
     run(work(b"HTTP/1.1 200 OK\r\nContent-Length: 18\r\n\r\ninflight=7,queue=2", Ending.FULFILLED, 7.0))
     run(work(failed(503), Ending.ERRORED, None))
 
@@ -854,6 +984,7 @@
         class Other(asyncio.DatagramProtocol):
             def datagram_received(self, data, addr):
                 heard.put_nowait(data)
+
         peer, _ = await loop.create_datagram_endpoint(Other, local_addr=("127.0.0.1", 0))
         stranger, _ = await loop.create_datagram_endpoint(Other, local_addr=("127.0.0.1", 0))
         address = f"127.0.0.1:{peer.get_extra_info('sockname')[1]}"
@@ -868,9 +999,14 @@
             peer.sendto(b"news", here)
             assert await heard.get() == (1, b"news")
             assert agent.counters.others == {
-                "datagrams not sent": 1, "datagrams sent": 1, "datagrams ignored": 1, "datagrams heard": 1}
+                "datagrams not sent": 1,
+                "datagrams sent": 1,
+                "datagrams ignored": 1,
+                "datagrams heard": 1,
+            }
         peer.close()
         stranger.close()
+
     run(work())
 
 
@@ -890,6 +1026,7 @@
             others = site.agent.counters.others
             assert (others["load reports"], others["load reports ignored"]) == (1, 3)
             assert site.agent.balancer._crowd == 2.0
+
     run(work())
 
 
@@ -898,8 +1035,16 @@
     assert (load.in_flight, load.waiting, load.busy, load.latency) == (7.0, 2.0, 0.61, None)
     for name, ours in LOADS.items():  # as the settings name them
         assert read_load(f"{name}=1.944".encode()) == Load(**{ours: 1.944})
-    for text in (None, b"", b"inflight=many", b"inflight=nan", b"novel=1", b"inflight=-3", b"queue=1e300",
-                 b"inflight=2,queue=inf"):
+    for text in (
+        None,
+        b"",
+        b"inflight=many",
+        b"inflight=nan",
+        b"novel=1",
+        b"inflight=-3",
+        b"queue=1e300",
+        b"inflight=2,queue=inf",
+    ):
         assert read_load(text) is None
 
 
@@ -914,6 +1059,7 @@
             assert lines and all(len(json.loads(line)["text"]) <= 500 for line in lines)
             log.handle(logging.makeLogRecord({"name": "x", "levelno": logging.ERROR, "msg": "odd"}))
             assert json.loads(os.read(site.sink, 4000))["text"] == "odd"
+
     run(work())
 
 
@@ -929,6 +1075,7 @@
             counts = fleet.lives[0].counts
             assert [life.agent for life in fleet.lives] == ["n"] and fleet.no_event == 0
             assert counts["module"]["bound full"] == 0 and counts["cpu_s"] > 0 and "list_age_ms" in counts
+
     run(work())
 
 
@@ -939,6 +1086,7 @@
     async def work():
         async with Peer(breaks) as directory, Site(directory=directory.address, settings=pushed) as site:
             await counted(site, "called", 3)
+
     run(work())
 
 
@@ -954,10 +1102,12 @@
 
                 def accept(self):
                     raise OSError(24, "Too many open files")
+
             site.agent.listener._socket = Full()
             client = await site.client()
             while not site.agent.counters.connections["accept failed"]:
                 await asyncio.sleep(0)
             site.agent.listener._socket = real
             assert status(await site.ask(READY, client)) == 503
+
     run(work())
--- a/tests/test_bed.py
+++ b/tests/test_bed.py
@@ -9,8 +9,8 @@
 
 from lupinreach.bed.judging import check, service
 from lupinreach.bed.ways import virtual
-from lupinreach.bed.world import spec
 from lupinreach.bed.ways.faults import FAULTS
+from lupinreach.bed.world import spec
 from lupinreach.config import BadConfig
 
 LOOK = {"name": "look", "share": 3}
@@ -19,9 +19,18 @@
 
 
 def world(**more):
-    return spec.read({"name": "w", "seconds": 6, "zones": ["a", "b"], "agents": {"count": 3},
-                      "backends": [{"count": 6, "cores": 2}], "products": [LOOK, MARK, PAY],
-                      "traffic": {"calls_per_s": 120}} | more)
+    return spec.read(
+        {
+            "name": "w",
+            "seconds": 6,
+            "zones": ["a", "b"],
+            "agents": {"count": 3},
+            "backends": [{"count": 6, "cores": 2}],
+            "products": [LOOK, MARK, PAY],
+            "traffic": {"calls_per_s": 120},
+        }
+        | more
+    )
 
 
 def judged(one, seed=1):
@@ -31,14 +40,28 @@
 
 # What makes each planted fault show.
 SHOWS = {
-    "answers-twice": {}, "drops-answer": {}, "mixes-up-answers": {},
-    "resends-payment": {"troubles": [{"kind": "stall", "at": 1, "seconds": 4, "share": 0.5, "strength": 0.5}]},
-    "repeats-past-memory": {"troubles": [{"kind": "stall", "at": 1, "seconds": 4, "share": 0.5, "strength": 0.5}]},
-    "sends-to-draining": {"seconds": 10, "troubles": [{"kind": "drain", "at": 1, "seconds": 8, "targets": [2]}]},
-    "floods-cold": {"troubles": [{"kind": "crash", "at": 1, "seconds": 1, "targets": [2]}],
-                    "backends": [{"count": 6, "cores": 1}], "traffic": {"calls_per_s": 80},
-                    "rules": {"cold": 8000.0, "fall": 1000.0}},
-    "holds-until-deadline": {"troubles": [{"kind": "fail", "at": 1, "seconds": 4, "share": 1.0, "strength": 1.0}]},
+    "answers-twice": {},
+    "drops-answer": {},
+    "mixes-up-answers": {},
+    "resends-payment": {
+        "troubles": [{"kind": "stall", "at": 1, "seconds": 4, "share": 0.5, "strength": 0.5}]
+    },
+    "repeats-past-memory": {
+        "troubles": [{"kind": "stall", "at": 1, "seconds": 4, "share": 0.5, "strength": 0.5}]
+    },
+    "sends-to-draining": {
+        "seconds": 10,
+        "troubles": [{"kind": "drain", "at": 1, "seconds": 8, "targets": [2]}],
+    },
+    "floods-cold": {
+        "troubles": [{"kind": "crash", "at": 1, "seconds": 1, "targets": [2]}],
+        "backends": [{"count": 6, "cores": 1}],
+        "traffic": {"calls_per_s": 80},
+        "rules": {"cold": 8000.0, "fall": 1000.0},
+    },
+    "holds-until-deadline": {
+        "troubles": [{"kind": "fail", "at": 1, "seconds": 4, "share": 1.0, "strength": 1.0}]
+    },
 }
 
 
@@ -51,23 +74,39 @@
 
 def test_a_fault_inside_an_agent_is_told_as_one(monkeypatch):
     from lupinreach.balance import Balancer
+
     kept = Balancer.place
-    monkeypatch.setattr(Balancer, "place", lambda self, now, call: kept(self, now, call) if call.token._id != b"9.0"
-                        else 1 / 0)
+    monkeypatch.setattr(
+        Balancer,
+        "place",
+        lambda self, now, call: kept(self, now, call) if call.token._id != b"9.0" else 1 / 0,
+    )
     breaches, records = judged(world(seconds=1))
     assert [(b.rule, b.what) for b in breaches] == [("faults", "fault: api call x1")]
     assert [r[3] for r in records if r[0] == "got" and r[2] == "9.0"] == [500]
 
 
 def test_the_same_seed_gives_the_same_bytes_in_two_processes():
-    program = ("from lupinreach.bed.world import spec\nfrom lupinreach.bed.ways import virtual\n"
-               "print(virtual.play(spec.read_file('calm'), 5).digest())")
-    digests = {subprocess.run([sys.executable, "-c", program], capture_output=True, text=True, check=True,
-                              env={**os.environ, "PYTHONHASHSEED": seed, "PYTHONPATH": "."}).stdout
-               for seed in ("1", "2")}
+    program = (
+        "from lupinreach.bed.world import spec\nfrom lupinreach.bed.ways import virtual\n"
+        "print(virtual.play(spec.read_file('calm'), 5).digest())"
+    )
+    digests = {
+        subprocess.run(
+            [sys.executable, "-c", program],
+            capture_output=True,
+            text=True,
+            check=True,
+            env={**os.environ, "PYTHONHASHSEED": seed, "PYTHONPATH": "."},
+        ).stdout
+        for seed in ("1", "2")
+    }
     assert len(digests) == 1
     one = spec.read_file("calm")
-    assert virtual.play(one, 5).digest() + "\n" in digests and virtual.play(one, 6).digest() + "\n" not in digests
+    assert (
+        virtual.play(one, 5).digest() + "\n" in digests
+        and virtual.play(one, 6).digest() + "\n" not in digests
+    )
 
 
 # Hard cases: each is seen to have happened, and the rules are kept.
@@ -78,8 +117,12 @@
 
 
 def test_a_zone_cut_in_mid_answer_holds_bytes_back_and_breaks_no_rule():
-    breaches, records = judged(world(troubles=[trouble("cut", targets=["b"]), trouble("cut", at=5, seconds=0.1)],
-                                     network={"cross": 20.0, "jitter": 2.0}))
+    breaches, records = judged(
+        world(
+            troubles=[trouble("cut", targets=["b"]), trouble("cut", at=5, seconds=0.1)],
+            network={"cross": 20.0, "jitter": 2.0},
+        )
+    )
     assert breaches == []
     answered = {r[2] for r in records if r[0] == "got" and r[3] == 200}
     ran = {r[3] for r in records if r[0] == "ran"}
@@ -87,13 +130,19 @@
 
 
 def test_a_restart_with_many_api_calls_out_answers_all_that_was_taken():
-    breaches, records = judged(world(
-        agents={"count": 1}, products=[LOOK | {"work": 400, "slo": 2000}, PAY | {"work": 400, "slo": 2000}],
-        backends=[{"count": 40, "cores": 4}], traffic={"calls_per_s": 400},
-        troubles=[trouble("restart-agents", at=3, seconds=2)]))
+    breaches, records = judged(
+        world(
+            agents={"count": 1},
+            products=[LOOK | {"work": 400, "slo": 2000}, PAY | {"work": 400, "slo": 2000}],
+            backends=[{"count": 40, "cores": 4}],
+            traffic={"calls_per_s": 400},
+            troubles=[trouble("restart-agents", at=3, seconds=2)],
+        )
+    )
     stopping = next(r[1] for r in records if r[0] == "agent" and r[4] == "stopping")
-    out = {r[2] for r in records if r[0] == "asked" and r[1] < stopping} - \
-        {r[2] for r in records if r[0] == "got" and r[1] < stopping}
+    out = {r[2] for r in records if r[0] == "asked" and r[1] < stopping} - {
+        r[2] for r in records if r[0] == "got" and r[1] < stopping
+    }
     assert len(out) > 100 and breaches == []
     ended = [r for r in records if r[0] == "agent" and r[4] == "ended"]
     assert len(ended) == 1 and out <= {r[2] for r in records if r[0] == "got" and r[1] <= ended[0][1]}
@@ -117,8 +166,11 @@
 
 
 def test_a_registry_that_comes_back_with_a_lower_version_is_followed_again():
-    one = world(seconds=14, registry={"restart_version": 1},
-                troubles=[trouble("registry-back", at=1, seconds=2), trouble("drain", at=9, seconds=4, targets=[1])])
+    one = world(
+        seconds=14,
+        registry={"restart_version": 1},
+        troubles=[trouble("registry-back", at=1, seconds=2), trouble("drain", at=9, seconds=4, targets=[1])],
+    )
     breaches, records = judged(one)
     assert breaches == []
     versions = [r[4] for r in records if r[0] == "told" and r[2] == 0]
@@ -130,9 +182,14 @@
 def test_an_answer_and_a_clients_close_in_one_instant_break_no_rule():
     # The client waits just as long as an answer takes when nothing is in its way, a microsecond more or less.
     def play(timeout):
-        one = world(products=[LOOK | {"work": 20, "spread": 0.0, "slo": 20, "timeout": timeout}],
-                    clients={"try_share": 1.0}, backends=[{"count": 6, "cores": 4}], rules={"answer_slack": 0.0},
-                    network={"same": 0.5, "cross": 0.5, "jitter": 0.0}, traffic={"calls_per_s": 60})
+        one = world(
+            products=[LOOK | {"work": 20, "spread": 0.0, "slo": 20, "timeout": timeout}],
+            clients={"try_share": 1.0},
+            backends=[{"count": 6, "cores": 4}],
+            rules={"answer_slack": 0.0},
+            network={"same": 0.5, "cross": 0.5, "jitter": 0.0},
+            traffic={"calls_per_s": 60},
+        )
         breaches, records = judged(one)
         return one, breaches, records
 
@@ -149,6 +206,7 @@
 
 def test_timers_due_at_one_time_run_in_the_order_in_which_they_were_set():
     from lupinreach.bed.ways.loop import VirtualLoop
+
     loop, ran = VirtualLoop(), []
     at = loop.time() + 1
     handles = [loop.call_at(at, ran.append, i) for i in range(200)]
@@ -165,6 +223,7 @@
 
 def test_a_backend_does_its_work_in_the_time_that_its_cores_and_age_allow():
     from lupinreach.bed.peers.backend import Backend, Job, Marks, Way
+
     one = world(rules={"cold": 1000.0, "start_capacity": 0.5})
     b = Backend(0, 0, 2, 2.0, one.backend, one.rules, 1e9, 100.0, Marks())
     b.boot(0.0, cold=False)
@@ -178,7 +237,9 @@
     b.boot(100.0, cold=True)
     b.come(100.0, Job("cold", 0, 20.0, None, None, 0.0, None), 0.9)
     done = b.advance(130.0)
-    assert b.part(100.0) == 0.5 and [j.name for j in done] == ["cold"]  # 20 ms at half the speed of 2, a little more
+    assert b.part(100.0) == 0.5 and [j.name for j in done] == [
+        "cold"
+    ]  # 20 ms at half the speed of 2, a little more
     b.boot(200.0, cold=True)
     allowed = 2.5 * 4.0 * 0.5 * one.rules.fall
     b.come(200.0, Job("flood", 0, 1.2 * allowed, None, None, 0.0, None), 0.9)
@@ -187,6 +248,7 @@
 
 def test_a_mark_is_remembered_for_its_time_and_by_its_group_only():
     from lupinreach.bed.peers.backend import Marks
+
     here, there = Marks(), Marks()
     assert not here.repeat(0.0, "m", 100.0) and here.repeat(99.0, "m", 100.0)
     assert not there.repeat(50.0, "m", 100.0) and not here.repeat(101.0, "m", 100.0)
@@ -194,6 +256,7 @@
 
 def test_a_registry_tells_each_change_once_and_starts_anew_after_a_restart():
     from lupinreach.bed.peers.registry import Entry, Registry
+
     r = Registry()
     entries = [Entry(f"u{i}", i, "a:1", "z", "k", 0, 1.0) for i in range(4)]
     first = [r.set(e) for e in entries][-1]
@@ -207,9 +270,16 @@
 
 def test_arrivals_come_at_the_rate_and_in_the_shares_asked_for():
     from lupinreach.bed.world.traffic import arrivals
-    one = spec.read({"seconds": 100, "products": [LOOK, PAY], "agents": {"count": 3, "zipf": 1.0},
-                     "traffic": {"calls_per_s": 100, "shape": "bursts", "swing": 0.5, "period": 5},
-                     "troubles": [{"kind": "surge", "at": 90, "seconds": 10, "strength": 3}]})
+
+    one = spec.read(
+        {
+            "seconds": 100,
+            "products": [LOOK, PAY],
+            "agents": {"count": 3, "zipf": 1.0},
+            "traffic": {"calls_per_s": 100, "shape": "bursts", "swing": 0.5, "period": 5},
+            "troubles": [{"kind": "surge", "at": 90, "seconds": 10, "strength": 3}],
+        }
+    )
     calls = arrivals(one, 1)
     calm = [c for c in calls if c.at < 90_000]
     assert 0.9 < len(calm) / 9000 < 1.1 and 2.5 < (len(calls) - len(calm)) / 1000 < 3.5
@@ -222,23 +292,32 @@
 # Files.
 
 
-@pytest.mark.parametrize("raw, complaint", [
-    ({"secnds": 3}, "secnds: unknown key"),
-    ({"traffic": {"calls_per_s": -1}}, "traffic.calls_per_s: -1 is out of range"),
-    ({"backends": [{"speed": [2, 1]}]}, "backends[0].speed: 2.0 is above 1.0"),
-    ({"backends": [{"zones": ["moon"]}]}, "backends[0].zones[0]: 'moon' is none of here"),
-    ({"products": [{"name": "a", "kind": "risky"}]}, "products[0].kind: unknown 'risky'"),
-    ({"products": [{}]}, "products[0].name: missing"),
-    ({"troubles": [{"kind": "fire"}]}, "troubles[0].kind: unknown 'fire'"),
-    ({"troubles": [{"kind": "slow", "strenght": 1}]}, "troubles[0].strenght: unknown key"),
-    ({"troubles": [{"kind": "fail", "strength": 2}]}, "troubles[0].strength: 2 is out of range"),
-    ({"troubles": [{"kind": "crash", "targets": [9]}]}, "troubles[0].targets: there is no 9 among 4 backends"),
-    ({"troubles": [{"kind": "cut", "targets": ["x"]}]}, "troubles[0].targets[0]: 'x' names none of the zones"),
-    ({"seeds": ["a"]}, "seeds[0]: 'a' is no whole number"),
-    ({"measure": ["beauty"]}, "measure[0]: unknown 'beauty'"),
-    ({"policy": "magic"}, "policy: unknown 'magic'"),
-    ({"agents": {"count": 1, "colour": 2}}, "agents.colour: unknown key"),
-])
+@pytest.mark.parametrize(
+    "raw, complaint",
+    [
+        ({"secnds": 3}, "secnds: unknown key"),
+        ({"traffic": {"calls_per_s": -1}}, "traffic.calls_per_s: -1 is out of range"),
+        ({"backends": [{"speed": [2, 1]}]}, "backends[0].speed: 2.0 is above 1.0"),
+        ({"backends": [{"zones": ["moon"]}]}, "backends[0].zones[0]: 'moon' is none of here"),
+        ({"products": [{"name": "a", "kind": "risky"}]}, "products[0].kind: unknown 'risky'"),
+        ({"products": [{}]}, "products[0].name: missing"),
+        ({"troubles": [{"kind": "fire"}]}, "troubles[0].kind: unknown 'fire'"),
+        ({"troubles": [{"kind": "slow", "strenght": 1}]}, "troubles[0].strenght: unknown key"),
+        ({"troubles": [{"kind": "fail", "strength": 2}]}, "troubles[0].strength: 2 is out of range"),
+        (
+            {"troubles": [{"kind": "crash", "targets": [9]}]},
+            "troubles[0].targets: there is no 9 among 4 backends",
+        ),
+        (
+            {"troubles": [{"kind": "cut", "targets": ["x"]}]},
+            "troubles[0].targets[0]: 'x' names none of the zones",
+        ),
+        ({"seeds": ["a"]}, "seeds[0]: 'a' is no whole number"),
+        ({"measure": ["beauty"]}, "measure[0]: unknown 'beauty'"),
+        ({"policy": "magic"}, "policy: unknown 'magic'"),
+        ({"agents": {"count": 1, "colour": 2}}, "agents.colour: unknown key"),
+    ],
+)
 def test_a_bad_world_is_refused_with_the_whole_path_of_the_key(raw, complaint):
     with pytest.raises(BadConfig) as refused:
         spec.read(raw)
@@ -253,15 +332,24 @@
 
 
 def lupinreach(*words, **more):
-    return subprocess.run([sys.executable, "-m", "lupinreach.cli", *words], capture_output=True, text=True,
-                          env={**os.environ, "PYTHONPATH": "."}, timeout=100, **more)
+    return subprocess.run(
+        [sys.executable, "-m", "lupinreach.cli", *words],
+        capture_output=True,
+        text=True,
+        env={**os.environ, "PYTHONPATH": "."},
+        timeout=100,
+        **more,
+    )
 
 
 def test_the_command_line_judges_a_run_by_its_exit_code(tmp_path):
     import json
+
     good = lupinreach("bed", "run", "calm", "--json", str(tmp_path / "o.json"), "--report", str(tmp_path))
     told = json.loads(good.stdout)
-    assert good.returncode == 0 and told["verdict"] == "kept" and told["calls"] > 500 and told["service"] > 0.9
+    assert (
+        good.returncode == 0 and told["verdict"] == "kept" and told["calls"] > 500 and told["service"] > 0.9
+    )
     assert json.loads((tmp_path / "o.json").read_text())["runs"][0]["digest"] == told["digest"]
     page = (tmp_path / "calm-lupinreach-1.html").read_text()
     assert page.count("<svg") == 5 and "http-equiv" not in page and "<script" not in page
@@ -278,17 +366,24 @@
 
 
 def test_the_agents_own_command_loads_nothing_of_the_bed():
-    program = ("import sys\nsys.argv = ['lupinreach', 'agent']\nimport lupinreach.cli as c\n"
-               "try:\n    c.main()\nexcept SystemExit as e:\n    print(e.code)\n"
-               "print(sorted(m for m in sys.modules if m.split('.')[0] in "
-               "('click', 'rich', 'numpy', 'hdrh', 'matplotlib') or 'lupinreach.bed' in m))")
-    done = subprocess.run([sys.executable, "-c", program], capture_output=True, text=True,
-                          env={k: v for k, v in os.environ.items() if k != "PROXY_CONFIG"} | {"PYTHONPATH": "."})
+    program = (
+        "import sys\nsys.argv = ['lupinreach', 'agent']\nimport lupinreach.cli as c\n"
+        "try:\n    c.main()\nexcept SystemExit as e:\n    print(e.code)\n"
+        "print(sorted(m for m in sys.modules if m.split('.')[0] in "
+        "('click', 'rich', 'numpy', 'hdrh', 'matplotlib') or 'lupinreach.bed' in m))"
+    )
+    done = subprocess.run(
+        [sys.executable, "-c", program],
+        capture_output=True,
+        text=True,
+        env={k: v for k, v in os.environ.items() if k != "PROXY_CONFIG"} | {"PYTHONPATH": "."},
+    )
     assert done.stdout == "2\n[]\n" and "PROXY_CONFIG: missing" in done.stderr
 
 
 def test_two_policies_on_the_same_seeds_meet_the_same_world():
     from lupinreach.bed.commands import experiment
+
     one = world(seconds=3, seeds=[3, 4])
     found = experiment.compare(one, ["round-robin"], workers=1)
     ours, theirs = found["lupinreach"], found["round-robin"]
@@ -300,6 +395,7 @@
 def test_the_search_finds_a_planted_fault_and_shrinks_it_to_a_file_that_replays_it(tmp_path, monkeypatch):
     from lupinreach.bed.commands import search as searching
     from lupinreach.bed.commands.search import search
+
     monkeypatch.setattr(searching, "TRIES", 2)
     one = world(fault="resends-payment", seconds=3, traffic={"calls_per_s": 60})
     broken, _ = search(one, budget=8, seed=1, workers=1)
@@ -315,6 +411,7 @@
     from dataclasses import replace
 
     from lupinreach.bed.commands import experiment
+
     one = replace(spec.read_file("calm"), length=4000.0)
     virtually, really = (experiment.run(replace(one, mode=mode), 1) for mode in ("virtual", "loopback"))
     assert virtually.kept and really.kept and virtually.figures["calls"] == really.figures["calls"] > 200
@@ -323,8 +420,13 @@
 
 def test_backends_that_close_idle_connections_early_cost_connections_and_run_no_payment_twice():
     # The agent reckons with twice the time after which some close, so that closes cross its requests.
-    one = world(backend={"idle": [40.0, 41.0]}, products=[PAY], agents={"count": 6}, traffic={"calls_per_s": 60},
-                network={"same": 10.0, "cross": 25.0})
+    one = world(
+        backend={"idle": [40.0, 41.0]},
+        products=[PAY],
+        agents={"count": 6},
+        traffic={"calls_per_s": 60},
+        network={"same": 10.0, "cross": 25.0},
+    )
     breaches, records = judged(one)
     assert breaches == []
     shots, came = ({r[i] for r in records if r[0] == kind} for kind, i in (("sent", 5), ("came", 4)))
@@ -332,9 +434,15 @@
 
 
 def test_a_registry_works_through_calls_in_turn_and_turns_away_those_that_wait_too_long():
-    one = world(seconds=4, agents={"count": 8}, registry={"call_cost": 400.0, "call_wait": 2000.0},
-                troubles=[{"kind": "replace", "at": 0.2, "seconds": 1, "targets": [0, 1]},
-                          {"kind": "kill-agents", "at": 1, "seconds": 1, "share": 1.0}])
+    one = world(
+        seconds=4,
+        agents={"count": 8},
+        registry={"call_cost": 400.0, "call_wait": 2000.0},
+        troubles=[
+            {"kind": "replace", "at": 0.2, "seconds": 1, "targets": [0, 1]},
+            {"kind": "kill-agents", "at": 1, "seconds": 1, "share": 1.0},
+        ],
+    )
     breaches, records = judged(one)
     assert breaches == []
     told = {(r[2], r[3]) for r in records if r[0] == "told"}
--- a/tests/test_campaign.py
+++ b/tests/test_campaign.py
@@ -19,9 +19,9 @@
 from lupinreach.trial.campaign.hunt import Campaign, Guide, one, smallest
 from lupinreach.trial.models.search import TooMany, search
 
-
 # What is drawn.
 
+
 def test_a_number_is_one_history_everywhere_and_every_kind_of_fault_is_drawn():
     raws = [draw.plain(5, n) for n in range(300)]
     assert raws[:9] == [draw.plain(5, n) for n in range(9)] and raws[0] != draw.plain(6, 0)
@@ -32,12 +32,30 @@
         near = draw.near(raw, 5, n)
         spec.read(raw), spec.read(near)  # strict
         if small := draw.with_processes(near):
-            assert spec.read(small).world.agents <= 5 and not {t["kind"] for t in small["troubles"]} & draw.VIRTUAL_ALONE
+            assert (
+                spec.read(small).world.agents <= 5
+                and not {t["kind"] for t in small["troubles"]} & draw.VIRTUAL_ALONE
+            )
 
 
 def history(number, reached=(), **more):
     figures = {"whole": 0.9, "back_after": 0.0, "cold_load": 0.1, "first_10s": 0.9}
-    return replace(History(number, hunt.VIRTUAL, None, draw.plain(1, number), play.KEPT, "", (), (), figures, frozenset(reached), 1.0), **more)
+    return replace(
+        History(
+            number,
+            hunt.VIRTUAL,
+            None,
+            draw.plain(1, number),
+            play.KEPT,
+            "",
+            (),
+            (),
+            figures,
+            frozenset(reached),
+            1.0,
+        ),
+        **more,
+    )
 
 
 def test_what_is_drawn_goes_near_to_what_reached_something_rare():
@@ -51,6 +69,7 @@
 
 # The book.
 
+
 def test_a_book_holds_what_was_played_and_is_of_one_campaign(tmp_path):
     book = Book(tmp_path / "c", 3)
     book.add(history(2, {"a", "b"}, broken=("effect twice",)))
@@ -58,7 +77,10 @@
     book.close()
     again = Book(tmp_path / "c", 3)
     assert [h.number for h in again.histories()] == [1, 2] and again.numbers(hunt.VIRTUAL) == {1, 2}
-    assert list(again.histories())[1].broken == ("effect twice",) and list(again.histories())[1].reached == {"a", "b"}
+    assert list(again.histories())[1].broken == ("effect twice",) and list(again.histories())[1].reached == {
+        "a",
+        "b",
+    }
     with pytest.raises(NoBook, match="seed 3, not 1 and 4"):
         Book(tmp_path / "c", 4)
     (tmp_path / "no").write_bytes(b"nothing of the kind, and long enough to be looked at" * 9)
@@ -68,8 +90,24 @@
 
 @pytest.mark.parametrize("after", [0.4])
 def test_a_campaign_that_is_killed_goes_on_and_has_lost_at_most_what_was_in_play(tmp_path, after):
-    words = [sys.executable, "-m", "lupinreach.cli", "trial", "campaign", "c.db", "--histories", "5", "--seed", "2", "--jobs", "2", "--plain"]
-    running = subprocess.Popen(words, cwd=tmp_path, stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL, start_new_session=True)
+    words = [
+        sys.executable,
+        "-m",
+        "lupinreach.cli",
+        "trial",
+        "campaign",
+        "c.db",
+        "--histories",
+        "5",
+        "--seed",
+        "2",
+        "--jobs",
+        "2",
+        "--plain",
+    ]
+    running = subprocess.Popen(
+        words, cwd=tmp_path, stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL, start_new_session=True
+    )
     deadline = time.monotonic() + 20
     while time.monotonic() < deadline and len(_numbers(tmp_path / "c.db")) < 1:
         time.sleep(0.05)
@@ -83,7 +121,12 @@
     before = _numbers(tmp_path / "c.db")
     done = subprocess.run(words, cwd=tmp_path, capture_output=True, text=True)
     found = json.loads(done.stdout.splitlines()[-1])
-    assert done.returncode == 0 and found["histories"] == 5 and 1 <= len(before) and before <= _numbers(tmp_path / "c.db") == set(range(1, 6))
+    assert (
+        done.returncode == 0
+        and found["histories"] == 5
+        and len(before) >= 1
+        and before <= _numbers(tmp_path / "c.db") == set(range(1, 6))
+    )
 
 
 def _numbers(path):
@@ -95,6 +138,7 @@
 
 # What is found.
 
+
 def planted(raw):
     return raw | {"fault": "sends-to-draining"}
 
@@ -117,16 +161,22 @@
     assert h.broken == ("sent to draining",) and number < 60
     small, seed = smallest(h)
     assert len(small.world.troubles) == 1 and small.world.agents <= spec.read(raw).world.agents
-    path, = Campaign(book, 1).shrink(1, tmp_path)
+    (path,) = Campaign(book, 1).shrink(1, tmp_path)
     text = path.read_text()
     assert text.startswith(f"# Seed {seed}: breaks 'sent to draining'.") and book.kept()[0][0] == number
     again = spec.read_file(path)
     assert {b.name for b in play.run(again, again.world.seeds[0]).result.breaches} == {"sent to draining"}
-    assert "sent to draining" in page.page(book) and page.summary(book)["broken"] == {number: ["sent to draining"]}
+    assert "sent to draining" in page.page(book) and page.summary(book)["broken"] == {
+        number: ["sent to draining"]
+    }
 
 
 def test_a_bound_that_is_passed_is_told_by_its_name(monkeypatch):
-    number = next(n for n in range(1, 99) if draw.plain(1, n)["agents"]["share_ms"] and draw.plain(1, n)["agents"]["count"] > 4)
+    number = next(
+        n
+        for n in range(1, 99)
+        if draw.plain(1, n)["agents"]["share_ms"] and draw.plain(1, n)["agents"]["count"] > 4
+    )
     raw = draw.plain(1, number) | {"faults": [], "troubles": []}
     assert one((number, None, raw, number)).passed == ()
     monkeypatch.setattr("lupinreach.fleet.grants.Budget.usable", lambda self, now: 2 * self.own)
@@ -143,6 +193,7 @@
 
 # The search through models.
 
+
 class Ring:
     """A token that goes round n places, is lost at one, and is waited for at the last."""
 
--- a/tests/test_carry.py
+++ b/tests/test_carry.py
@@ -6,16 +6,16 @@
 import sys
 
 import pytest
-
 from helpers import DRAINING, READY, Bench, Site, run, settings, target
+from test_config import RAW
+from test_config import read as read_file
+from upgrading import PATIENT, ROOT, WAITS, platform
+
 from lupinreach.config import BadConfig
 from lupinreach.model import Learnt, Listing, Met, News
 from lupinreach.ops.carry import MOST_BACKENDS, Carry, Unfit, judged, plain
 from lupinreach.store import records
 from lupinreach.store.store import Store
-from test_config import RAW
-from test_config import read as read_file
-from upgrading import PATIENT, ROOT, WAITS, platform
 
 LIVE = settings(live_weights=True, agents=2, slo=400.0)
 
@@ -24,7 +24,9 @@
     """An agent that has served for a while; backend 2 answers late."""
     bench = Bench(given, entries=[Listing(i, READY, size=4.0, name=70 + i) for i in range(4)])
     bench.move(100.0)
-    bench.list(News.CHANGES, [Listing(i, READY, size=4.0 / (1 + load), name=70 + i) for i, load in enumerate(loads)])
+    bench.list(
+        News.CHANGES, [Listing(i, READY, size=4.0 / (1 + load), name=70 + i) for i, load in enumerate(loads)]
+    )
     for n in range(80):
         bench.take(n)
         at = bench.sent_to(n)[0]
@@ -60,8 +62,12 @@
 
 def test_a_restarted_a_draining_and_an_unknown_backend_start_afresh():
     learnt = warmed().agent.learnt()
-    entries = [Listing(0, READY, boot_time=5.0, size=1.0, name=70), Listing(1, DRAINING, size=1.0, name=71),
-               Listing(2, READY, size=1.0, name=72), Listing(3, READY, size=1.0, name=99)]
+    entries = [
+        Listing(0, READY, boot_time=5.0, size=1.0, name=70),
+        Listing(1, DRAINING, size=1.0, name=71),
+        Listing(2, READY, size=1.0, name=72),
+        Listing(3, READY, size=1.0, name=99),
+    ]
     new, _ = fresh(entries, learnt=learnt)
     known = {b.name: b for b in new.agent._backends.values()}
     assert [known[n].figure for n in (70, 99)] == [[None]] * 2
@@ -114,19 +120,34 @@
 def test_the_file_reads_back_and_is_bounded():
     learnt = warmed().agent.learnt()
     assert again(learnt, 1234.5) == (1234.5, learnt)
-    many = Learnt((400.0,), True, ((1.0, 1.0, 1.0, 1.0),),
-                  tuple(Met(i, 0.0, 1.0, (None,), 0.0) for i in range(2 * MOST_BACKENDS)))
+    many = Learnt(
+        (400.0,),
+        True,
+        ((1.0, 1.0, 1.0, 1.0),),
+        tuple(Met(i, 0.0, 1.0, (None,), 0.0) for i in range(2 * MOST_BACKENDS)),
+    )
     assert len(again(many, 1.0)[1].backends) == MOST_BACKENDS
 
 
 def test_each_fault_of_a_file_is_named_and_nothing_of_it_taken():
     good = json.loads(json.dumps(plain(warmed().agent.learnt(), 1.0)))
     row = good["backends"][0]
-    for change in ({"form": 2}, {"slos": [400.0, 1.0]}, {"slos": None}, {"live_weights": 1}, {"usual": [[1.0]]},
-                   {"at": "soon"}, {"at": None}, {"backends": 3}, {"backends": [row[:-1]]},
-                   {"backends": [[*row[:2], -1.0, *row[3:]]]}, {"backends": [[*row[:2], 1e300, *row[3:]]]},
-                   {"backends": [["s-1", *row[1:]]]}, {"backends": [[*row[:4], 2.0]]},
-                   {"backends": [row] * (MOST_BACKENDS + 1)}):
+    for change in (
+        {"form": 2},
+        {"slos": [400.0, 1.0]},
+        {"slos": None},
+        {"live_weights": 1},
+        {"usual": [[1.0]]},
+        {"at": "soon"},
+        {"at": None},
+        {"backends": 3},
+        {"backends": [row[:-1]]},
+        {"backends": [[*row[:2], -1.0, *row[3:]]]},
+        {"backends": [[*row[:2], 1e300, *row[3:]]]},
+        {"backends": [["s-1", *row[1:]]]},
+        {"backends": [[*row[:4], 2.0]]},
+        {"backends": [row] * (MOST_BACKENDS + 1)},
+    ):
         with pytest.raises(Unfit):
             judged(good | change)
     for other in ([], 3, None, good | {"slos": [float("nan")]}):
@@ -143,19 +164,27 @@
             await Carry(blind.agent, Store(str(path), "n"), 1e4).leave()
             assert path.read_bytes() == b"left by another"
             await Carry(sees.agent, Store(str(path), "n"), 1e4).leave()
+
     run(work())
     assert len(carried(path)[1].backends) == 1
     assert os.listdir(tmp_path) == ["carried"]
 
 
-@pytest.mark.parametrize("carry, message", [
-    ({"most_age_s": 5}, "carry.file: missing"), ({"file": 3}, "carry.file: 3 is no text"),
-    ({"file": "/x", "most_age_s": 0}, "carry.most_age_s: 0 is out of range"), ([], "carry: must be an object"),
-    ({"file": "/y"}, "store.file: carry.file names another"),
-])
+@pytest.mark.parametrize(
+    "carry, message",
+    [
+        ({"most_age_s": 5}, "carry.file: missing"),
+        ({"file": 3}, "carry.file: 3 is no text"),
+        ({"file": "/x", "most_age_s": 0}, "carry.most_age_s: 0 is out of range"),
+        ([], "carry: must be an object"),
+        ({"file": "/y"}, "store.file: carry.file names another"),
+    ],
+)
 def test_the_configuration_of_the_file_is_checked(tmp_path, carry, message):
     with pytest.raises(BadConfig) as bad:
-        read_file(tmp_path, RAW | {"carry": carry} | ({"store": {"file": "/x"}} if "/y" in str(carry) else {}))
+        read_file(
+            tmp_path, RAW | {"carry": carry} | ({"store": {"file": "/x"}} if "/y" in str(carry) else {})
+        )
     assert str(bad.value).startswith(message)
 
 
@@ -179,14 +208,21 @@
             at = site.agent.clock.now() - (3.6e6 if fault == "old" else 1000.0)
             learnt = site.agent.balancer.learnt()
             value = plain(learnt, at)
-            text = json.dumps(value).encode() if fault == "of before" else records.whole("n", {"learnt": value})
-            path.write_bytes(text[:-9 if fault == "torn" else None])
+            text = (
+                json.dumps(value).encode() if fault == "of before" else records.whole("n", {"learnt": value})
+            )
+            path.write_bytes(text[: -9 if fault == "torn" else None])
             raw = site.raw | {"listen": "127.0.0.1:0", "carry": {"file": str(path)}}
             config = tmp_path / "config.json"
             config.write_text(json.dumps(raw))
             process = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "lupinreach", env=os.environ | {"PROXY_CONFIG": str(config)},
-                stdout=asyncio.subprocess.PIPE, cwd=ROOT)
+                sys.executable,
+                "-m",
+                "lupinreach",
+                env=os.environ | {"PROXY_CONFIG": str(config)},
+                stdout=asyncio.subprocess.PIPE,
+                cwd=ROOT,
+            )
             lines = []
             while not any(line["event"] == "started" for line in lines):
                 lines.append(json.loads(await asyncio.wait_for(process.stdout.readline(), WAITS)))
@@ -199,9 +235,14 @@
     said = [line for line in lines if line["event"].startswith("carried")]
     assert len(said) == 1
     if fault in ("torn", "old"):
-        assert said[0]["event"] == "carried nothing" and ("torn" if fault == "torn" else "s old") in said[0]["why"]
+        assert (
+            said[0]["event"] == "carried nothing"
+            and ("torn" if fault == "torn" else "s old") in said[0]["why"]
+        )
     else:
-        assert said[0]["event"] == "carried" and said[0]["backends"] == 1 and 1000 <= said[0]["age_ms"] < 20_000
+        assert (
+            said[0]["event"] == "carried" and said[0]["backends"] == 1 and 1000 <= said[0]["age_ms"] < 20_000
+        )
     assert len(learnt.backends) == 1 and at > 0  # left anew at the end
 
 
@@ -218,7 +259,9 @@
             await asyncio.sleep(0.5)
             moved = await site.upgrade(first, PROXY_CONFIG=str(tmp_path / "moved.json"))
             await asyncio.sleep(1.0)
-            again = await site.upgrade(moved, PROXY_CONFIG=str(tmp_path / "moved.json"))  # within the new shape
+            again = await site.upgrade(
+                moved, PROXY_CONFIG=str(tmp_path / "moved.json")
+            )  # within the new shape
             await asyncio.sleep(0.5)
             back = await site.upgrade(again)
             await asyncio.sleep(0.5)
--- a/tests/test_design.py
+++ b/tests/test_design.py
@@ -4,6 +4,7 @@
 from collections import Counter
 
 from helpers import DRAINING, READY, Bench, crowd, settings
+
 from lupinreach.balance import FULL_SHARE, HOLD, LATE_AT, PATIENCE, TRIALS
 from lupinreach.model import Customer, Ending, Group, Kind, Listing, Load, News, State
 
@@ -205,7 +206,9 @@
 
 def test_slow_cold_backends_do_not_narrow_what_the_warm_ones_get():
     # Found on days of forty agents: six in ten backends new and slow, the warm ones half idle, all agents narrow.
-    entries = [Listing(0, READY), Listing(1, READY)] + [Listing(i, READY, boot_time=999_000.0) for i in (2, 3, 4)]
+    entries = [Listing(0, READY), Listing(1, READY)] + [
+        Listing(i, READY, boot_time=999_000.0) for i in (2, 3, 4)
+    ]
     bench = Bench(settings(cold=60_000.0, start=0.5), entries=entries)
     bench.list(News.FULL, entries)  # of the registry itself: what it calls warm is
     cold = 0
@@ -393,7 +396,9 @@
     for n in range(200):
         call = bench.take(n)
         bench.move(30.0)
-        call.ended(bench.now, 0, Ending.FULFILLED, 30.0, True, Load(in_flight=(0.0, 1.0, 0.0, 3.0, 1.0)[n % 5]))
+        call.ended(
+            bench.now, 0, Ending.FULFILLED, 30.0, True, Load(in_flight=(0.0, 1.0, 0.0, 3.0, 1.0)[n % 5])
+        )
         assert all(not b.rest_until for b in bench.agent._ring)
 
 
@@ -416,6 +421,7 @@
             bench.move(20.0)
             bench.answer(n, 20.0, Ending.RESET if rng.random() < shares[backend] else Ending.FULFILLED)
         return Counter(int(line.split()[1]) for line in bench.port.logged if "ejected" in line)
+
     assert not ejected([0.1] * 8)
     assert set(ejected([0.02] * 7 + [0.7])) == {7}
 
@@ -473,7 +479,9 @@
         bench.answer("early", 1.0, Ending.UNREACHABLE)
         bench.move(1.0)
     assert bench.port.answers == [("rate-limited", "early")] and len(set(bench.sent_to("early"))) == 3
-    bench.list(News.CHANGES, [Listing(i, State.GONE) for i in range(3)] + [Listing(3, READY), Listing(4, READY)])
+    bench.list(
+        News.CHANGES, [Listing(i, State.GONE) for i in range(3)] + [Listing(3, READY), Listing(4, READY)]
+    )
     assert {bench.serve(n, 50.0) for n in range(6)} == {3, 4}
 
 
@@ -498,8 +506,11 @@
 def most_over(cold, warm):
     """The most shots in any fall window, as a share of what a backend of that age may get at most."""
     fall, times, length = 2000.0, 3.0, 8000.0
-    return max(sum(at <= other < at + fall for other in cold)
-               / (times * (0.2 + 0.8 * (at + fall) / 20_000.0) * warm * fall / length) for at in cold)
+    return max(
+        sum(at <= other < at + fall for other in cold)
+        / (times * (0.2 + 0.8 * (at + fall) / 20_000.0) * warm * fall / length)
+        for at in cold
+    )
 
 
 def test_a_backend_that_all_agents_discover_at_once_is_not_pushed_over(monkeypatch):
