--- a/tests/test_disk.py
+++ b/tests/test_disk.py
@@ -15,13 +15,18 @@
 from lupinreach.model import Learnt, Met
 from lupinreach.ops.carry import Carry, judged
 from lupinreach.store import records
-from lupinreach.store.store import Store
 from lupinreach.store.files import Disk, replace
+from lupinreach.store.store import Store
 from lupinreach.trial import play, spec
 
 POWER = {"kind": "power", "at": 6, "agents": 1, "backends": 0.8, "registry": 0.5}
 DISK = {"agents": {"count": 4, "carry_s": 60}}
-LEARNT = Learnt((400.0,), False, ((30.0, 40.0, 20.0, 25.0),), (Met(7, 5.0, 1.0, (50.0,), 0.1), Met(8, 0.0, 1.0, (None,), 0.0)))
+LEARNT = Learnt(
+    (400.0,),
+    False,
+    ((30.0, 40.0, 20.0, 25.0),),
+    (Met(7, 5.0, 1.0, (50.0,), 0.1), Met(8, 0.0, 1.0, (None,), 0.0)),
+)
 
 
 class Stops(MemoryDisk):
@@ -76,18 +81,33 @@
     assert b"" in left_by(sync=False) and len(left_by(sync=False)) > 3
 
 
-@pytest.mark.parametrize("kind, strength", [("disk-torn", 0.0), ("disk-torn", 0.6), ("disk-lost", 0.0), ("disk-older", 3.0),
-                                            ("disk-other", 0.0), ("disk-stuck", 0.0)])
+@pytest.mark.parametrize(
+    "kind, strength",
+    [
+        ("disk-torn", 0.0),
+        ("disk-torn", 0.6),
+        ("disk-lost", 0.0),
+        ("disk-older", 3.0),
+        ("disk-other", 0.0),
+        ("disk-stuck", 0.0),
+    ],
+)
 def test_a_fleet_whose_disks_lie_after_a_power_loss_keeps_the_rules(kind, strength):
     fault = {"kind": kind, "at": 6.5, "seconds": 4, "share": 1.0, "strength": strength}
-    one = spec.read(SMALL | DISK | {"faults": [POWER], "troubles": [fault] if kind != "disk-lost" else [fault | {"at": 6.0}]})
+    one = spec.read(
+        SMALL
+        | DISK
+        | {"faults": [POWER], "troubles": [fault] if kind != "disk-lost" else [fault | {"at": 6.0}]}
+    )
     assert play.run(one, 3).verdict == play.KEPT
 
 
 def test_an_agent_goes_on_with_what_its_life_before_has_synced(monkeypatch):
     recalled = []
     recall = Balancer.recall
-    monkeypatch.setattr(Balancer, "recall", lambda self, *given: recalled.append(given[0]) or recall(self, *given))
+    monkeypatch.setattr(
+        Balancer, "recall", lambda self, *given: recalled.append(given[0]) or recall(self, *given)
+    )
     assert play.run(spec.read(SMALL | DISK | {"faults": [POWER]}), 3).verdict == play.KEPT
     assert len(recalled) == 4 and all(learnt.backends for learnt in recalled)
     recalled.clear()
@@ -107,10 +127,18 @@
     assert [p.name for p in (tmp_path / "disk-1").iterdir()] == [CARRIED]
 
 
-@pytest.mark.rig(RIG | {"seconds": 8, "agents": {"count": 3, "carry_s": 60},
-                        "faults": [{"kind": "power", "at": 5.5, "agents": 0.6, "backends": 1.0, "registry": 0.3}],
-                        "troubles": [{"kind": "disk-torn", "at": 5.8, "seconds": 1, "targets": [0], "strength": 0.5},
-                                     {"kind": "disk-other", "at": 5.8, "seconds": 1, "targets": [1]}]})
+@pytest.mark.rig(
+    RIG
+    | {
+        "seconds": 8,
+        "agents": {"count": 3, "carry_s": 60},
+        "faults": [{"kind": "power", "at": 5.5, "agents": 0.6, "backends": 1.0, "registry": 0.3}],
+        "troubles": [
+            {"kind": "disk-torn", "at": 5.8, "seconds": 1, "targets": [0], "strength": 0.5},
+            {"kind": "disk-other", "at": 5.8, "seconds": 1, "targets": [1]},
+        ],
+    }
+)
 def test_processes_with_torn_and_foreign_disks_keep_the_rules(played):
     assert played.result.rules == {rule: "kept" for rule in played.result.rules}, played.result.breaches[:3]
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,14 +1,25 @@
 """The fleet's pure decisions: lives, datagrams, membership, which list is believed, the order of return."""
 
 import pytest
-from hypothesis import given, settings as played
+from hypothesis import given
+from hypothesis import settings as played
 from hypothesis import strategies as some
 
 from lupinreach.fleet import wire
 from lupinreach.fleet.life import MOST_JUMP, Life, Own, believed
 from lupinreach.fleet.membership import NOBODY, SILENT, Members, Selfhood, Standing
 from lupinreach.fleet.recovery import (
-    LONE, MOST_DRAINS, RESET_AFTER, Asking, Drains, Facts, Floor, Return, Stage, Stays)
+    LONE,
+    MOST_DRAINS,
+    RESET_AFTER,
+    Asking,
+    Drains,
+    Facts,
+    Floor,
+    Return,
+    Stage,
+    Stays,
+)
 from lupinreach.fleet.wire import ASK, BEAT, TELL, Drain, Malformed, Member, Message
 from lupinreach.trial.models.lives import Lives
 from lupinreach.trial.models.order import STAYS, Order
@@ -29,9 +40,20 @@
 
 # Lives.
 
-@pytest.mark.parametrize("kept, claims, number", [
-    (0, [], 0), (5, [3, 4], 5), (5, [9], 9), (5, [9, 2**31], 9), (5, [2**31, 2**31 - 3], 2**31 - 3),
-    (0, [MOST_JUMP], MOST_JUMP), (0, [MOST_JUMP + 1], 0), (3, [2**32 - 1, 2**32 - 1], 2**32 - 2)])
+
+@pytest.mark.parametrize(
+    "kept, claims, number",
+    [
+        (0, [], 0),
+        (5, [3, 4], 5),
+        (5, [9], 9),
+        (5, [9, 2**31], 9),
+        (5, [2**31, 2**31 - 3], 2**31 - 3),
+        (0, [MOST_JUMP], MOST_JUMP),
+        (0, [MOST_JUMP + 1], 0),
+        (3, [2**32 - 1, 2**32 - 1], 2**32 - 2),
+    ],
+)
 def test_a_life_s_number_follows_disk_and_peers_and_no_absurd_claim_of_one(kept, claims, number):
     assert believed(kept, claims) == number
 
@@ -60,12 +82,35 @@
 
 u8, u16, u32 = (some.integers(0, 2**bits - 1) for bits in (8, 16, 32))
 life = some.builds(Life, u32, u32)
-head = {"sender": u16, "life": life, "beat": u32, "remembers": some.booleans(), "revision": some.integers(0, 2**64 - 1)}
+head = {
+    "sender": u16,
+    "life": life,
+    "beat": u32,
+    "remembers": some.booleans(),
+    "revision": some.integers(0, 2**64 - 1),
+}
 messages = some.one_of(
-    some.builds(Message, kind=some.just(BEAT), members=some.lists(some.builds(Member, u16, life, u32, u16), max_size=wire.MEMBERS).map(tuple), **head),
+    some.builds(
+        Message,
+        kind=some.just(BEAT),
+        members=some.lists(some.builds(Member, u16, life, u32, u16), max_size=wire.MEMBERS).map(tuple),
+        **head,
+    ),
     some.builds(Message, kind=some.just(ASK), nonce=u32, **head),
-    some.builds(Message, kind=some.just(TELL), nonce=u32, part=some.just(2), parts=some.integers(3, 8), standing=u16, known=life,
-                drains=some.lists(some.builds(Drain, u32, some.integers(0, 2**64 - 1)), max_size=wire.DRAINS).map(tuple), **head))
+    some.builds(
+        Message,
+        kind=some.just(TELL),
+        nonce=u32,
+        part=some.just(2),
+        parts=some.integers(3, 8),
+        standing=u16,
+        known=life,
+        drains=some.lists(some.builds(Drain, u32, some.integers(0, 2**64 - 1)), max_size=wire.DRAINS).map(
+            tuple
+        ),
+        **head,
+    ),
+)
 
 
 @played(max_examples=300, derandomize=True, deadline=None)
@@ -76,8 +121,16 @@
 
 
 @played(max_examples=300, derandomize=True, deadline=None)
-@given(some.one_of(some.binary(max_size=300), messages.map(wire.written).flatmap(
-    lambda d: some.tuples(some.integers(0, len(d)), some.integers(0, 255)).map(lambda c: d[:c[0]] + bytes([c[1]]) + d[c[0] + 1:]))))
+@given(
+    some.one_of(
+        some.binary(max_size=300),
+        messages.map(wire.written).flatmap(
+            lambda d: some.tuples(some.integers(0, len(d)), some.integers(0, 255)).map(
+                lambda c: d[: c[0]] + bytes([c[1]]) + d[c[0] + 1 :]
+            )
+        ),
+    )
+)
 def test_no_bytes_do_anything_but_read_or_be_refused(data):
     try:
         wire.read(data)
@@ -93,6 +146,7 @@
 
 # Membership.
 
+
 class Net:
     """Agents with their tables; each datagram comes or doesn't as `passes` says."""
 
@@ -110,7 +164,9 @@
                     continue
                 table.look(self.now)
                 for to in table.targets():
-                    data = wire.written(Message(BEAT, n, Life(1, n), table.beat, True, 1, members=table.digest(self.now)))
+                    data = wire.written(
+                        Message(BEAT, n, Life(1, n), table.beat, True, 1, members=table.digest(self.now))
+                    )
                     assert len(data) <= 256
                     self.sent += 1
                     if to in self.up and self.passes(self.now, n, to) and not self.sleeps(self.now, to):
@@ -136,8 +192,11 @@
 
 
 def test_a_deaf_agent_doubts_itself_and_not_the_others_and_so_does_a_sleeper():
-    net = Net(12, passes=lambda now, a, b: b != 4 or not 20_000 < now < 80_000,
-              sleeps=lambda now, n: n == 7 and 20_000 < now < 80_000)
+    net = Net(
+        12,
+        passes=lambda now, a, b: b != 4 or not 20_000 < now < 80_000,
+        sleeps=lambda now, n: n == 7 and 20_000 < now < 80_000,
+    )
     net.beats(79)
     deaf = net.tables[4]
     assert deaf.own(net.now) is Selfhood.DEAF and deaf.count(net.now) == 12
@@ -158,7 +217,11 @@
 
 
 def test_silence_grows_with_the_fleet_alone():
-    assert Members(0, 3, BEAT_MS, drawn()).silence == Members(0, 28, BEAT_MS, drawn()).silence == SILENT * BEAT_MS
+    assert (
+        Members(0, 3, BEAT_MS, drawn()).silence
+        == Members(0, 28, BEAT_MS, drawn()).silence
+        == SILENT * BEAT_MS
+    )
     assert Members(0, 280, BEAT_MS, drawn()).silence == 10 * SILENT * BEAT_MS
 
 
@@ -166,12 +229,19 @@
     table = Members(0, 3, BEAT_MS, drawn())
     table.look(0.0)
     table.heard(1.0, 1, Life(5, 1), 2, ())
-    table.heard(2.0, 2, Life(1, 1), 1, (Member(1, Life(4, 9), 400), Member(0, Life(9, 9), 1), Member(7, Life(1, 1), 1)))
+    table.heard(
+        2.0,
+        2,
+        Life(1, 1),
+        1,
+        (Member(1, Life(4, 9), 400), Member(0, Life(9, 9), 1), Member(7, Life(1, 1), 1)),
+    )
     assert table.met(1)[0] == Life(5, 1) and table.met(0) == table.met(7) == NOBODY
 
 
 # Which list is believed.
 
+
 def test_a_floor_is_raised_by_two_and_by_the_registry_never_by_one_alone():
     floor = Floor(50, 1000.0)
     floor.claimed(1, 2**60)
@@ -213,7 +283,20 @@
     asking = Asking(0.0, (1, 2), 99, 300.0)
 
     def tell(sender, part=0, parts=1, nonce=99, remembers=False, standing=0):
-        return asking.hear(Message(TELL, sender, Life(1, 1), 1, remembers, 0, nonce=nonce, part=part, parts=parts, standing=standing))
+        return asking.hear(
+            Message(
+                TELL,
+                sender,
+                Life(1, 1),
+                1,
+                remembers,
+                0,
+                nonce=nonce,
+                part=part,
+                parts=parts,
+                standing=standing,
+            )
+        )
 
     assert not tell(3) and not tell(1, nonce=98) and tell(1, part=0, parts=2, remembers=True, standing=30)
     assert tell(2) and not asking.over(10.0)  # the second part of 1's is out
@@ -224,6 +307,7 @@
 
 # The order of return: every history of facts on a coarse clock.
 
+
 def test_in_every_history_an_agent_goes_forward_alone_stays_nowhere_too_long_and_serves_once_it_has_a_list():
     assert search(Order()).well
     without = search(Order(fair=frozenset({"time"})))  # no list for ever: it listens for ever
@@ -258,4 +342,6 @@
     alone = Return(0.0, STAYS)
     for now in range(1, 100):
         alone.look(float(now), Facts())
-    assert alone.stage is Stage.LISTENING and alone.ready  # no list, no service: it says so API call by API call
+    assert (
+        alone.stage is Stage.LISTENING and alone.ready
+    )  # no list, no service: it says so API call by API call
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -3,8 +3,8 @@
 import random
 
 import pytest
-
 from helpers import run
+
 from lupinreach.net import http
 from lupinreach.net.ends import End, Ended
 
@@ -55,8 +55,10 @@
     for _ in range(300):
         body = rng.randbytes(rng.randrange(60))
         headers = {b"x%d" % i: b"v%d" % rng.randrange(99) for i in range(rng.randrange(5))}
-        lines = b"".join(k.upper() + rng.choice((b":", b": ", b":\t ")) + v + rng.choice((b"\r\n", b"  \r\n"))
-                         for k, v in headers.items())
+        lines = b"".join(
+            k.upper() + rng.choice((b":", b": ", b":\t ")) + v + rng.choice((b"\r\n", b"  \r\n"))
+            for k, v in headers.items()
+        )
         if rng.random() < 0.5:
             framing, sent = b"Content-Length: %d\r\n" % len(body), body
         else:
@@ -71,7 +73,7 @@
         got = run(request(feed))
         assert (got.method, got.target, bytes(got.body)) == (b"POST", b"/a?b", body)
         assert {k: bytes(got.headers[k]) for k in headers} == headers and got.keeps
-        left = bytes(feed.buffer[feed.start:]) + b"".join(feed.pieces)
+        left = bytes(feed.buffer[feed.start :]) + b"".join(feed.pieces)
         assert left == b"GET"  # what follows is not touched
 
 
@@ -81,22 +83,50 @@
     assert isinstance(body, memoryview) and body.obj is feed.buffer
 
 
-@pytest.mark.parametrize("first, line", [
-    (b"GET / HTTP/2.0", b""), (b"get / HTTP/1.1", b""), (b"GET  / HTTP/1.1", b""),
-    (b"GET /\x80 HTTP/1.1", b""), (b"\x16\x03\x01", b""), *((b"POST / HTTP/1.1", line) for line in (
-        b"No colon", b"Space : 1", b"A: 1\r\n folded", b"A: \x00", b"A: 1\nB: 2", b": 1",
-        b"Content-Length: 1\r\nContent-Length: 2", b"Content-Length: -1", b"Content-Length:",
-        b"Content-Length: 1\r\nTransfer-Encoding: chunked", b"Transfer-Encoding: gzip",
-        b"Content-Length: 1\r\nContent-Length: 1")),
-    (b"POST / HTTP/1.0", b"Transfer-Encoding: chunked"), (b"GET x HTTP/1.1", b""),
-])
+@pytest.mark.parametrize(
+    "first, line",
+    [
+        (b"GET / HTTP/2.0", b""),
+        (b"get / HTTP/1.1", b""),
+        (b"GET  / HTTP/1.1", b""),
+        (b"GET /\x80 HTTP/1.1", b""),
+        (b"\x16\x03\x01", b""),
+        *(
+            (b"POST / HTTP/1.1", line)
+            for line in (
+                b"No colon",
+                b"Space : 1",
+                b"A: 1\r\n folded",
+                b"A: \x00",
+                b"A: 1\nB: 2",
+                b": 1",
+                b"Content-Length: 1\r\nContent-Length: 2",
+                b"Content-Length: -1",
+                b"Content-Length:",
+                b"Content-Length: 1\r\nTransfer-Encoding: chunked",
+                b"Transfer-Encoding: gzip",
+                b"Content-Length: 1\r\nContent-Length: 1",
+            )
+        ),
+        (b"POST / HTTP/1.0", b"Transfer-Encoding: chunked"),
+        (b"GET x HTTP/1.1", b""),
+    ],
+)
 def test_malformed_requests_are_refused(first, line):
     assert ends(request(Feed(first + b"\r\n" + line + b"\r\n\r\n"))) is End.MALFORMED
 
 
-@pytest.mark.parametrize("chunks", [
-    b"x\r\n", b"3\r\nabcd\r\n", b"1\nab", b"-1\r\n", b"1" * 200, b"0\r\nbad trailer\r\n",
-])
+@pytest.mark.parametrize(
+    "chunks",
+    [
+        b"x\r\n",
+        b"3\r\nabcd\r\n",
+        b"1\nab",
+        b"-1\r\n",
+        b"1" * 200,
+        b"0\r\nbad trailer\r\n",
+    ],
+)
 def test_malformed_chunks_are_refused(chunks):
     raw = b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks
     assert ends(request(Feed(raw))) is End.MALFORMED
@@ -106,7 +136,10 @@
     read = run(request(Feed(b"GET / HTTP/1.1\r\nA: \t b c \t\r\nB:\r\na:d\r\n\r\n")))
     assert read.headers == {b"a": b"d", b"b": b""} and all(type(v) is bytes for v in read.headers.values())
     assert [(n, bytes(line)) for n, line in read.lines] == [
-        (b"a", b"A: \t b c \t\r\n"), (b"b", b"B:\r\n"), (b"a", b"a:d\r\n")]
+        (b"a", b"A: \t b c \t\r\n"),
+        (b"b", b"B:\r\n"),
+        (b"a", b"a:d\r\n"),
+    ]
 
 
 def test_sizes_are_bounded():
@@ -143,6 +176,8 @@
 
 
 def test_what_belongs_to_one_connection_is_not_passed_on():
-    got = answer(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nKeep-Alive: 5\r\nA: 1\r\nB: 2\r\nC: 3\r\n"
-                 b"Connection: keep-alive, c\r\n\r\n")
+    got = answer(
+        b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nKeep-Alive: 5\r\nA: 1\r\nB: 2\r\nC: 3\r\n"
+        b"Connection: keep-alive, c\r\n\r\n"
+    )
     assert got.keeps and [bytes(line) for line in http.passed_on(got, frozenset((b"b",)))] == [b"A: 1\r\n"]
--- a/tests/test_large.py
+++ b/tests/test_large.py
@@ -7,8 +7,8 @@
 import time
 
 import pytest
-
 from helpers import OK, Peer, Site, look, read_http, run, says, target
+
 from lupinreach.net import call, http, listener, shot
 from lupinreach.net.channel import RESET
 from lupinreach.net.counters import Outcome
@@ -26,7 +26,7 @@
 
 
 def chunked(body: bytes, size: int, extension=b"", trailer=b"") -> bytes:
-    pieces = [body[i:i + size] for i in range(0, len(body), size)]
+    pieces = [body[i : i + size] for i in range(0, len(body), size)]
     return b"".join(b"%x%s\r\n%s\r\n" % (len(p), extension, p) for p in pieces) + b"0\r\n" + trailer + b"\r\n"
 
 
@@ -63,6 +63,7 @@
 
 # Answers.
 
+
 @pytest.mark.parametrize("size", [0, 1, 16_384, 16_385, 65_536, 65_537, 3_000_000])
 @pytest.mark.parametrize("form", ["length", "chunked", "extensions", "closes", "closes, HTTP/1.0"])
 def test_an_answer_of_any_size_and_form_comes_through_unchanged(size, form):
@@ -71,7 +72,7 @@
         "length": b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % size + body,
         "chunked": b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunked(body, 1000),
         "extensions": b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-                      + chunked(body, 700, b';x="y"', b"Trailer: x\r\n"),
+        + chunked(body, 700, b';x="y"', b"Trailer: x\r\n"),
         "closes": b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + body,
         "closes, HTTP/1.0": b"HTTP/1.0 200 OK\r\n\r\n" + body,
     }[form]
@@ -92,13 +93,17 @@
             await site.settled()
             counters = site.agent.counters
             assert counters.outcomes[Outcome.FULFILLED]["pay"] == 2 and counters.shots == {"served": 2}
-            assert backend.connections == (2 if "closes" in form else 1)  # a connection read to its end is kept
+            assert backend.connections == (
+                2 if "closes" in form else 1
+            )  # a connection read to its end is kept
+
     run(work())
 
 
 @pytest.mark.parametrize("busy", ["before it is passed on", "after it"])
 def test_a_long_answer_that_begins_as_its_time_is_up_leaves_no_client_without_an_answer(monkeypatch, busy):
     """The event loop stands still past the shot's time between its first bytes and their way to the client."""
+
     def stand_still():
         time.sleep(0.25)
 
@@ -123,6 +128,7 @@
             head, got, whole = await asked(site, look(**PAY, body=b"x", deadline=b"0.2"))
             assert whole and (status(head) == 502 or len(got) == 200_000)
             await site.settled()
+
     began = listener.Client.begin
     if busy == "after it":
         monkeypatch.setattr(listener.Client, "begin", begin)
@@ -134,8 +140,11 @@
 @pytest.mark.parametrize("form", ["length", "chunked", "closes"])
 @pytest.mark.parametrize("sent", [100_000, 2_000_000])
 def test_an_answer_that_breaks_under_way_shows_as_not_whole_and_nothing_follows(form, sent):
-    head = {"length": b"Content-Length: 4000000\r\n", "chunked": b"Transfer-Encoding: chunked\r\n",
-            "closes": b"Connection: close\r\n"}[form]
+    head = {
+        "length": b"Content-Length: 4000000\r\n",
+        "chunked": b"Transfer-Encoding: chunked\r\n",
+        "closes": b"Connection: close\r\n",
+    }[form]
 
     async def script(request, writer):
         writer.write(b"HTTP/1.1 200 OK\r\n" + head + b"\r\n")
@@ -143,7 +152,9 @@
         await writer.drain()
         await asyncio.sleep(0.05)
         sock = writer.get_extra_info("socket")
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)  # a process that dies resets its connections
+        sock.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, RESET
+        )  # a process that dies resets its connections
         writer.transport.abort()
 
     async def work():
@@ -154,15 +165,19 @@
             assert len(backend.requests) == 1  # idempotent, and yet no other shot may follow
             assert site.agent.counters.outcomes[Outcome.ERRORED]["look"] == 1
             assert site.agent.counters.open == 0
+
     run(work())
 
 
 def test_a_spoilt_small_answer_is_still_sent_again_and_a_too_long_one_is_errored():
     async def work():
-        for answer in (b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nnoise",
-                       b"HTTP/1.1 200 OK\r\nContent-Length: 60000\r\n\r\nhalf"):
+        for answer in (
+            b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nnoise",
+            b"HTTP/1.1 200 OK\r\nContent-Length: 60000\r\n\r\nhalf",
+        ):
             async with Peer(says(answer)) as backend, Site(target("s-1", backend.address)) as site:
                 assert status(await site.ask(look(**PAY, body=b"x"))) == 502
+
     run(work())
 
 
@@ -194,6 +209,7 @@
             writer.transport.abort()
             await site.settled()
             assert site.agent.counters.open == 0 and site.agent.pool.open == 0
+
     run(work())
 
 
@@ -212,18 +228,22 @@
             writer.write(look())
             await reader.readuntil(b"\r\n\r\n")
             (b,) = balancer._backends.values()
-            assert b.flight == 0 and b.figure[0] is not None and b.figure[0] < 200  # booked, and still under way
+            assert (
+                b.flight == 0 and b.figure[0] is not None and b.figure[0] < 200
+            )  # booked, and still under way
             assert site.agent.counters.open == 1
             assert len(await reader.readexactly(400_000)) == 400_000
             await site.settled()
             assert b.figure[0] < 200 and not b.held[0] and not balancer._live
             assert site.agent.counters.shots == {"served": 1}
             writer.close()
+
     run(work())
 
 
 # Requests.
 
+
 @pytest.mark.parametrize("size", [65_536, 65_537, 700_000])
 @pytest.mark.parametrize("form", ["length", "chunked", "pieces", "expect"])
 def test_a_long_request_goes_on_unchanged_and_can_be_sent_again(size, form):
@@ -231,13 +251,17 @@
 
     async def script(request, writer):
         seen.append(request.partition(b"\r\n\r\n")[2])
-        writer.write(OK if len(seen) > 1 else b"HTTP/1.1 503 No\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n")
+        writer.write(
+            OK if len(seen) > 1 else b"HTTP/1.1 503 No\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n"
+        )
 
     async def work():
         async with Peer(script) as one, Site(target("s-1", one.address), target("s-2", one.address)) as site:
             reader, writer = await site.client()
             if form == "chunked":
-                writer.write(look(**PAY, more=b"Transfer-Encoding: chunked\r\n") + chunked(body, 999, b";a=b"))
+                writer.write(
+                    look(**PAY, more=b"Transfer-Encoding: chunked\r\n") + chunked(body, 999, b";a=b")
+                )
             elif form == "expect":
                 writer.write(look(**PAY, more=b"Expect: 100-continue\r\nContent-Length: %d\r\n" % size))
                 assert b" 100 " in await reader.readuntil(b"\r\n\r\n")
@@ -246,13 +270,14 @@
                 raw = look(**PAY, body=body)
                 step = len(raw) if form == "length" else 4097
                 for i in range(0, len(raw), step):
-                    writer.write(raw[i:i + step])
+                    writer.write(raw[i : i + step])
                     await asyncio.sleep(0)
             head, _, whole = await asyncio.wait_for(read_any(reader), 5)
             assert status(head) == 200 and whole and seen == [body, body]  # never ran, so again
             await site.settled()
             assert site.agent.serving.kept.held == 0
             writer.close()
+
     run(work())
 
 
@@ -270,7 +295,10 @@
                 await asyncio.sleep(0)
                 connection[1].write(now[at:])
                 assert status(await asyncio.wait_for(read_http(connection[0]), 5)) == 200
-            assert all(r.endswith(b"\r\n\r\nsome body") for r in backend.requests) and backend.connections == 1
+            assert (
+                all(r.endswith(b"\r\n\r\nsome body") for r in backend.requests) and backend.connections == 1
+            )
+
     run(work())
 
 
@@ -287,6 +315,7 @@
             assert status(await asyncio.wait_for(read_http(reader), 2)) == 200
             deadline = backend.requests[0].partition(b"Req-Deadline: ")[2].split(b"\r\n")[0]
             assert 0.15 < float(deadline) <= 0.3
+
     run(work())
 
 
@@ -318,6 +347,7 @@
             assert counters.others["requests sent ahead"] == 1 and counters.written == 1
             assert counters.outcomes[Outcome.FULFILLED]["pay"] == 1 and site.agent.serving.kept.held == 0
             assert site.agent.pool.open <= 1 and not site.agent.balancer._live
+
     run(work())
 
 
@@ -335,13 +365,19 @@
             return
         await read_any(reader)
         bodies += 1
-        writer.write(b"HTTP/1.1 503 No\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n" if how == "declines"
-                     else b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n")
+        writer.write(
+            b"HTTP/1.1 503 No\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n"
+            if how == "declines"
+            else b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n"
+        )
 
     async def work():
         server = await asyncio.start_server(script, "127.0.0.1", 0)
         host, port = server.sockets[0].getsockname()
-        async with server, Site(target("s-1", f"{host}:{port}"), target("s-2", f"{host}:{port}"), **SMALL) as site:
+        async with (
+            server,
+            Site(target("s-1", f"{host}:{port}"), target("s-2", f"{host}:{port}"), **SMALL) as site,
+        ):
             reader, writer = await site.client()
             raw = look(**PAY, body=noise(3_000_000))
             writer.write(raw[:-100_000])
@@ -355,6 +391,7 @@
             while site.agent.listener.clients:
                 await asyncio.sleep(0)
             assert site.agent.serving.kept.held == 0 and site.agent.counters.open == 0
+
     run(work())
 
 
@@ -382,11 +419,13 @@
                 await asyncio.sleep(0)
             assert site.agent.serving.kept.held == 0 and site.agent.pool.open == 0
             assert site.agent.counters.written == 0 and not site.agent.counters.taken
+
     run(work())
 
 
 # Framing beside a plain model.
 
+
 class Feed:
     """A channel that brings given pieces."""
 
@@ -397,7 +436,7 @@
     async def fill(self, begun=False):
         if not self.pieces:
             raise Ended(End.CUT_SHORT)
-        self.buffer = self.buffer[self.start:self.end] + self.pieces.pop(0)
+        self.buffer = self.buffer[self.start : self.end] + self.pieces.pop(0)
         self.start, self.end = 0, len(self.buffer)
 
     def need(self, size):
@@ -405,8 +444,16 @@
 
 
 def head_of(**more) -> http.Head:
-    given = {"first": (b"POST", b"/", 0), "headers": {}, "lines": [], "options": frozenset(), "keeps": True,
-             "length": None, "chunked": False, "size": 0}
+    given = {
+        "first": (b"POST", b"/", 0),
+        "headers": {},
+        "lines": [],
+        "options": frozenset(),
+        "keeps": True,
+        "length": None,
+        "chunked": False,
+        "size": 0,
+    }
     return http.Head(**given | more)
 
 
@@ -417,21 +464,27 @@
         text, at = bytearray(), 0
         while at < len(body):
             size = chance.randint(1, chance.choice((1, 7, 2000)))
-            piece = body[at:at + size]
+            piece = body[at : at + size]
             extension = chance.choice((b"", b";a", b" ;b=c"))
             digits = b"%x" % len(piece)
-            text += chance.choice((digits, digits.upper(), digits.zfill(4))) + extension + b"\r\n" + piece + b"\r\n"
+            text += (
+                chance.choice((digits, digits.upper(), digits.zfill(4)))
+                + extension
+                + b"\r\n"
+                + piece
+                + b"\r\n"
+            )
             at += size
         text += b"0\r\n" + chance.choice((b"", b"T: x\r\n")) + b"\r\n"
         rest = chance.choice((b"", b"GET / HTTP/1.1\r\n"))
         whole, pieces, at = bytes(text) + rest, [], 0
         while at < len(whole):
             size = chance.randint(1, chance.choice((1, 50, 9000)))
-            pieces.append(whole[at:at + size])
+            pieces.append(whole[at : at + size])
             at += size
         feed = Feed(pieces)
         got = run(http.read_body(feed, head_of(chunked=True), 10_000))
-        left = bytes(feed.buffer[feed.start:feed.end]) + b"".join(feed.pieces)
+        left = bytes(feed.buffer[feed.start : feed.end]) + b"".join(feed.pieces)
         assert bytes(got) == body and left == rest
         cut = chance.randrange(len(text))
         with pytest.raises(Ended):
--- a/tests/test_live.py
+++ b/tests/test_live.py
@@ -4,8 +4,8 @@
 from collections import Counter
 
 import pytest
-
 from helpers import READY, Bench, settings
+
 from lupinreach.config import BadConfig, read_settings
 from lupinreach.model import Listing, News
 
@@ -121,8 +121,9 @@
 def test_the_word_for_weights_is_read_and_checked():
     raw = {"categories": [{"give_up": 2000.0}]}
     assert read_settings(raw).live_weights is False
-    assert [read_settings(raw | {"weight_kind": w}).live_weights for w in ("off", "nominal", "rough", "live")] \
-        == [False, False, False, True]
+    assert [
+        read_settings(raw | {"weight_kind": w}).live_weights for w in ("off", "nominal", "rough", "live")
+    ] == [False, False, False, True]
     for wrong in ("lively", 3):
         with pytest.raises(BadConfig, match="settings.weight_kind: "):
             read_settings(raw | {"weight_kind": wrong}, "settings")
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -14,15 +14,32 @@
 
 
 def counters(at, agent, taken, event="counters", **more):
-    return line(at, agent, event, taken={"pay": taken}, answered={"fulfilled": taken - 1, "rate-limited": 1},
-                shots={"served": taken}, cpu_s=taken / 1000, list_age_ms=50.0, **more)
+    return line(
+        at,
+        agent,
+        event,
+        taken={"pay": taken},
+        answered={"fulfilled": taken - 1, "rate-limited": 1},
+        shots={"served": taken},
+        cpu_s=taken / 1000,
+        list_age_ms=50.0,
+        **more,
+    )
 
 
 def test_counters_are_summed_over_lives_by_the_last_line_of_each():
-    fleet = logs.read([[
-        line(0, "a", "started"), counters(10, "a", 100), counters(20, "a", 300), line(30, "a", "started"),
-        counters(40, "a", 50, "stopped"),
-    ], [line(1, "b", "started"), counters(25, "b", 10)]])
+    fleet = logs.read(
+        [
+            [
+                line(0, "a", "started"),
+                counters(10, "a", 100),
+                counters(20, "a", 300),
+                line(30, "a", "started"),
+                counters(40, "a", 50, "stopped"),
+            ],
+            [line(1, "b", "started"), counters(25, "b", 10)],
+        ]
+    )
     assert [(life.agent, life.stopped) for life in fleet.lives] == [("a", False), ("b", False), ("a", True)]
     found = logs.summary(fleet)
     assert found["taken"] == {"pay": 360} and found["answered"]["rate-limited"] == 3
@@ -43,8 +60,13 @@
 
 def test_an_agent_that_never_heard_from_the_directory_is_told():
     text = json.loads(counters(9, "a", 4)) | {"list_age_ms": None}
-    found = logs.summary(logs.read([[line(0, "a", "started"), json.dumps(text).encode()], [counters(9, "b", 4)]]))
-    assert found["never_heard_from_directory"] == 1 and found["list_age_ms"] == {"median": 50.0, "oldest": 50.0}
+    found = logs.summary(
+        logs.read([[line(0, "a", "started"), json.dumps(text).encode()], [counters(9, "b", 4)]])
+    )
+    assert found["never_heard_from_directory"] == 1 and found["list_age_ms"] == {
+        "median": 50.0,
+        "oldest": 50.0,
+    }
 
 
 def test_the_most_within_a_tenth_of_a_second_over_all_agents():
@@ -54,37 +76,77 @@
 
 
 def test_turns_in_the_pools_and_failures_are_told_apart():
-    fleet = logs.read([[
-        line(1, "a", "module", text="backend 7 ejected for SLO 400 ms at 800 ms"),
-        line(2, "a", "module", text="backend 7 restored for SLO 400 ms"), line(3, "a", "module", text="something else"),
-        line(4, "a", "directory failed", why="silent", where=""),
-    ]])
+    fleet = logs.read(
+        [
+            [
+                line(1, "a", "module", text="backend 7 ejected for SLO 400 ms at 800 ms"),
+                line(2, "a", "module", text="backend 7 restored for SLO 400 ms"),
+                line(3, "a", "module", text="something else"),
+                line(4, "a", "directory failed", why="silent", where=""),
+            ]
+        ]
+    )
     assert logs.summary(fleet)["events"] == {
-        "backend ejected": 1, "backend restored": 1, "module": 1, "directory failed: silent": 1}
+        "backend ejected": 1,
+        "backend restored": 1,
+        "module": 1,
+        "directory failed: silent": 1,
+    }
 
 
 def test_a_collectors_text_before_the_json_is_skipped():
     assert logs.summary(logs.read([[line(1, "a", "started", before="12:00:01.5 host a | ")]]))["starts"] == 1
 
 
-@pytest.mark.parametrize("text", [
-    b"{", b"no json", b"[1]", b"{}", b'{"at":"1","agent":"a","event":"x"}', b'{"at":true,"agent":"a","event":"x"}',
-    b'{"at":1,"agent":2,"event":"x"}', b'{"at":1,"agent":"a"}', b"\xff\xfe{", b'{"at":1,"agent":"a","event":"x"',
-])
+@pytest.mark.parametrize(
+    "text",
+    [
+        b"{",
+        b"no json",
+        b"[1]",
+        b"{}",
+        b'{"at":"1","agent":"a","event":"x"}',
+        b'{"at":true,"agent":"a","event":"x"}',
+        b'{"at":1,"agent":2,"event":"x"}',
+        b'{"at":1,"agent":"a"}',
+        b"\xff\xfe{",
+        b'{"at":1,"agent":"a","event":"x"',
+    ],
+)
 def test_what_is_no_event_is_counted_and_skipped(text):
     fleet = logs.read([[text, b"", line(1, "a", "started")]])
     assert fleet.no_event == 1 and len(fleet.lives) == 1
 
 
 def test_figures_that_are_none_count_for_nothing():
-    found = logs.summary(logs.read([[counters(1, "a", 5), line(2, "b", "counters", taken={"pay": "many", "look": -3,
-                                     "hold": True}, shots=[1], cpu_s="much", list_age_ms="old")]]))
+    found = logs.summary(
+        logs.read(
+            [
+                [
+                    counters(1, "a", 5),
+                    line(
+                        2,
+                        "b",
+                        "counters",
+                        taken={"pay": "many", "look": -3, "hold": True},
+                        shots=[1],
+                        cpu_s="much",
+                        list_age_ms="old",
+                    ),
+                ]
+            ]
+        )
+    )
     assert found["taken"] == {"pay": 5} and found["cpu_ms_an_api_call"] == 1.0
 
 
 def command(*files):
-    done = subprocess.run([sys.executable, "-m", "lupinreach.cli", "logs", *map(str, files)], capture_output=True,
-                          text=True, check=False)
+    done = subprocess.run(
+        [sys.executable, "-m", "lupinreach.cli", "logs", *map(str, files)],
+        capture_output=True,
+        text=True,
+        check=False,
+    )
     return done.returncode, done.stdout, done.stderr
 
 
--- a/tests/test_mistakes.py
+++ b/tests/test_mistakes.py
@@ -15,9 +15,14 @@
 BUSY = {"traffic": {"calls_per_s": 125}, "rules": {"cold": 8000.0, "drain_grace": 500.0, "fall": 1000.0}}
 SHOWS = {
     "answers-too-late": {"faults": [POWER | {"backends": 2.5}]},
-    "wakes-believing": {"troubles": [DRAIN, {"kind": "sleep-agents", "at": 1.5, "seconds": 2.5, "targets": [0, 1, 2]}]},
+    "wakes-believing": {
+        "troubles": [DRAIN, {"kind": "sleep-agents", "at": 1.5, "seconds": 2.5, "targets": [0, 1, 2]}]
+    },
     "spends-anew": BUSY | {"faults": [{"kind": "power", "at": 2, "agents": 1}], "troubles": [CRASH]},
-    "resends-payment": {"faults": [POWER], "troubles": [{"kind": "stall", "at": 1, "seconds": 9, "share": 0.5, "strength": 0.5}]},
+    "resends-payment": {
+        "faults": [POWER],
+        "troubles": [{"kind": "stall", "at": 1, "seconds": 9, "share": 0.5, "strength": 0.5}],
+    },
     "sends-to-draining": {"faults": [POWER], "troubles": [DRAIN | {"at": 4}]},
     "floods-cold": BUSY | {"faults": [POWER]},
     "holds-until-deadline": {"faults": [POWER | {"backends": 2.5}]},
@@ -43,8 +48,13 @@
     return pytest.param(fault, marks=pytest.mark.rig(RIG | more | {"seconds": 4, "fault": fault}))
 
 
-@pytest.mark.parametrize("fault", [rig("sends-to-draining", {"troubles": [DRAIN | {"at": 0.5, "seconds": 3.4}]}),
-                                   rig("answers-too-late", {"faults": [{"kind": "power", "at": 0.5, "backends": 2}]})])
+@pytest.mark.parametrize(
+    "fault",
+    [
+        rig("sends-to-draining", {"troubles": [DRAIN | {"at": 0.5, "seconds": 3.4}]}),
+        rig("answers-too-late", {"faults": [{"kind": "power", "at": 0.5, "backends": 2}]}),
+    ],
+)
 def test_and_so_it_is_with_processes(fault, played):
     assert FAULTS[fault].caught_as in {b.name for b in played.result.breaches}
 
@@ -58,8 +68,10 @@
 
 
 def test_a_policy_that_sees_the_true_state_does_what_can_be_done_and_pushes_nothing_over():
-    plain, best = (play.run(spec.read(SMALL | BUSY | {"faults": [POWER], "policy": name}), 3).recovery
-                   for name in ("least-request", "true-state"))
+    plain, best = (
+        play.run(spec.read(SMALL | BUSY | {"faults": [POWER], "policy": name}), 3).recovery
+        for name in ("least-request", "true-state")
+    )
     assert best.done_10s > max(0.95, plain.done_10s) and best.cold_load <= 1.0 < plain.cold_load
 
 
@@ -80,6 +92,13 @@
 
 def test_agents_whose_clocks_drift_keep_the_rules():
     for gains in (0.05, -0.05):
-        one = spec.read(SMALL | {"troubles": [{"kind": "drift-agents", "at": 2, "seconds": 9, "share": 0.5, "strength": gains}],
-                                 "faults": [POWER]})
+        one = spec.read(
+            SMALL
+            | {
+                "troubles": [
+                    {"kind": "drift-agents", "at": 2, "seconds": 9, "share": 0.5, "strength": gains}
+                ],
+                "faults": [POWER],
+            }
+        )
         assert play.run(one, 3).verdict == play.KEPT
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -6,8 +6,8 @@
 import time
 
 import pytest
-
 from helpers import OK, Peer, Site, look, run, says, target
+
 from lupinreach.net.agent import Agent
 from lupinreach.net.counters import Counters, Outcome
 from lupinreach.net.standing import SETTLES, Standing, State
@@ -52,10 +52,13 @@
 
 # What is said to clients: the state machine beside its table.
 
+
 def test_the_standing_follows_its_table_whatever_the_order_of_events():
     events = {
-        "listed": lambda s: setattr(s, "listed", True), "on": lambda s: s.drain(1000.0),
-        "again": lambda s: s.drain(5000.0), "off": lambda s: s.resume(),
+        "listed": lambda s: setattr(s, "listed", True),
+        "on": lambda s: s.drain(1000.0),
+        "again": lambda s: s.drain(5000.0),
+        "off": lambda s: s.resume(),
         "stop": lambda s: setattr(s, "stopping", True),
     }
     for order in itertools.product(events, repeat=4):
@@ -67,8 +70,15 @@
                 drained = drained or (1000.0 if name == "on" else 5000.0)
             if name == "off":
                 drained = None
-            wanted = (State.STOPPING if stopping else State.DRAINED if drained is not None
-                      else State.SERVING if listed else State.UNLISTED)
+            wanted = (
+                State.STOPPING
+                if stopping
+                else State.DRAINED
+                if drained is not None
+                else State.SERVING
+                if listed
+                else State.UNLISTED
+            )
             assert standing.state is wanted
             assert standing.ready == (wanted is State.SERVING)
             assert standing.parting == (stopping or drained is not None)
@@ -78,29 +88,44 @@
             standing.accepting = False
             for late in (-1.0, 0.0):
                 assert standing.closes_idle((drained or 0.0) + SETTLES + late) == (
-                    wanted is State.DRAINED and late == 0.0)
+                    wanted is State.DRAINED and late == 0.0
+                )
 
 
 # The door.
 
-@pytest.mark.parametrize("method, path, more, body, wanted, says_too", [
-    (b"GET", b"/_ready", b"", b"", 200, b"yes"),
-    (b"GET", b"/_ready?x=1", b"", b"", 200, b"yes"),
-    (b"POST", b"/_lameduck/on", b"Content-Length: 2\r\n", b"{}", 200, b"drained"),
-    (b"POST", b"/_lameduck/off", b"Transfer-Encoding: chunked\r\n", b"1\r\nx\r\n0\r\n\r\n", 200, b"back to work"),
-    (b"GET", b"/_lameduck/on", b"", b"", 405, b"Allow: POST"),
-    (b"POST", b"/_vars", b"Content-Length: 0\r\n", b"", 405, b"Allow: GET"),
-    (b"GET", b"/api", b"", b"", 404, b"no such path; there are /_ready"),
-    (b"GET", b"/_ready", b"Content-Length: 1\r\nContent-Length: 2\r\n", b"", 400, b"can't be read"),
-    (b"POST", b"/_lameduck/on", b"Content-Length: 9999999\r\n", b"", 413, b"too large"),
-    (b"GET", b"/_ready", b"X: " + b"x" * 20_000 + b"\r\n", b"", 413, b"too large"),
-])
+
+@pytest.mark.parametrize(
+    "method, path, more, body, wanted, says_too",
+    [
+        (b"GET", b"/_ready", b"", b"", 200, b"yes"),
+        (b"GET", b"/_ready?x=1", b"", b"", 200, b"yes"),
+        (b"POST", b"/_lameduck/on", b"Content-Length: 2\r\n", b"{}", 200, b"drained"),
+        (
+            b"POST",
+            b"/_lameduck/off",
+            b"Transfer-Encoding: chunked\r\n",
+            b"1\r\nx\r\n0\r\n\r\n",
+            200,
+            b"back to work",
+        ),
+        (b"GET", b"/_lameduck/on", b"", b"", 405, b"Allow: POST"),
+        (b"POST", b"/_vars", b"Content-Length: 0\r\n", b"", 405, b"Allow: GET"),
+        (b"GET", b"/api", b"", b"", 404, b"no such path; there are /_ready"),
+        (b"GET", b"/_ready", b"Content-Length: 1\r\nContent-Length: 2\r\n", b"", 400, b"can't be read"),
+        (b"POST", b"/_lameduck/on", b"Content-Length: 9999999\r\n", b"", 413, b"too large"),
+        (b"GET", b"/_ready", b"X: " + b"x" * 20_000 + b"\r\n", b"", 413, b"too large"),
+    ],
+)
 def test_each_call_at_the_door_has_its_answer(method, path, more, body, wanted, says_too):
     async def work():
         async with Operated(target("s-1", "127.0.0.1:9")) as site:
             status, head, said = await site.call(method, path, more, body)
             assert status == wanted and says_too in head + said and b"Connection: close" in head
-            assert (site.agent.standing.drained_at is not None) == (path == b"/_lameduck/on" and wanted == 200)
+            assert (site.agent.standing.drained_at is not None) == (
+                path == b"/_lameduck/on" and wanted == 200
+            )
+
     run(work())
 
 
@@ -109,6 +134,7 @@
         async with Operated() as site:
             assert (await site.call(b"GET", b"/_ready"))[0] == 503
             assert b"unlisted" in (await site.call(b"GET", b"/_ready"))[2]
+
     run(work())
 
 
@@ -128,6 +154,7 @@
                 await asyncio.sleep(0)
             for _, writer in held:
                 writer.close()
+
     run(work())
 
 
@@ -136,16 +163,20 @@
         settings = {"limits": {"memory_mb": 64, "sockets": 40}}
         async with Operated(target("s-1", "127.0.0.1:9"), **settings) as site:
             clients = [await site.client() for _ in range(30)]
-            while site.agent.listener.clients and len(site.agent.listener.clients) < site.agent.listener.served:
+            while (
+                site.agent.listener.clients and len(site.agent.listener.clients) < site.agent.listener.served
+            ):
                 await asyncio.sleep(0)
             assert (await site.call(b"GET", b"/_ready"))[0] == 200
             for _, writer in clients:
                 writer.close()
+
     run(work())
 
 
 # The figures.
 
+
 def test_the_figures_agree_with_what_the_peers_saw():
     async def work():
         asked, hold = 0, asyncio.Event()
@@ -177,6 +208,7 @@
                 pass
             assert said["success"]["look"] == 8
             assert site.agent.counters.snapshot()["written"] == said["dispatches"] == asked
+
     run(work())
 
 
@@ -186,14 +218,22 @@
     counters.told("left", "a")
     counters.told("no room", None)
     said = figures.report(["a", "b"], counters, 2, 3)
-    assert said == {"success": {"a": 1, "b": 0}, "overload": {"a": 0, "b": 0}, "error": {"a": 0, "b": 0},
-                    "dispatches": 0, "concurrent": 0, "targets": 2, "targets_disabled": 2}
+    assert said == {
+        "success": {"a": 1, "b": 0},
+        "overload": {"a": 0, "b": 0},
+        "error": {"a": 0, "b": 0},
+        "dispatches": 0,
+        "concurrent": 0,
+        "targets": 2,
+        "targets_disabled": 2,
+    }
     assert sum(sum(c.values()) for c in counters.outcomes.values()) == 1
     assert counters.outcomes[Outcome.FULFILLED]["a"] == 1
 
 
 # Sending clients away.
 
+
 def test_a_drain_says_no_ends_connections_with_answers_and_closes_idle_ones():
     async def work():
         async with Peer(says(OK)) as backend, Operated(target("s-1", backend.address)) as site:
@@ -215,6 +255,7 @@
             back = await site.client()
             assert code(await site.ask(READY, back)) == 200
             assert b"Connection: close" not in await site.ask(look(), back)
+
     run(work())
 
 
@@ -228,6 +269,7 @@
                 await site.call(b"POST", b"/_lameduck/off")
             await asyncio.sleep((SETTLES + 300) / 1000)
             assert code(await site.ask(look(), client)) == 200
+
     run(work())
 
 
@@ -246,4 +288,5 @@
             assert (await site.call(b"GET", b"/_ready"))[0] == 200
             second.listener.close()
             await second.tasks.stop()
+
     run(work())
--- a/tests/test_power.py
+++ b/tests/test_power.py
@@ -87,7 +87,7 @@
         number += 1
         bench.take(number)
         bench.move(30.0)
-        for at in bench.sent_to(number):
+        for _ in bench.sent_to(number):
             bench.answer(number, 30.0)
     answered = b.since
     assert not b.down and bench.now - 100 < answered < bench.now
@@ -127,11 +127,17 @@
 def test_an_old_list_by_which_most_restarted_is_believed_of_none_until_the_registry_speaks():
     # Found on power-registry-first: 27 of 40 agents stood up with a list that had 35 of 60 cold, and sent all they had to
     # the 25 others, which had started in the same second: 1.17 of what the rule allows.
-    bench = Bench(settings(cold=COLD), entries=[Listing(i, READY, boot_time=999_500.0 if i < 4 else 0.0) for i in range(7)])
+    bench = Bench(
+        settings(cold=COLD),
+        entries=[Listing(i, READY, boot_time=999_500.0 if i < 4 else 0.0) for i in range(7)],
+    )
     assert all(bench.agent._is_cold(bench.now, b) for b in bench.agent._ring)
     bench.list(News.CHANGES, [Listing(5, READY, 999_700.0)])
     assert {b.index for b in bench.agent._ring if not bench.agent._is_cold(bench.now, b)} == {4, 6}
-    few = Bench(settings(cold=COLD), entries=[Listing(i, READY, boot_time=999_500.0 if i < 3 else 0.0) for i in range(7)])
+    few = Bench(
+        settings(cold=COLD),
+        entries=[Listing(i, READY, boot_time=999_500.0 if i < 3 else 0.0) for i in range(7)],
+    )
     assert sum(few.agent._is_cold(few.now, b) for b in few.agent._ring) == 3
 
 
@@ -166,7 +172,7 @@
         answers(bench, 3, many, 120.0)
         for _, b, _ in bench.port.sent:
             came[b] = came.get(b, 0) + 1
-    users = [[b.index for b in bench.agent._ring[:bench.agent._most()]] for bench in benches]
+    users = [[b.index for b in bench.agent._ring[: bench.agent._most()]] for bench in benches]
     for b, times in came.items():
         fair = sum(many * 3 / len(used) for many, used in zip(asked, users, strict=True) if b in used)
         part = 0.2 + 0.8 * 3000 / COLD
@@ -237,7 +243,7 @@
     for seed in range(30):
         bench = Bench(settings(cold=COLD), seed=seed)
         all_cold(bench, 1)
-        b, = bench.agent._ring
+        (b,) = bench.agent._ring
         bench.agent._refused(bench.now, b)
         b.credit = 0.4
         token = bench.take("first")
@@ -268,7 +274,13 @@
         b.figure[0] = figure
     earns = list(agent._shares(bench.now, 0.0).values())
     asked = agent._asked / agent._asked_for
-    even = asked * (1 + RARE / (1 + asked * agent._fall)) / 4 * agent._capacity(bench.now, agent._ring[0]) * agent._when_few
+    even = (
+        asked
+        * (1 + RARE / (1 + asked * agent._fall))
+        / 4
+        * agent._capacity(bench.now, agent._ring[0])
+        * agent._when_few
+    )
     assert earns[0] == pytest.approx(MOST_EARNS * even)  # 0.47 of the paces, no more than that
     assert earns[3] == pytest.approx(4 * even * 0.25 / 4.25) and sum(earns) <= 4 * even
 
@@ -287,17 +299,43 @@
     """A power loss nobody thought of, on a small fleet."""
     chance = Random(number)
     slow = [chance.uniform(0.5, 0.8), chance.uniform(0.9, 1.6)]
-    return spec.read({
-        "name": "drawn", "seconds": 9, "zones": ["a", "b"], "agents": {"count": chance.randint(2, 8), "zipf": 0.6},
-        "backends": [{"count": chance.randint(4, 10), "cores": chance.choice([1, 2]), "speed": slow}],
-        "products": [{"name": "look", "work": 40, "slo": 500, "timeout": 1500},
-                     {"name": "pay", "kind": "non-idempotent", "work": 40, "slo": 500, "timeout": 1500, "value": 5}],
-        "traffic": {"calls_per_s": chance.choice([30, 60, 90])},
-        "rules": {"cold": chance.choice([4000.0, 10_000.0]), "drain_grace": 500.0},
-        "registry": {"lag": [100, 900], "silent_lag": [500, 2500], "call_cost": chance.choice([0.0, 100.0])},
-        "faults": [{"kind": "power", "at": 2, "agents": chance.uniform(0.3, 2), "backends": chance.uniform(0.3, 2),
+    return spec.read(
+        {
+            "name": "drawn",
+            "seconds": 9,
+            "zones": ["a", "b"],
+            "agents": {"count": chance.randint(2, 8), "zipf": 0.6},
+            "backends": [{"count": chance.randint(4, 10), "cores": chance.choice([1, 2]), "speed": slow}],
+            "products": [
+                {"name": "look", "work": 40, "slo": 500, "timeout": 1500},
+                {
+                    "name": "pay",
+                    "kind": "non-idempotent",
+                    "work": 40,
+                    "slo": 500,
+                    "timeout": 1500,
+                    "value": 5,
+                },
+            ],
+            "traffic": {"calls_per_s": chance.choice([30, 60, 90])},
+            "rules": {"cold": chance.choice([4000.0, 10_000.0]), "drain_grace": 500.0},
+            "registry": {
+                "lag": [100, 900],
+                "silent_lag": [500, 2500],
+                "call_cost": chance.choice([0.0, 100.0]),
+            },
+            "faults": [
+                {
+                    "kind": "power",
+                    "at": 2,
+                    "agents": chance.uniform(0.3, 2),
+                    "backends": chance.uniform(0.3, 2),
                     "registry": chance.uniform(0.3, 4),
-                    **({"over": {"backends": 2.0}} if chance.random() < 0.4 else {})}]})
+                    **({"over": {"backends": 2.0}} if chance.random() < 0.4 else {}),
+                }
+            ],
+        }
+    )
 
 
 def test_drawn_power_losses_keep_the_rules():
--- a/tests/test_ran.py
+++ b/tests/test_ran.py
@@ -4,16 +4,14 @@
 from types import SimpleNamespace
 
 import pytest
+from helpers import Site, look, target
+from helpers import run as on_loop
 from test_config import RAW
 from test_config import read as read_file
 from test_rig import SMALL as RIG
 from test_trial import SMALL
 
-from helpers import Site, look, target
-from helpers import run as on_loop
-
 from benchmarks.drawn_losses import drawn
-
 from lupinreach.bed.ways import virtual
 from lupinreach.bed.ways.disk import MemoryDisk
 from lupinreach.bed.world.chance import stream
@@ -28,7 +26,10 @@
 from lupinreach.store.store import Store
 from lupinreach.trial import play, spec
 
-TWICE = {"clients": {"replays": True}, "faults": [{"kind": "power", "at": 3, "agents": 0.3}, {"kind": "power", "at": 6, "agents": 0.3}]}
+TWICE = {
+    "clients": {"replays": True},
+    "faults": [{"kind": "power", "at": 3, "agents": 0.3}, {"kind": "power", "at": 6, "agents": 0.3}],
+}
 AGENTS = {"agents": {"count": 4, "store": True, "ran": True}}
 
 
@@ -53,8 +54,11 @@
     assert played.verdict == play.KEPT, played.result.breaches[:3]
     began = next(r[1] for r in ledger.records if r[0] == "asked")
     asked = {r[2]: (r[1], r[6]) for r in ledger.records if r[0] == "asked"}
-    late = [(asked[r[2]][1], r[3], (r[1] - asked[r[2]][0]) / 1000) for r in ledger.records
-            if r[0] == "got" and 4.5e6 < asked[r[2]][0] - began < 6.5e6]
+    late = [
+        (asked[r[2]][1], r[3], (r[1] - asked[r[2]][0]) / 1000)
+        for r in ledger.records
+        if r[0] == "got" and 4.5e6 < asked[r[2]][0] - began < 6.5e6
+    ]
     # Those that come first wait for what the sync may take, the others not at all.
     assert max(took for product, status, took in late if product == "pay" and status == 429) < 5
     assert not [status for product, status, _ in late if product == "pay" and status == 200]
@@ -98,15 +102,25 @@
             super().ran()
 
     async def work():
-        agent = SimpleNamespace(tasks=SimpleNamespace(spawn=lambda _, work: asyncio.ensure_future(work)),
-                                config=SimpleNamespace(settings=SimpleNamespace(agents=4)))
+        agent = SimpleNamespace(
+            tasks=SimpleNamespace(spawn=lambda _, work: asyncio.ensure_future(work)),
+            config=SimpleNamespace(settings=SimpleNamespace(agents=4)),
+        )
         one = object.__new__(Marks)
         store = Store("/a/carried", "agent-0", Disk(stream(1, "disk")))
         store.put("beat", [1, 1])
         await store.flush()
-        one.__dict__.update(_agent=agent, _store=store, _marking=None, _me=0, _config=SimpleNamespace(beat=8.0),
-                            members=SimpleNamespace(beat=0), _token=1, floor=SimpleNamespace(revision=0),
-                            own=SimpleNamespace(life=Life(1, 1), settled=True, superseded=False))
+        one.__dict__.update(
+            _agent=agent,
+            _store=store,
+            _marking=None,
+            _me=0,
+            _config=SimpleNamespace(beat=8.0),
+            members=SimpleNamespace(beat=0),
+            _token=1,
+            floor=SimpleNamespace(revision=0),
+            own=SimpleNamespace(life=Life(1, 1), settled=True, superseded=False),
+        )
         for _ in range(5):
             one.ran()
             one.ran()  # a second payment in the same moment needs no mark of its own
@@ -114,6 +128,7 @@
             one.members.beat += 1
             one._put_beat()
             await store.flush()
+
     asyncio.run(work())
     assert len(told) == 5 * 3 and told == sorted(told)
 
@@ -147,16 +162,21 @@
             kept.set()
             await site.settled()
             assert site.agent.counters.answered["left"] == 1 and not site.agent.counters.shots
+
     on_loop(work())
 
 
 def part(store, found=None):
     """The part alone, beside an agent that is none."""
     product = SimpleNamespace(kind=Kind.NON_IDEMPOTENT, timeout=1000.0)
-    agent = SimpleNamespace(serving=SimpleNamespace(ids=Ids(), remember=None, longest_wait=40.0), log=SimpleNamespace(event=lambda *_, **__: None),
-                            counters=SimpleNamespace(others=virtual.Counter()), config=SimpleNamespace(settings=SimpleNamespace(products=[product]), fleet=None),
-                            clock=SimpleNamespace(now=lambda: 0.0),
-                            tasks=SimpleNamespace(spawn=lambda _, work: asyncio.ensure_future(work)))
+    agent = SimpleNamespace(
+        serving=SimpleNamespace(ids=Ids(), remember=None, longest_wait=40.0),
+        log=SimpleNamespace(event=lambda *_, **__: None),
+        counters=SimpleNamespace(others=virtual.Counter()),
+        config=SimpleNamespace(settings=SimpleNamespace(products=[product]), fleet=None),
+        clock=SimpleNamespace(now=lambda: 0.0),
+        tasks=SimpleNamespace(spawn=lambda _, work: asyncio.ensure_future(work)),
+    )
     return agent, Ran(agent, store, found or store.open())
 
 
@@ -167,13 +187,16 @@
         assert await asyncio.gather(*(ran.keep(b"id-%d" % n) for n in range(50))) == [Remembered.KEPT] * 50
         disk.lose_power()
         agent, after = part(store := Store("/a/carried", "a", disk))
-        assert not any(agent.serving.ids.begin(b"id-%d" % n) for n in range(50)) and agent.serving.ids.begin(b"other")
+        assert not any(agent.serving.ids.begin(b"id-%d" % n) for n in range(50)) and agent.serving.ids.begin(
+            b"other"
+        )
         turns = asyncio.ensure_future(after.run())
         await asyncio.sleep(0.06)  # one turn of 40 ms
         assert sum(key.startswith("ran/") for key in store.state) == 50
         await asyncio.sleep(0.04)
         assert not [key for key in store.state if key.startswith("ran/")]
         turns.cancel()
+
     asyncio.run(work())
 
 
@@ -182,11 +205,16 @@
         disk = MemoryDisk(stream(1, "disk"))
         agent, ran = part(store := Store("/a/carried", "a", disk))
         disk.stuck = True
-        assert await ran.keep(b"a") is Remembered.KEPT and agent.counters.others["ran: not kept"] == 1  # as without it
+        assert (
+            await ran.keep(b"a") is Remembered.KEPT and agent.counters.others["ran: not kept"] == 1
+        )  # as without it
         disk.stuck = False
         while store.put(f"drain/{len(store.state)}", 1):
             pass
-        assert await ran.keep(b"b") is Remembered.NOT_NOW and agent.counters.others["ran: refused, no room"] == 1
+        assert (
+            await ran.keep(b"b") is Remembered.NOT_NOW and agent.counters.others["ran: refused, no room"] == 1
+        )
+
     asyncio.run(work())
 
 
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -17,31 +17,50 @@
 from lupinreach.bed.world.chance import stream
 from lupinreach.bed.world.network import Machine, Paths
 from lupinreach.bed.world.spec import plain
-from lupinreach.trial import play, spec
+from lupinreach.trial import spec
 from lupinreach.trial.rig.host import TheRegistry
 from lupinreach.trial.rig.places import Places
 from lupinreach.trial.rig.relay import Plane, Posts
 
-SMALL = {"name": "small", "mode": "loopback", "seconds": 8, "zones": ["a", "b"], "agents": {"count": 3},
-         "backends": [{"count": 4, "cores": 1, "speed": 1.0}],
-         "products": [{"name": "look", "work": 20, "slo": 500, "timeout": 1500},
-                      {"name": "pay", "kind": "non-idempotent", "work": 20, "slo": 500, "timeout": 1500, "value": 5}],
-         "traffic": {"calls_per_s": 40}, "rules": {"cold": 3000.0, "drain_grace": 500.0, "fall": 1000.0},
-         "registry": {"lag": [100, 300], "silent_lag": [500, 900]}}
+SMALL = {
+    "name": "small",
+    "mode": "loopback",
+    "seconds": 8,
+    "zones": ["a", "b"],
+    "agents": {"count": 3},
+    "backends": [{"count": 4, "cores": 1, "speed": 1.0}],
+    "products": [
+        {"name": "look", "work": 20, "slo": 500, "timeout": 1500},
+        {"name": "pay", "kind": "non-idempotent", "work": 20, "slo": 500, "timeout": 1500, "value": 5},
+    ],
+    "traffic": {"calls_per_s": 40},
+    "rules": {"cold": 3000.0, "drain_grace": 500.0, "fall": 1000.0},
+    "registry": {"lag": [100, 300], "silent_lag": [500, 900]},
+}
 TROUBLES = {
     "power": {"faults": [{"kind": "power", "at": 2, "agents": 0.6, "backends": 1.0, "registry": 1.4}]},
-    "deaf and apart": {"troubles": [{"kind": "deaf-agents", "at": 2, "seconds": 2.5, "targets": [1]},
-                                    {"kind": "drain", "at": 2.2, "seconds": 2, "targets": [0]},
-                                    {"kind": "apart-one-way", "at": 2, "seconds": 2, "targets": [1], "strength": 0.4},
-                                    {"kind": "narrow", "at": 2, "seconds": 2, "targets": [2], "strength": 5.0}]},
-    "reset and twin": {"agents": {"count": 3, "carry_s": 60}, "troubles": [
-        {"kind": "cut-reset", "at": 2, "seconds": 2, "targets": ["b"]},
-        {"kind": "twin-agents", "at": 1, "seconds": 4, "targets": [1]}]},
+    "deaf and apart": {
+        "troubles": [
+            {"kind": "deaf-agents", "at": 2, "seconds": 2.5, "targets": [1]},
+            {"kind": "drain", "at": 2.2, "seconds": 2, "targets": [0]},
+            {"kind": "apart-one-way", "at": 2, "seconds": 2, "targets": [1], "strength": 0.4},
+            {"kind": "narrow", "at": 2, "seconds": 2, "targets": [2], "strength": 5.0},
+        ]
+    },
+    "reset and twin": {
+        "agents": {"count": 3, "carry_s": 60},
+        "troubles": [
+            {"kind": "cut-reset", "at": 2, "seconds": 2, "targets": ["b"]},
+            {"kind": "twin-agents", "at": 1, "seconds": 4, "targets": [1]},
+        ],
+    },
     "asleep": {"troubles": [{"kind": "sleep-agents", "at": 2, "seconds": 1.5, "targets": [1]}]},
 }
 
 
-@pytest.mark.parametrize("name", [pytest.param(name, marks=pytest.mark.rig(SMALL | more)) for name, more in TROUBLES.items()])
+@pytest.mark.parametrize(
+    "name", [pytest.param(name, marks=pytest.mark.rig(SMALL | more)) for name, more in TROUBLES.items()]
+)
 def test_a_small_fleet_of_processes_keeps_the_rules_and_comes_back(name, played):
     assert played.result.rules == {rule: "kept" for rule in played.result.rules}, played.result.breaches[:3]
     ends = played.result.figures["answers"]
@@ -56,9 +75,13 @@
     # Found by the campaign (seed 12, history 46): both stand in one change of the list, in either order.
     world = spec.read(SMALL).world
     for entries in ([[0, "Ready"], [0, "Gone"]], [[0, "Gone"], [0, "Ready"]]):
-        rows = [("told", 0, 0, 1, 5, [[0, "Ready"], [1, "Ready"]], True), ("told", 1_000_000, 0, 1, 9, entries, False),
-                ("asked", 3_000_000, "a.0", 1, 0, 0, "look", "one", 20.0, 1500.0), ("sent", 3_001_000, 0, 1, 0, "a.0"),
-                ("got", 3_020_000, "a.0", 200, 0.0, "a.0")]
+        rows = [
+            ("told", 0, 0, 1, 5, [[0, "Ready"], [1, "Ready"]], True),
+            ("told", 1_000_000, 0, 1, 9, entries, False),
+            ("asked", 3_000_000, "a.0", 1, 0, 0, "look", "one", 20.0, 1500.0),
+            ("sent", 3_001_000, 0, 1, 0, "a.0"),
+            ("got", 3_020_000, "a.0", 200, 0.0, "a.0"),
+        ]
         assert not [b for b in Checker(world).read(rows) if b.rule == "drains"]
 
 
@@ -66,9 +89,15 @@
     # Found by the campaign (seed 41, history 315): the backend failed at once, and nothing of it got to the agent.
     deaf = {"troubles": [{"kind": "deaf-agents", "at": 1, "seconds": 3, "targets": [0]}]}
     for more, broken in ((deaf, set()), ({}, {"held"})):
-        rows = [("told", 0, 0, 1, 5, [[0, "Ready"]], True), *([("trouble", 1_000_000, 0, "deaf-agents", "begins", [0])] if more else []),
-                ("asked", 2_000_000, "a.0", 1, 0, 0, "pay", "one", 20.0, 1500.0), ("sent", 2_001_000, 0, 1, 0, "a.0"),
-                ("came", 2_002_000, 0, 1, "a.0", 20.0), ("failed", 2_002_000, 0, "a.0"), ("got", 3_480_000, "a.0", 502, 0.0, "")]
+        rows = [
+            ("told", 0, 0, 1, 5, [[0, "Ready"]], True),
+            *([("trouble", 1_000_000, 0, "deaf-agents", "begins", [0])] if more else []),
+            ("asked", 2_000_000, "a.0", 1, 0, 0, "pay", "one", 20.0, 1500.0),
+            ("sent", 2_001_000, 0, 1, 0, "a.0"),
+            ("came", 2_002_000, 0, 1, "a.0", 20.0),
+            ("failed", 2_002_000, 0, "a.0"),
+            ("got", 3_480_000, "a.0", 502, 0.0, ""),
+        ]
         assert {b.name for b in Checker(spec.read(SMALL | more).world).read(rows)} == broken
 
 
@@ -76,14 +105,19 @@
     # Found by the campaign (seed 21, history 71): the registry was back with the list of a moment in which nothing stood.
     world = spec.read(SMALL).world
     for version, broken in ((3, set()), (6, {"sent to draining"})):
-        rows = [("told", 0, 0, 1, 5, [[0, "Ready"], [1, "Ready"]], True), ("told", 1_000_000, 0, 1, version, [[1, "Ready"]], True),
-                ("asked", 3_000_000, "a.0", 1, 0, 0, "look", "one", 20.0, 1500.0), ("sent", 3_001_000, 0, 1, 0, "a.0"),
-                ("got", 3_020_000, "a.0", 200, 0.0, "a.0")]
+        rows = [
+            ("told", 0, 0, 1, 5, [[0, "Ready"], [1, "Ready"]], True),
+            ("told", 1_000_000, 0, 1, version, [[1, "Ready"]], True),
+            ("asked", 3_000_000, "a.0", 1, 0, 0, "look", "one", 20.0, 1500.0),
+            ("sent", 3_001_000, 0, 1, 0, "a.0"),
+            ("got", 3_020_000, "a.0", 200, 0.0, "a.0"),
+        ]
         assert {b.name for b in Checker(world).read(rows) if b.rule == "drains"} == broken
 
 
 # The relay by itself.
 
+
 def plane():
     paths = Paths(0.0, 0.0, 0.0, 0.0, stream(1, "paths"))
     return Plane(paths, stream(1, "relay")), Machine("near", 0), Machine("far", 1)
@@ -129,6 +163,7 @@
             assert await reader.readexactly(1) == b"B"
         between.close()
         server.close()
+
     run(work())
 
 
@@ -149,6 +184,7 @@
         assert await reader.readexactly(1) == b"C"
         between.close()
         server.close()
+
     run(work())
 
 
@@ -161,6 +197,7 @@
         with pytest.raises((ConnectionResetError, asyncio.IncompleteReadError)):
             await reader.readexactly(8)
         server.close()
+
     run(work())
 
 
@@ -185,6 +222,7 @@
         assert await reader.readexactly(1) == b"B"
         between.close()
         server.close()
+
     run(work())
 
 
@@ -193,45 +231,79 @@
         between, near, far = plane()
         server = await asyncio.start_server(echo, "127.0.0.1", 0)
         door, booked = ("127.0.0.1", free()), []
-        await between.door(door, near, far, server.sockets[0].getsockname(), lambda what, name: booked.append((what, name)),
-                           lambda name: booked.append(("sent", name)))
+        await between.door(
+            door,
+            near,
+            far,
+            server.sockets[0].getsockname(),
+            lambda what, name: booked.append((what, name)),
+            lambda name: booked.append(("sent", name)),
+        )
         reader, writer = await asyncio.open_connection(*door)
         for name in ("a1.0", "a1.1"):
             writer.write(b"GET / HTTP/1.1\r\nReq-Id: %s\r\n\r\n" % name.encode())
             await reader.readuntil(b"\r\n\r\n")
-        assert booked == [(what, name) for name in ("a1.0", "a1.1") for what in ("sent", "reached", "replied")]
+        assert booked == [
+            (what, name) for name in ("a1.0", "a1.1") for what in ("sent", "reached", "replied")
+        ]
         between.close()
         server.close()
+
     run(work())
 
 
 def test_a_try_that_the_relay_could_hand_to_nobody_was_never_taken():
-    rows = [("asked", n, name, n, 0, 1, "look", "", 20.0, 1000.0) for n, name in enumerate(("a.0", "b.0", "c.0"))]
-    rows += [("reached", 5, "a.0"), ("reached", 6, "c.0"), ("lost", 2000, "b.0", "reset"), ("lost", 2000, "c.0", "reset")]
+    rows = [
+        ("asked", n, name, n, 0, 1, "look", "", 20.0, 1000.0) for n, name in enumerate(("a.0", "b.0", "c.0"))
+    ]
+    rows += [
+        ("reached", 5, "a.0"),
+        ("reached", 6, "c.0"),
+        ("lost", 2000, "b.0", "reset"),
+        ("lost", 2000, "c.0", "reset"),
+    ]
     checker = Checker(spec.read(SMALL).world)
     assert [b.what.split()[0] for b in checker.read(rows)] == ["c.0"]
 
 
 def test_what_a_client_sends_once_more_to_the_next_life_was_held_by_nobody():
     def rows(back):
-        return [("agent", 0, 1, 1, "started"), ("agent", 90_000, 1, 1, "killed"), ("asked", 95_000, "1.0", 1, 0, 1, "look", "", 20.0, 1000.0),
-                ("agent", back, 1, 2, "started"), ("got", 1_060_000, "1.0", 429, 10.0, "")]
+        return [
+            ("agent", 0, 1, 1, "started"),
+            ("agent", 90_000, 1, 1, "killed"),
+            ("asked", 95_000, "1.0", 1, 0, 1, "look", "", 20.0, 1000.0),
+            ("agent", back, 1, 2, "started"),
+            ("got", 1_060_000, "1.0", 429, 10.0, ""),
+        ]
+
     assert Checker(spec.read(SMALL).world).read(rows(1_000_000)) == []
     early = Checker(spec.read(SMALL).world).read(rows(94_000))
     assert [b.name for b in early] == ["held"]
 
 
 def test_what_is_sent_to_an_agent_between_its_kill_and_its_next_start_has_no_one_to_answer_it():
-    rows = [("agent", 0, 1, 1, "started"), ("agent", 90_000, 1, 1, "killed"), ("agent", 200_000, 1, 2, "started")]
+    rows = [
+        ("agent", 0, 1, 1, "started"),
+        ("agent", 90_000, 1, 1, "killed"),
+        ("agent", 200_000, 1, 2, "started"),
+    ]
     for n, at in enumerate((80_000, 95_000, 210_000)):
-        rows += [("asked", at, f"{n}.0", n, 0, 1, "look", "", 20.0, 1000.0), ("reached", at, f"{n}.0"), ("lost", at + 3000, f"{n}.0", "reset")]
+        rows += [
+            ("asked", at, f"{n}.0", n, 0, 1, "look", "", 20.0, 1000.0),
+            ("reached", at, f"{n}.0"),
+            ("lost", at + 3000, f"{n}.0", "reset"),
+        ]
     found = Checker(spec.read(SMALL).world).read(sorted(rows, key=lambda row: row[1]))
     assert [b.what.split()[0] for b in found] == ["2.0"]
 
 
-@pytest.mark.parametrize("reached, replied, whose", [
-    (2, None, "agent"), (2, 1003, "agent"), (2, 990, "rig"), (25, None, "rig"), (None, None, "agent")])
-def test_an_answer_that_no_client_got_is_the_agents_fault_unless_the_relay_saw_it_in_time(reached, replied, whose):
+@pytest.mark.parametrize(
+    "reached, replied, whose",
+    [(2, None, "agent"), (2, 1003, "agent"), (2, 990, "rig"), (25, None, "rig"), (None, None, "agent")],
+)
+def test_an_answer_that_no_client_got_is_the_agents_fault_unless_the_relay_saw_it_in_time(
+    reached, replied, whose
+):
     world = spec.read(SMALL).world
     rows = [("asked", 0, "a.0", 10, 0, 1, "look", "", 20.0, 1000.0)]
     rows += [("reached", reached * 1000, "a.0")] if reached else []
@@ -275,11 +347,13 @@
         ends[0][0].sendto(b"twice", places.peer_for(0, 1))
         await asyncio.sleep(0.1)
         assert [data for data, _ in ends[1][1].got].count(b"twice") == 2
+
     run(work())
 
 
 # Stopped by a signal.
 
+
 def left_over(mark: str) -> list[str]:
     found = []
     for path in Path("/proc").glob("[0-9]*/environ"):
@@ -291,20 +365,34 @@
     return found
 
 
-@pytest.mark.parametrize("words, number", [(("trial", "run", "FILE", "--mode", "processes"), signal.SIGINT),
-                                           (("trial", "run", "FILE", "--mode", "processes"), signal.SIGTERM),
-                                           (("demo", "--seconds", "60"), signal.SIGINT)])
+@pytest.mark.parametrize(
+    "words, number",
+    [
+        (("trial", "run", "FILE", "--mode", "processes"), signal.SIGINT),
+        (("trial", "run", "FILE", "--mode", "processes"), signal.SIGTERM),
+        (("demo", "--seconds", "60"), signal.SIGINT),
+    ],
+)
 def test_a_run_that_is_stopped_takes_down_what_it_started_and_says_what_it_saw(words, number, tmp_path):
     file = tmp_path / "one.toml"
-    file.write_text('base = "calm"\nname = "one"\nseconds = 60\n[[faults]]\nkind = "power"\nat = 50\nagents = 1\n')
+    file.write_text(
+        'base = "calm"\nname = "one"\nseconds = 60\n[[faults]]\nkind = "power"\nat = 50\nagents = 1\n'
+    )
     folder = tmp_path / "tmp"
     folder.mkdir()
     mark = f"LUPINREACH_TEST={os.getpid()}-{time.monotonic_ns()}"
     env = {**os.environ, "PYTHONPATH": ".", "TMPDIR": str(folder), **dict([mark.split("=")])}
-    one = subprocess.Popen([sys.executable, "-m", "lupinreach.cli", *(str(file) if w == "FILE" else w for w in words)],
-                           stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True, env=env)
+    one = subprocess.Popen(
+        [sys.executable, "-m", "lupinreach.cli", *(str(file) if w == "FILE" else w for w in words)],
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+        text=True,
+        env=env,
+    )
     began = time.monotonic()
-    while len([c for c in left_over(mark) if c.endswith("lupinreach\0")]) < 3 and time.monotonic() < began + 20:
+    while (
+        len([c for c in left_over(mark) if c.endswith("lupinreach\0")]) < 3 and time.monotonic() < began + 20
+    ):
         time.sleep(0.1)
     time.sleep(1.5)
     one.send_signal(number)
@@ -317,9 +405,17 @@
 
 # Found on trials of 40 real agents: what the rig booked too early, or for too short a time.
 
+
 def test_an_agent_that_can_t_be_reached_is_told_nothing_with_processes_either(tmp_path):
     async def work():
-        order = {"world": plain(spec.read(SMALL).world), "seed": 1, "mine": [], "port": free(), "folder": str(tmp_path), "begin": 0.0}
+        order = {
+            "world": plain(spec.read(SMALL).world),
+            "seed": 1,
+            "mine": [],
+            "port": free(),
+            "folder": str(tmp_path),
+            "begin": 0.0,
+        }
         role = TheRegistry(order)
         await role.open()
         await role.do_plane(cut=[], refused=[], deaf=["agent 1"], dumb=[], parted=[])
@@ -329,12 +425,24 @@
         await role.do_plane(cut=[], refused=[], deaf=[], dumb=[], parted=[])
         # At once: found on a drawn loss, where an agent used a list 23 ms before it was booked as told.
         assert [r[2] for r in role.ground.ledger.of("told")] == [0, 2, 1]
+
     run(work())
 
 
 def test_an_agent_that_slept_longer_than_it_was_to_is_held_up_until_it_woke():
-    world = spec.read(SMALL | {"troubles": [{"kind": "sleep-agents", "at": 1, "seconds": 2, "targets": [1]}]}).world
-    rows = [("trouble", 1_000_000, 0, "sleep-agents", "begins", [1]), ("trouble", 3_200_000, 0, "sleep-agents", "ends", [1])]
-    rows += [row for n, left in enumerate((3_210_000, 3_400_000)) for row in
-             (("asked", left - 1_000_000, f"{n}.0", n, 0, 1, "look", "", 20.0, 1000.0), ("left", left, f"{n}.0"))]
+    world = spec.read(
+        SMALL | {"troubles": [{"kind": "sleep-agents", "at": 1, "seconds": 2, "targets": [1]}]}
+    ).world
+    rows = [
+        ("trouble", 1_000_000, 0, "sleep-agents", "begins", [1]),
+        ("trouble", 3_200_000, 0, "sleep-agents", "ends", [1]),
+    ]
+    rows += [
+        row
+        for n, left in enumerate((3_210_000, 3_400_000))
+        for row in (
+            ("asked", left - 1_000_000, f"{n}.0", n, 0, 1, "look", "", 20.0, 1000.0),
+            ("left", left, f"{n}.0"),
+        )
+    ]
     assert [b.what.split()[0] for b in Checker(world).read(sorted(rows, key=lambda row: row[1]))] == ["1.0"]
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -3,14 +3,17 @@
 import random
 
 import pytest
-
 from helpers import DRAINING, GONE, READY, Bench, PlainCall, PlainShot, settings
+
 from lupinreach.balance import Balancer, Call
 from lupinreach.model import Ending, Group, Kind, Listing, News, State
 
 KINDS = (
-    (Kind.IDEMPOTENT, Group.ALL), (Kind.NON_IDEMPOTENT, Group.ALL),
-    (Kind.DEDUPLICATED, Group.ALL), (Kind.DEDUPLICATED, Group.ZONE), (Kind.DEDUPLICATED, Group.CELL),
+    (Kind.IDEMPOTENT, Group.ALL),
+    (Kind.NON_IDEMPOTENT, Group.ALL),
+    (Kind.DEDUPLICATED, Group.ALL),
+    (Kind.DEDUPLICATED, Group.ZONE),
+    (Kind.DEDUPLICATED, Group.CELL),
 )
 FAILURES = [e for e in Ending if e not in (Ending.FULFILLED, Ending.CANCELLED)]
 
@@ -22,8 +25,17 @@
         """`live`: lists come often, with weights that move with load; `agents` more than backends refuse by them."""
         self.rng = random.Random(seed)
         self.live = live
-        self.given = settings(KINDS, slo=600.0, memory=250.0, shots=shots, copies=copies, cold=3000.0,
-                              live_weights=live, agents=agents, warm_keys=live)
+        self.given = settings(
+            KINDS,
+            slo=600.0,
+            memory=250.0,
+            shots=shots,
+            copies=copies,
+            cold=3000.0,
+            live_weights=live,
+            agents=agents,
+            warm_keys=live,
+        )
         self.listings = {i: Listing(i, READY, zone=i % 2, cell=i % 3) for i in range(6)}
         self.bench = Bench(self.given, seed=seed, entries=list(self.listings.values()))
         self.plain: dict[int, PlainCall] = {}
@@ -174,7 +186,9 @@
 def test_a_planted_fault_is_caught(plant, monkeypatch):
     if plant == "draining":
         monkeypatch.setattr(Call, "may_use", lambda self, b: True)
-        monkeypatch.setattr(Balancer, "_choose", lambda self, now, call: next(iter(self._backends.values()), None))
+        monkeypatch.setattr(
+            Balancer, "_choose", lambda self, now, call: next(iter(self._backends.values()), None)
+        )
     elif plant == "twice":
         monkeypatch.setattr(Call, "may_send", lambda self, now: not self.done)
     else:
@@ -183,6 +197,7 @@
         def silent(self, now, call):
             self._most_retry_after = 0.0
             refuse(self, now, call)
+
         monkeypatch.setattr(Balancer, "give_up", silent)
     with pytest.raises(AssertionError):
         for seed in range(4):
--- a/tests/test_shared.py
+++ b/tests/test_shared.py
@@ -12,20 +12,25 @@
 from lupinreach.bed.world.chance import stream
 from lupinreach.fleet import counts as counting
 from lupinreach.fleet import grants, wire
+from lupinreach.fleet import warmth as standing
 from lupinreach.fleet.counts import CELLS, Count, Counts, cells
 from lupinreach.fleet.evidence import HIGHEST, MOST, QUORUM, SHARE, TELLERS, Evidence, Met, boot_mark, harm
-from lupinreach.fleet.grants import DRIFT, FLOOR, Budget
+from lupinreach.fleet.grants import DRIFT, Budget
 from lupinreach.fleet.life import Life
-from lupinreach.fleet import warmth as standing
 from lupinreach.fleet.warmth import Stood, Warmth, earliest
 from lupinreach.fleet.wire import NEWS, WANT, Message
 from lupinreach.model import Listing, News, Shared
-from lupinreach.trial.models.lending import AGENTS, EXACT, LEASE, TOTAL, Lending
+from lupinreach.trial.models.lending import EXACT, LEASE, TOTAL, Lending
 from lupinreach.trial.models.search import search
 
 # Who stands: ages of cold backends by others' word.
 
-ROWS = some.lists(some.builds(Stood, some.integers(1, 6), some.integers(0, 3), some.floats(0, 30_000), some.floats(0, 30_000)), max_size=12)
+ROWS = some.lists(
+    some.builds(
+        Stood, some.integers(1, 6), some.integers(0, 3), some.floats(0, 30_000), some.floats(0, 30_000)
+    ),
+    max_size=12,
+)
 
 
 def warmth() -> Warmth:
@@ -34,7 +39,9 @@
 
 @tries(max_examples=150, deadline=None)
 @given(ROWS, some.randoms(use_true_random=False), some.floats(0, 20_000), some.floats(0, 20_000))
-def test_whoever_says_how_long_a_backend_stands_it_is_never_longer_than_this_agent_can_know(said, chance, began, refused_at):
+def test_whoever_says_how_long_a_backend_stands_it_is_never_longer_than_this_agent_can_know(
+    said, chance, began, refused_at
+):
     now = 25_000.0
     once, again = warmth(), warmth()
     for one, rows in ((once, said), (again, chance.sample(said * 2, 2 * len(said)))):
@@ -44,7 +51,16 @@
         found = one.since(began, dict.fromkeys(range(4), refused_at))
         assert all(since >= earliest(began, refused_at) for since in found.values())
         for backend in found:  # a lone claim waits for a second that met it after this agent was refused
-            assert len({r.teller for r in said if r.backend == backend and now - r.last > earliest(began, refused_at)}) >= 2
+            assert (
+                len(
+                    {
+                        r.teller
+                        for r in said
+                        if r.backend == backend and now - r.last > earliest(began, refused_at)
+                    }
+                )
+                >= 2
+            )
     assert len(once) <= 4 * (standing.TELLERS + 1)
 
 
@@ -69,18 +85,25 @@
         bench.agent._refused(bench.now, b)
     bench.move(10_000)
     here = bench.agent._ring[0]
-    assert bench.agent._capacity(bench.now, here) == pytest.approx(0.2) and here in bench.agent.young(bench.now)
+    assert bench.agent._capacity(bench.now, here) == pytest.approx(0.2) and here in bench.agent.young(
+        bench.now
+    )
     bench.agent.shared(bench.now, Shared({}, stood={here.name: bench.now - 10_000}))
     assert bench.agent._capacity(bench.now, here) == pytest.approx(0.6) and not here.down
-    bench.agent.shared(bench.now, Shared({}, stood={here.name: bench.now - 5_000}))  # nobody gets younger by it
+    bench.agent.shared(
+        bench.now, Shared({}, stood={here.name: bench.now - 5_000})
+    )  # nobody gets younger by it
     assert bench.agent._capacity(bench.now, here) == pytest.approx(0.6)
     bench.list(News.FULL, [Listing(i, READY, bench.now - 1000) for i in range(4)])
     bench.agent.shared(bench.now, Shared({}, stood={here.name: bench.now - 15_000}))
-    assert bench.agent._capacity(bench.now, here) == pytest.approx(0.24) and here not in bench.agent.young(bench.now)
+    assert bench.agent._capacity(bench.now, here) == pytest.approx(0.24) and here not in bench.agent.young(
+        bench.now
+    )
 
 
 # Lending: every history of three agents whose words are lost, doubled and late.
 
+
 def test_no_history_spends_more_than_there_is_nor_leaves_anybody_under_the_floor():
     found = search(Lending())
     assert found.well and found.states > 10_000
@@ -106,7 +129,9 @@
 
     def __init__(self, *given, **more):
         super().__init__(*given, **more)
-        self._borrow_for = self._lease * 1.5  # a borrower's clock that is late, or a wall clock that was set back
+        self._borrow_for = (
+            self._lease * 1.5
+        )  # a borrower's clock that is late, or a wall clock that was set back
 
 
 class LendsItsFloor(Budget):
@@ -147,16 +172,22 @@
             if by == to:
                 continue
             there = now * rates[to]
-            if kind == "want" and (got := all_of[to].grant(there, by, life, about, 1.0, all_of[to].usable(there))):
+            if kind == "want" and (
+                got := all_of[to].grant(there, by, life, about, 1.0, all_of[to].usable(there))
+            ):
                 words.append(("grant", to, life, by, about, got))
             elif kind == "grant" and life == lives[to]:
                 all_of[to].granted(there, about, amount)
         uses = [b.usable(now * r) for b, r in zip(all_of, rates, strict=True)]
-        assert sum(uses) <= grants.most(TOTAL, agents) + EXACT and min(uses) >= grants.least(TOTAL) / agents - EXACT
+        assert (
+            sum(uses) <= grants.most(TOTAL, agents) + EXACT
+            and min(uses) >= grants.least(TOTAL) / agents - EXACT
+        )
 
 
 # Evidence.
 
+
 def met(teller, backend=7, figure=2.0, age=0.0, zone=0):
     return Met(teller, zone, backend, 1, figure, age)
 
@@ -165,7 +196,17 @@
     return Evidence(me, zone, 500.0, lambda draws=stream(me, "evidence"): float(draws.random()))
 
 
-rows = some.lists(some.builds(met, some.integers(0, 9), some.integers(1, 4), some.floats(-1, 9), some.floats(-10, 4000), some.integers(0, 1)), max_size=30)
+rows = some.lists(
+    some.builds(
+        met,
+        some.integers(0, 9),
+        some.integers(1, 4),
+        some.floats(-1, 9),
+        some.floats(-10, 4000),
+        some.integers(0, 1),
+    ),
+    max_size=30,
+)
 
 
 @tries(max_examples=150, deadline=None, derandomize=True)
@@ -179,8 +220,9 @@
         two.heard(10_000.0, [row])
     own = {(b, 1): (0.5, 0.0) for b in range(1, 5)}
     # As far as rows are kept: of more tellers than that the newest.
-    if all(len({r.teller for r in said if r.backend == b}) <= TELLERS for b in range(1, 5)) and \
-            len({(r.teller, r.backend, r.age) for r in said}) == len(said):
+    if all(len({r.teller for r in said if r.backend == b}) <= TELLERS for b in range(1, 5)) and len(
+        {(r.teller, r.backend, r.age) for r in said}
+    ) == len(said):
         assert one.said(10_000.0, own) == two.said(10_000.0, own)
 
 
@@ -267,11 +309,13 @@
                 assert pool.open == 2 and pool.leave({0}, 1e6) == 0  # not while it may be used again
                 assert pool.leave({0}, 0.0) == 1 and pool.open == 1
                 assert pool.leave({0}, 0.0) == 0
+
     on_loop(work())
 
 
 # Counts.
 
+
 def counts(me=0, customers=3, window=1000.0):
     return Counts(me, customers, window, lambda draws=stream(me, "counts"): float(draws.random()))
 
@@ -281,7 +325,9 @@
 
     def _put(self, now, c):
         row = self._rows.get((c.agent, c.cell))
-        super()._put(now, c if row is None else Count(c.agent, c.life, c.cell, row.total + c.total, c.stamp, c.age))
+        super()._put(
+            now, c if row is None else Count(c.agent, c.life, c.cell, row.total + c.total, c.stamp, c.age)
+        )
 
 
 def fleet_of_counts(seed, of):
@@ -304,7 +350,10 @@
             for _ in range(2):
                 if not (n == 3 and 40 < step < 100) and chance.random() < 0.7:
                     to = chance.randrange(6)
-                    late += [(now + chance.choice((0, 0, 100, 2000)), to, agent.digest(now, 6)) for _ in range(chance.choice((1, 1, 2)))]
+                    late += [
+                        (now + chance.choice((0, 0, 100, 2000)), to, agent.digest(now, 6))
+                        for _ in range(chance.choice((1, 1, 2)))
+                    ]
         for word in [w for w in late if w[0] <= now]:
             late.remove(word)
             agents[word[1]].heard(now, word[2])
@@ -322,7 +371,7 @@
 
 def test_what_all_ask_is_known_at_all_a_silent_agent_fades_and_a_new_life_counts_anew():
     many, now = [counts(n) for n in range(3)], 0.0
-    for step in range(60):
+    for _ in range(60):
         now += 100.0
         for n, one in enumerate(many):
             for _ in range(n + 1):
@@ -332,7 +381,7 @@
             for other in many:
                 other.heard(now, one.digest(now, 20))
     assert many[0].rates(now) == pytest.approx([10.0, 20.0, 30.0], rel=0.05)
-    for step in range(80):
+    for _ in range(80):
         now += 100.0
         for one in many[:2]:
             one.took(one.me)
@@ -341,7 +390,9 @@
     again = counts(1)
     again.look(now, 2, 100.0)
     many[0].heard(now, [Count(1, 2, 1, 500, 100.0, 0.0)])
-    assert many[0].rates(now)[1] == 0.0  # of a new life nothing is known yet, and nothing of the old one stays
+    assert (
+        many[0].rates(now)[1] == 0.0
+    )  # of a new life nothing is known yet, and nothing of the old one stays
 
 
 def test_many_customers_share_a_sketch_that_never_counts_too_little():
@@ -360,12 +411,39 @@
 
 # Words.
 
-texts = some.builds(Message, kind=some.just(NEWS), sender=some.integers(0, 999), life=some.just(Life(3, 4)), beat=some.just(5),
-                    remembers=some.booleans(), revision=some.just(6),
-                    mets=some.lists(some.builds(Met, some.integers(0, 999), some.integers(0, 9), some.integers(0, 2**32 - 1), some.integers(0, 65535),
-                                                some.sampled_from([0.0, 0.5, 2.0]), some.sampled_from([0.0, 500.0])), max_size=8).map(tuple),
-                    counts=some.lists(some.builds(Count, some.integers(0, 999), some.integers(1, 99), some.integers(0, CELLS - 1), some.integers(0, 2**31),
-                                                  some.sampled_from([0.0, 7e6]), some.sampled_from([0.0, 20.0])), max_size=6).map(tuple))
+texts = some.builds(
+    Message,
+    kind=some.just(NEWS),
+    sender=some.integers(0, 999),
+    life=some.just(Life(3, 4)),
+    beat=some.just(5),
+    remembers=some.booleans(),
+    revision=some.just(6),
+    mets=some.lists(
+        some.builds(
+            Met,
+            some.integers(0, 999),
+            some.integers(0, 9),
+            some.integers(0, 2**32 - 1),
+            some.integers(0, 65535),
+            some.sampled_from([0.0, 0.5, 2.0]),
+            some.sampled_from([0.0, 500.0]),
+        ),
+        max_size=8,
+    ).map(tuple),
+    counts=some.lists(
+        some.builds(
+            Count,
+            some.integers(0, 999),
+            some.integers(1, 99),
+            some.integers(0, CELLS - 1),
+            some.integers(0, 2**31),
+            some.sampled_from([0.0, 7e6]),
+            some.sampled_from([0.0, 20.0]),
+        ),
+        max_size=6,
+    ).map(tuple),
+)
 
 
 @tries(max_examples=80, deadline=None, derandomize=True)
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -16,8 +16,16 @@
 
 
 # The others are played by the benchmark.
-@pytest.mark.parametrize("case", ["a third hears nothing", "words lost, doubled, late", "a part restarts again and again",
-                                  "sleepers", "clocks that drift"])
+@pytest.mark.parametrize(
+    "case",
+    [
+        "a third hears nothing",
+        "words lost, doubled, late",
+        "a part restarts again and again",
+        "sleepers",
+        "clocks that drift",
+    ],
+)
 def test_no_bound_is_passed_at_any_agent_whatever_fails(case):
     run, most = shared_bounds.played(case, 3, agents=8, seconds=14.0)
     assert run.verdict == play.KEPT, run.result.breaches[:3]
@@ -28,12 +36,17 @@
 def test_a_life_on_an_empty_disk_that_takes_its_share_for_unlent_is_found(monkeypatch):
     # Found by the case of parts that restart without a disk: 1.17 of the fleet's trials.
     plain = Budget.__init__
-    monkeypatch.setattr(Budget, "__init__", lambda self, now, total, agents, lease: plain(self, now, total, agents, lease, True))
+    monkeypatch.setattr(
+        Budget,
+        "__init__",
+        lambda self, now, total, agents, lease: plain(self, now, total, agents, lease, True),
+    )
     assert shared_bounds.played("a part restarts again and again", 3, agents=8, seconds=14.0)[1]["trials"] > 1
 
 
 # Planted mistakes, each found by the bound that it passes.
 
+
 def test_a_lease_by_a_clock_that_was_set_back_is_found(monkeypatch):
     plain = Budget.__init__
 
@@ -52,12 +65,22 @@
 
 def test_counts_merged_by_sums_are_found(monkeypatch):
     from test_shared import Sums
+
     monkeypatch.setattr("lupinreach.ops.sharing.Counts", Sums)
     assert shared_bounds.played("words lost, doubled, late", 3, agents=8, seconds=14.0)[1]["counts"] > 1
 
 
-@pytest.mark.rig(RIG | AGENTS | {"seconds": 9, "troubles": [{"kind": "slow", "at": 1, "seconds": 6, "targets": [0], "strength": 6},
-                                                            {"kind": "deaf-agents", "at": 1, "seconds": 6, "targets": [1]}]})
+@pytest.mark.rig(
+    RIG
+    | AGENTS
+    | {
+        "seconds": 9,
+        "troubles": [
+            {"kind": "slow", "at": 1, "seconds": 6, "targets": [0], "strength": 6},
+            {"kind": "deaf-agents", "at": 1, "seconds": 6, "targets": [1]},
+        ],
+    }
+)
 def test_agents_of_a_fleet_of_processes_share_and_one_that_hears_nothing_says_so(played):
     assert played.result.rules == {rule: "kept" for rule in played.result.rules}, played.result.breaches[:3]
 
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -4,8 +4,10 @@
 from collections import Counter
 
 import pytest
-from hypothesis import given, settings as played
+from hypothesis import given
+from hypothesis import settings as played
 from hypothesis import strategies as some
+from test_disk import Stops
 
 from lupinreach.bed.ways.disk import CARRIED, MemoryDisk
 from lupinreach.bed.world.chance import stream
@@ -13,7 +15,6 @@
 from lupinreach.store.records import HEAD, record, whole
 from lupinreach.store.store import Store
 from lupinreach.store.trust import ITEMS, Trust, believed
-from test_disk import Stops
 
 PUTS = [("life", 3), ("drain/b-1", [5, 1000]), ("life", 4), ("drain/b-1", None), ("floor", 77)]
 
@@ -45,7 +46,7 @@
     for at in range(len(text)):
         for flip in (1, 0x80):
             state = max((e for e in ends if e[0] <= at), key=lambda e: e[0], default=(0, {}))[1]
-            found = records.read(text[:at] + bytes([text[at] ^ flip]) + text[at + 1:], "a")
+            found = records.read(text[:at] + bytes([text[at] ^ flip]) + text[at + 1 :], "a")
             assert found.state == state and not found.whole
 
 
@@ -55,10 +56,17 @@
         assert found.state == {"life": 1} and found.lost == 10
 
 
-@pytest.mark.parametrize("text, why", [
-    (whole("b", {"life": 9}), "another agent's"), (record("", {"form": 2, "agent": "a"}) + record("life", 9), "another form"),
-    (record("life", 9), "another form"), (b"", "torn or empty"), (b"\xff" * 30, "torn or empty"),
-    (b'{"form": 1, "at"', "torn or no such file")])
+@pytest.mark.parametrize(
+    "text, why",
+    [
+        (whole("b", {"life": 9}), "another agent's"),
+        (record("", {"form": 2, "agent": "a"}) + record("life", 9), "another form"),
+        (record("life", 9), "another form"),
+        (b"", "torn or empty"),
+        (b"\xff" * 30, "torn or empty"),
+        (b'{"form": 1, "at"', "torn or no such file"),
+    ],
+)
 def test_what_is_no_file_of_this_agent_s_is_believed_of_nothing(text, why):
     found = records.read(text, "a")
     assert (found.state, found.why, found.whole) == ({}, why, False)
@@ -74,8 +82,11 @@
     assert records.read(disk.copy(), "a").state == {"learnt": {"form": 1, "at": 5}, "life": 1}
 
 
-values = some.recursive(some.none() | some.booleans() | some.integers(-2**53, 2**53) | some.text(max_size=8),
-                        lambda inner: some.lists(inner, max_size=3) | some.dictionaries(some.text(max_size=4), inner, max_size=3), max_leaves=6)
+values = some.recursive(
+    some.none() | some.booleans() | some.integers(-(2**53), 2**53) | some.text(max_size=8),
+    lambda inner: some.lists(inner, max_size=3) | some.dictionaries(some.text(max_size=4), inner, max_size=3),
+    max_leaves=6,
+)
 
 
 @played(max_examples=200, derandomize=True, deadline=None)
@@ -91,6 +102,7 @@
 
 # Power losses: each point at which one can come, and all that the disk may then hold.
 
+
 def test_after_a_power_loss_at_any_step_what_was_flushed_is_there_and_nothing_that_was_not_put():
     outcomes = 0
     for steps in range(30):
@@ -108,7 +120,9 @@
             found = records.read(text, "a").state if text is not None else {}
             assert found.get("life", 0) >= safe.get("life", 0)
             # A record is whole or not there: between two flushes any first part of the second's may stand.
-            assert found in put or any(found == (a | {"life": b["life"]}) for a, b in zip(put, put[1:], strict=False))
+            assert found in put or any(
+                found == (a | {"life": b["life"]}) for a, b in zip(put, put[1:], strict=False)
+            )
             outcomes += 1
     assert outcomes > 300
 
@@ -172,4 +186,7 @@
     kept = {key.partition("/")[0] for key in believed(state)}
     assert kept == {name for name, item in ITEMS.items() if item.trust is not Trust.NEVER}
     assert Counter(item.trust for item in ITEMS.values())[Trust.NEVER] >= 4
-    assert trust.merged({"of a later version": 3, "life": "x"}, {"life": 2}) == {"of a later version": 3, "life": 2}
+    assert trust.merged({"of a later version": 3, "life": "x"}, {"life": 2}) == {
+        "of a later version": 3,
+        "life": 2,
+    }
--- a/tests/test_trial.py
+++ b/tests/test_trial.py
@@ -18,31 +18,47 @@
 from lupinreach.config import BadConfig
 from lupinreach.trial import figures, play, spec
 
-SMALL = {"name": "t", "seconds": 12, "zones": ["a", "b"], "agents": {"count": 4},
-         "backends": [{"count": 6, "cores": 1, "speed": 1.0}],
-         "products": [{"name": "look", "work": 40, "slo": 500, "timeout": 1500},
-                      {"name": "pay", "kind": "non-idempotent", "work": 40, "slo": 500, "timeout": 1500, "value": 5}],
-         "traffic": {"calls_per_s": 60}, "rules": {"cold": 4000.0, "drain_grace": 500.0, "fall": 1000.0},
-         "registry": {"lag": [100, 300], "silent_lag": [500, 900]}}
+SMALL = {
+    "name": "t",
+    "seconds": 12,
+    "zones": ["a", "b"],
+    "agents": {"count": 4},
+    "backends": [{"count": 6, "cores": 1, "speed": 1.0}],
+    "products": [
+        {"name": "look", "work": 40, "slo": 500, "timeout": 1500},
+        {"name": "pay", "kind": "non-idempotent", "work": 40, "slo": 500, "timeout": 1500, "value": 5},
+    ],
+    "traffic": {"calls_per_s": 60},
+    "rules": {"cold": 4000.0, "drain_grace": 500.0, "fall": 1000.0},
+    "registry": {"lag": [100, 300], "silent_lag": [500, 900]},
+}
 POWER = {"kind": "power", "at": 3, "agents": 1, "backends": 1.5, "registry": 2}
 
 
 def command(*words, **more):
-    return subprocess.run([sys.executable, "-m", "lupinreach.cli", *words], capture_output=True, text=True,
-                          env={**os.environ, "PYTHONPATH": "."}, **more)
-
-
-@pytest.mark.parametrize("raw, path", [
-    ({"faults": [{"kind": "powr", "at": 1, "agents": 1}]}, "faults[0].kind"),
-    ({"faults": [{"kind": "power", "at": 1}]}, "faults[0].agents"),
-    ({"faults": [POWER | {"rack": "c"}]}, "faults[0].rack"),
-    ({"faults": [POWER | {"registry": "soon"}]}, "faults[0].registry"),
-    ({"faults": [POWER | {"over": {"registry": 2}}]}, "faults[0].over.registry"),
-    ({"faults": [POWER | {"stagger": 2}]}, "faults[0].stagger"),
-    ({"expect": {"first_30s": 0.5}}, "expect.first_30s"),
-    ({"since": 60}, "since"),
-    ({"agents": {"cout": 3}}, "agents.cout"),
-])
+    return subprocess.run(
+        [sys.executable, "-m", "lupinreach.cli", *words],
+        capture_output=True,
+        text=True,
+        env={**os.environ, "PYTHONPATH": "."},
+        **more,
+    )
+
+
+@pytest.mark.parametrize(
+    "raw, path",
+    [
+        ({"faults": [{"kind": "powr", "at": 1, "agents": 1}]}, "faults[0].kind"),
+        ({"faults": [{"kind": "power", "at": 1}]}, "faults[0].agents"),
+        ({"faults": [POWER | {"rack": "c"}]}, "faults[0].rack"),
+        ({"faults": [POWER | {"registry": "soon"}]}, "faults[0].registry"),
+        ({"faults": [POWER | {"over": {"registry": 2}}]}, "faults[0].over.registry"),
+        ({"faults": [POWER | {"stagger": 2}]}, "faults[0].stagger"),
+        ({"expect": {"first_30s": 0.5}}, "expect.first_30s"),
+        ({"since": 60}, "since"),
+        ({"agents": {"cout": 3}}, "agents.cout"),
+    ],
+)
 def test_a_faulty_trial_is_refused_by_the_whole_path(raw, path):
     with pytest.raises(BadConfig, match=path.replace("[", r"\[").replace("]", r"\]")):
         spec.read(SMALL | raw)
@@ -71,8 +87,11 @@
     us = 1_000_000
     records = [("agent", 0, 0, 1, "started"), ("state", 0, 0, 1, "Ready", 2.0, 0.0, 0.2, 0, 0)]
     records += [("asked", i * us // 10, f"{i:x}.0", i, 0, 0, "look", "", 100.0, 900.0) for i in range(30)]
-    records += [("got", 50_000, "0.0", 200, 0.0, "0.0"), ("state", 1 * us, 0, 1, "Gone", 0.0, 0.0, 0.0, 0, 0),
-                ("state", 2 * us, 0, 2, "Ready", 2.0, 4000.0, 0.2, 0, 0)]
+    records += [
+        ("got", 50_000, "0.0", 200, 0.0, "0.0"),
+        ("state", 1 * us, 0, 1, "Gone", 0.0, 0.0, 0.0, 0, 0),
+        ("state", 2 * us, 0, 2, "Ready", 2.0, 4000.0, 0.2, 0, 0),
+    ]
     records.sort(key=lambda r: r[1])
     rows = figures.seconds(world, records)
     # 100 ms of work each 100 ms: warm it could do 200; down nothing; cold 200 x (0.2 + 0.8 x age / 4000).
@@ -84,14 +103,28 @@
 
 
 def test_an_agent_has_one_second_process_at_a_time():
-    twice = [{"kind": "twin-agents", "at": 1, "seconds": 2, "targets": [1]}, {"kind": "twin-agents", "at": 2, "seconds": 3, "targets": [1]}]
-    trial = spec.read(SMALL | {"seconds": 6, "agents": {"count": 4, "store": True, "fleet": True}, "limits": {"peers": True}, "troubles": twice})
+    twice = [
+        {"kind": "twin-agents", "at": 1, "seconds": 2, "targets": [1]},
+        {"kind": "twin-agents", "at": 2, "seconds": 3, "targets": [1]},
+    ]
+    trial = spec.read(
+        SMALL
+        | {
+            "seconds": 6,
+            "agents": {"count": 4, "store": True, "fleet": True},
+            "limits": {"peers": True},
+            "troubles": twice,
+        }
+    )
     assert play.run(trial, 3).verdict == play.KEPT
 
 
 def test_a_process_is_started_once_and_after_the_one_before_has_ended():
     # Found by the campaign (seed 11, history 1): a restart shorter than a stop, and power lost meanwhile, started two on one address.
-    again = [{"kind": "restart-agents", "at": 2, "seconds": 0.3, "targets": [0, 1]}, {"kind": "kill-agents", "at": 2.2, "seconds": 0.4, "targets": [1, 2]}]
+    again = [
+        {"kind": "restart-agents", "at": 2, "seconds": 0.3, "targets": [0, 1]},
+        {"kind": "kill-agents", "at": 2.2, "seconds": 0.4, "targets": [1, 2]},
+    ]
     ledger = virtual.play((trial := spec.read(SMALL | {"troubles": again})).world, 3)
     assert play.judge(trial, 3, ledger).verdict == play.KEPT
     lives = {n: [(r[3], r[4]) for r in ledger.records if r[0] == "agent" and r[2] == n] for n in range(3)}
@@ -110,8 +143,15 @@
 
 
 def test_a_deaf_agent_sends_and_hears_nothing_and_is_told_nothing_meanwhile():
-    one = spec.read(SMALL | {"troubles": [{"kind": "deaf-agents", "at": 3, "seconds": 5, "targets": [1]},
-                                          {"kind": "drain", "at": 4, "seconds": 3, "targets": [2]}]})
+    one = spec.read(
+        SMALL
+        | {
+            "troubles": [
+                {"kind": "deaf-agents", "at": 3, "seconds": 5, "targets": [1]},
+                {"kind": "drain", "at": 4, "seconds": 3, "targets": [2]},
+            ]
+        }
+    )
     records = virtual.play(one.world, 3).records
     begin = next(r[1] for r in records if r[0] == "asked")
     inside = [r for r in records if begin + 3.3e6 < r[1] < begin + 7.9e6]
@@ -125,8 +165,15 @@
 
 
 def test_backends_apart_from_some_agents_serve_the_others_and_a_narrow_one_is_slow():
-    one = spec.read(SMALL | {"troubles": [{"kind": "apart", "at": 3, "seconds": 5, "targets": [2], "strength": 0.5},
-                                          {"kind": "apart-one-way", "at": 4, "seconds": 2, "targets": [2], "strength": 0.5}]})
+    one = spec.read(
+        SMALL
+        | {
+            "troubles": [
+                {"kind": "apart", "at": 3, "seconds": 5, "targets": [2], "strength": 0.5},
+                {"kind": "apart-one-way", "at": 4, "seconds": 2, "targets": [2], "strength": 0.5},
+            ]
+        }
+    )
     records = virtual.play(one.world, 3).records
     begin = next(r[1] for r in records if r[0] == "asked")
     inside = [r for r in records if begin + 3.1e6 < r[1] < begin + 7.9e6]
@@ -149,27 +196,49 @@
 
 
 def test_a_registry_that_comes_back_with_an_older_list_tells_it():
-    one = spec.read(SMALL | {"troubles": [
-        {"kind": "replace", "at": 1, "seconds": 2, "targets": [0]},
-        {"kind": "registry-older", "at": 5, "seconds": 1, "strength": 4.5}]})
+    one = spec.read(
+        SMALL
+        | {
+            "troubles": [
+                {"kind": "replace", "at": 1, "seconds": 2, "targets": [0]},
+                {"kind": "registry-older", "at": 5, "seconds": 1, "strength": 4.5},
+            ]
+        }
+    )
     records = virtual.play(one.world, 3).records
     last = [r for r in records if r[0] == "told" and r[2] == 0]
     assert max(r[4] for r in last) > last[-1][4] and [0, "Ready"] in last[-1][5]
 
 
 def test_an_agent_whose_clock_is_wrong_keeps_the_rules(capsys):
-    one = spec.read(SMALL | {"troubles": [{"kind": "clock-agents", "at": 2, "seconds": 9, "share": 0.5,
-                                           "strength": -86400.0}], "faults": [POWER]})
+    one = spec.read(
+        SMALL
+        | {
+            "troubles": [{"kind": "clock-agents", "at": 2, "seconds": 9, "share": 0.5, "strength": -86400.0}],
+            "faults": [POWER],
+        }
+    )
     assert play.run(one, 3).verdict == play.KEPT
     assert "Event loop is closed" not in capsys.readouterr().err
 
 
 def test_a_trial_is_run_from_the_command_line_with_a_page(tmp_path):
     file = tmp_path / "one.toml"
-    file.write_text('base = "calm"\nname = "one"\nseconds = 6\n[[faults]]\nkind = "power"\nat = 2\nagents = 1\n'
-                    'backends = 1\nregistry = 1\n[expect]\nwhole = 0.1\n')
-    found = command("trial", "run", str(file), "--seed", "4", "--report", str(tmp_path), "--json",
-                    str(tmp_path / "out.json"))
+    file.write_text(
+        'base = "calm"\nname = "one"\nseconds = 6\n[[faults]]\nkind = "power"\nat = 2\nagents = 1\n'
+        "backends = 1\nregistry = 1\n[expect]\nwhole = 0.1\n"
+    )
+    found = command(
+        "trial",
+        "run",
+        str(file),
+        "--seed",
+        "4",
+        "--report",
+        str(tmp_path),
+        "--json",
+        str(tmp_path / "out.json"),
+    )
     line = json.loads(found.stdout.splitlines()[-1])
     assert found.returncode == 0 and line["verdict"] == "kept" and line["seeds"] == [4]
     assert "<svg" in (tmp_path / "trial-one.html").read_text()
@@ -198,10 +267,19 @@
         with loop.owned_by(n + 1):
             one = Post()
             posts.append(one)
-            loop.run_until_complete(MemorySockets(net, Machine(f"agent {n}", n % 2)).datagrams(lambda one=one: one, (str(n), 1)))
+            loop.run_until_complete(
+                MemorySockets(net, Machine(f"agent {n}", n % 2)).datagrams(lambda one=one: one, (str(n), 1))
+            )
     change(paths)
     for i in range(messages):
-        loop.call_later(i / 1000, net.tell, net.posts["0", 1].machine, ("0", 1), ("1", 1) if i % 2 else ("all", 1), b"%d" % i)
+        loop.call_later(
+            i / 1000,
+            net.tell,
+            net.posts["0", 1].machine,
+            ("0", 1),
+            ("1", 1) if i % 2 else ("all", 1),
+            b"%d" % i,
+        )
     loop.call_later(messages / 2000, net.die, 3)
     loop.run_until_complete(asyncio.sleep(5))
     loop.end()
@@ -222,9 +300,19 @@
         paths.late, paths.late_by = 0.25, 50.0
 
     _, held, _ = posted(late)
-    assert sorted(held) == list(range(200)) and 30 < sum(a > b for a, b in zip(held, held[1:])) < 70
-    one = spec.read(PEERS | {"troubles": [{"kind": "datagrams-late", "at": 1, "strength": 500, "share": 0.4},
-                                          {"kind": "datagrams-doubled", "at": 1, "strength": 0.2}]})
+    assert (
+        sorted(held) == list(range(200))
+        and 30 < sum(a > b for a, b in zip(held, held[1:], strict=False)) < 70
+    )
+    one = spec.read(
+        PEERS
+        | {
+            "troubles": [
+                {"kind": "datagrams-late", "at": 1, "strength": 500, "share": 0.4},
+                {"kind": "datagrams-doubled", "at": 1, "strength": 0.2},
+            ]
+        }
+    )
     assert play.run(one, 3).verdict == "kept"
 
 
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -9,15 +9,15 @@
 
 import orjson
 import pytest
-
 from helpers import OK, run
-from lupinreach.ops import succession
-from lupinreach.ops.succession import Process, Succession
 from upgrading import ROOT, WAITS, Platform, platform
 
+from lupinreach.ops import succession
+from lupinreach.ops.succession import Process, Succession
 
 # The file.
 
+
 def test_a_file_reads_back_and_everything_else_is_no_file():
     one = Process(7, 99)
     text = succession.written(one)
@@ -61,27 +61,44 @@
 
 # The descriptor.
 
+
 @pytest.mark.parametrize("kind", ["none", "word", "closed", "file", "not listening", "datagrams"])
 def test_a_faulty_descriptor_is_named_and_ends_the_start(tmp_path, kind):
     sock = socket.socket(type=socket.SOCK_DGRAM if kind == "datagrams" else socket.SOCK_STREAM)
     with sock, open(tmp_path / "file", "w") as file:
         number = {"none": "", "word": "four", "closed": "987", "file": str(file.fileno())}.get(
-            kind, str(sock.fileno()))
-        (tmp_path / "c.json").write_text(orjson.dumps({
-            "name": "n", "listen": "127.0.0.1:1", "seed": "7", "discovery": "127.0.0.1:9",
-            "settings": {"categories": [{"give_up": 1000.0}]}}).decode())
+            kind, str(sock.fileno())
+        )
+        (tmp_path / "c.json").write_text(
+            orjson.dumps(
+                {
+                    "name": "n",
+                    "listen": "127.0.0.1:1",
+                    "seed": "7",
+                    "discovery": "127.0.0.1:9",
+                    "settings": {"categories": [{"give_up": 1000.0}]},
+                }
+            ).decode()
+        )
         done = subprocess.run(
-            [sys.executable, "-m", "lupinreach"], cwd=ROOT, capture_output=True, text=True, timeout=20,
+            [sys.executable, "-m", "lupinreach"],
+            cwd=ROOT,
+            capture_output=True,
+            text=True,
+            timeout=20,
             pass_fds=[file.fileno(), sock.fileno()],
-            env=os.environ | {"PROXY_CONFIG": str(tmp_path / "c.json"), "PROXY_FD": number})
+            env=os.environ | {"PROXY_CONFIG": str(tmp_path / "c.json"), "PROXY_FD": number},
+        )
     assert done.returncode == 2 and "PROXY_FD" in done.stderr
 
 
 # The clients of the platform.
 
+
 @pytest.mark.parametrize("turns", range(8))
 def test_a_client_whose_answer_comes_as_it_is_ended_ends(tmp_path, monkeypatch, turns):
     """Guards against a client that goes on for ever, and a test that waits for it until its time is up."""
+
     async def work():
         reader = asyncio.StreamReader()
         asked = asyncio.Event()
@@ -104,11 +121,13 @@
         client.cancel()
         await asyncio.wait([client], timeout=1)
         assert client.cancelled()
+
     run(work())
 
 
 # The upgrade.
 
+
 def test_upgrades_in_a_row_under_steady_clients_lose_nothing_and_run_no_payment_twice(tmp_path):
     async def work():
         async with platform(tmp_path) as site:
@@ -119,6 +138,7 @@
             assert set(seen.answers) == {200} and seen.answers[200] > 200
             assert seen.lost == 0 and max(seen.runs.values()) == 1
             assert seen.turned_back <= 2 * 3  # one that crosses with a close is written again, unheard
+
     run(work())
 
 
@@ -135,6 +155,7 @@
             assert old.returncode is None and site.seen.lost == site.seen.turned_back == 0
             await site.upgrade(old)  # and the next one succeeds
             assert site.seen.lost == 0
+
     run(work())
 
 
@@ -149,6 +170,7 @@
             while site.seen.answers[200] < before + 50:
                 await asyncio.sleep(0.01)
             assert site.seen.lost == 0 and new.returncode is None and max(site.seen.runs.values()) == 1
+
     run(work())
 
 
@@ -159,4 +181,5 @@
             process = await site.start()
             process.send_signal(signal.SIGTERM)
             assert await asyncio.wait_for(process.wait(), WAITS) == 0
+
     run(work())
--- a/tests/upgrading.py
+++ b/tests/upgrading.py
@@ -20,8 +20,9 @@
 ID = re.compile(rb"(?i)req-id: *(\S+)")
 CLIENTS = 8
 # Wide, so that a machine that stands still for a moment makes no call late and no backend slow.
-PATIENT = AGENT_SETTINGS | {"categories": [c | {"aim": 4000.0, "give_up": 10_000.0}
-                                           for c in AGENT_SETTINGS["categories"]]}
+PATIENT = AGENT_SETTINGS | {
+    "categories": [c | {"aim": 4000.0, "give_up": 10_000.0} for c in AGENT_SETTINGS["categories"]]
+}
 WAITS = 9.0  # s
 PAY = {"kind": b"pay", "method": b"POST", "body": b"sum=3"}
 
@@ -31,7 +32,9 @@
     """What clients and backends saw."""
 
     answers: Counter[int] = field(default_factory=Counter)
-    turned_back: int = 0  # requests that met the end of a connection that carried others, and were written once more
+    turned_back: int = (
+        0  # requests that met the end of a connection that carried others, and were written once more
+    )
     lost: int = 0  # requests that a fresh connection did not answer
     runs: Counter[bytes] = field(default_factory=Counter)  # by id
 
@@ -45,19 +48,36 @@
         self.address = self.listening.getsockname()
         self.seen = Seen()
         self.processes: list[asyncio.subprocess.Process] = []
-        raw = {"name": "n/1", "listen": "127.0.0.1:1", "seed": "07", "discovery": directory,
-               "known": full_list(*backends(backend)), "settings": PATIENT}
+        raw = {
+            "name": "n/1",
+            "listen": "127.0.0.1:1",
+            "seed": "07",
+            "discovery": directory,
+            "known": full_list(*backends(backend)),
+            "settings": PATIENT,
+        }
         (folder / "config.json").write_text(json.dumps(raw))
 
     async def spawn(self, **more: str) -> tuple[asyncio.subprocess.Process, tuple[str, int]]:
         """A process, and the address of its door."""
         with socket.create_server(("127.0.0.1", 0)) as found:
             door = found.getsockname()
-        variables = {"PROXY_CONFIG": str(self.folder / "config.json"), "TMPDIR": str(self.folder),
-                     "PROXY_FD": str(self.listening.fileno()), "PROXY_MGMT": f"{door[0]}:{door[1]}"}
+        variables = {
+            "PROXY_CONFIG": str(self.folder / "config.json"),
+            "TMPDIR": str(self.folder),
+            "PROXY_FD": str(self.listening.fileno()),
+            "PROXY_MGMT": f"{door[0]}:{door[1]}",
+        }
         process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "lupinreach", cwd=ROOT, env=os.environ | variables | more,
-            pass_fds=[self.listening.fileno()], stdout=asyncio.subprocess.DEVNULL, stderr=asyncio.subprocess.PIPE)
+            sys.executable,
+            "-m",
+            "lupinreach",
+            cwd=ROOT,
+            env=os.environ | variables | more,
+            pass_fds=[self.listening.fileno()],
+            stdout=asyncio.subprocess.DEVNULL,
+            stderr=asyncio.subprocess.PIPE,
+        )
         self.processes.append(process)
         return process, door
 
