--- /dev/null
+++ b/lupinreach/mesh/cli.py
@@ -0,0 +1,168 @@
+"""Command line of the mesh: check files, show what a process holds, read logs, and a demonstration."""
+
+from __future__ import annotations
+
+import asyncio
+import re
+from collections import Counter
+from pathlib import Path
+from typing import Any
+
+import orjson
+from cleo.application import Application
+from cleo.commands.command import Command
+from cleo.helpers import argument, option
+from result import Err
+
+from lupinreach.mesh.configuration import Configuration
+from lupinreach.mesh.configuration_check import parse_configuration
+from lupinreach.mesh.events import Event
+from lupinreach.mesh.link import Link, parse_address
+from lupinreach.mesh.messages import Describe, Description, Message
+from lupinreach.mesh.settings import read_settings
+
+EXIT_INVALID = 2
+EXIT_UNREACHABLE = 1
+SHOW_TIMEOUT_S = 2.0
+LOG_LINE = re.compile(r"(?P<at>\d+\.\d+) (?P<node>\S+) E(?P<number>\d+) (?P<name>\S+)(?P<facts>.*)")
+
+
+class CheckConfiguration(Command):
+    name = "check-configuration"
+    description = "Check an operator's configuration; a complaint names the key."
+    arguments = [argument("file", "the configuration, as JSON")]
+
+    def handle(self) -> int:
+        """Exit code 2 where the file is not valid."""
+        try:
+            data = Path(self.argument("file")).read_bytes()
+        except OSError as failed:
+            self.line_error(str(failed))
+            return EXIT_INVALID
+        parsed = parse_configuration(data)
+        if isinstance(parsed, Err):
+            self.line_error(parsed.err_value)
+            return EXIT_INVALID
+        self.line(_summary(parsed.ok_value))
+        return 0
+
+
+def _summary(configuration: Configuration) -> str:
+    routes = sum(len(host.path_rules) for host in configuration.virtual_hosts)
+    return f"version {configuration.version}: {len(configuration.services)} services, {routes} routes"
+
+
+class CheckSettings(Command):
+    name = "check-settings"
+    description = "Check a process's settings file; a complaint names the key."
+    arguments = [argument("file", "the settings, as JSON")]
+
+    def handle(self) -> int:
+        """Exit code 2 where the file is not valid."""
+        read = read_settings(self.argument("file"))
+        if isinstance(read, Err):
+            self.line_error(read.err_value)
+            return EXIT_INVALID
+        self.line(f"{read.ok_value.node_name}: valid")
+        return 0
+
+
+class Show(Command):
+    name = "show"
+    description = "Show what a proxy, a registry or a store holds."
+    arguments = [
+        argument("address", "host:port of its links: a proxy's inbound, a core machine's internal port")
+    ]
+
+    def handle(self) -> int:
+        """Exit code 1 where nothing answers."""
+        try:
+            address = parse_address(self.argument("address"))
+        except ValueError as wrong:
+            self.line_error(str(wrong))
+            return EXIT_INVALID
+        facts = asyncio.run(describe(*address))
+        if facts is None:
+            self.line_error(f"{self.argument('address')}: no answer")
+            return EXIT_UNREACHABLE
+        self.line(orjson.dumps(facts, option=orjson.OPT_INDENT_2).decode())
+        return 0
+
+
+async def describe(host: str, port: int) -> dict[str, Any] | None:
+    """What the process at an address holds; None where it gives no answer."""
+    loop = asyncio.get_running_loop()
+    answer: asyncio.Future[dict[str, Any]] = loop.create_future()
+
+    def on_message(link: Link, message: Message) -> None:
+        if isinstance(message, Description) and not answer.done():
+            answer.set_result(message.facts)
+
+    try:
+        async with asyncio.timeout(SHOW_TIMEOUT_S):
+            link = Link(on_message, lambda link: None)
+            await loop.create_connection(lambda: link, host, port)
+            link.send(Describe())
+            return await answer
+    except (OSError, TimeoutError):
+        return None
+
+
+class Events(Command):
+    name = "events"
+    description = "Print or count the numbered events in logs of the mesh."
+    arguments = [argument("files", "log files", multiple=True)]
+    options = [
+        option("number", "N", "only the event of this number", flag=False),
+        option("node", None, "only processes whose name begins so", flag=False),
+        option("count", "c", "count events by process in place of printing them"),
+    ]
+
+    def handle(self) -> int:
+        """Lines that are no events are skipped."""
+        counts: Counter[tuple[str, str]] = Counter()
+        for file in self.argument("files"):
+            for text in Path(file).read_text(errors="replace").splitlines():
+                line = LOG_LINE.search(text)
+                if line is not None and self._wanted(line):
+                    counts[line["node"], f"E{line['number']} {line['name']}"] += 1
+                    if not self.option("count"):
+                        self.line(line[0])
+        if self.option("count"):
+            for (node, event), count in sorted(counts.items()):
+                self.line(f"{count:6} {node} {event}")
+        return 0
+
+    def _wanted(self, line: re.Match[str]) -> bool:
+        number, node = self.option("number"), self.option("node")
+        return (not number or line["number"] == number) and (not node or line["node"].startswith(node))
+
+
+class Demo(Command):
+    name = "demo"
+    description = "Start a small mesh on loopback with stand-in backends, send requests, and show it."
+    options = [option("seconds", "s", "how long it runs", flag=False, default="10")]
+
+    def handle(self) -> int:
+        """Exit code 1 where the mesh did not serve."""
+        from lupinreach.mesh.demo import run_demo  # only here: it starts processes
+
+        return asyncio.run(run_demo(float(self.option("seconds")), self.line))
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """Entry point of `lupinreach mesh`."""
+    application = Application("lupinreach mesh", "0.3.0")
+    application.auto_exits(False)
+    for command in (CheckConfiguration(), CheckSettings(), Show(), Events(), Demo()):
+        application.add(command)
+    if arguments is None:
+        return application.run()
+    from cleo.io.inputs.argv_input import ArgvInput
+
+    return application.run(ArgvInput(["lupinreach mesh", *arguments]))
+
+
+def event_numbers() -> dict[int, str]:
+    """All events by number, as the catalogue lists them."""
+    return {int(event): event.name.lower() for event in Event}
--- a/lupinreach/mesh/proxy/__main__.py
+++ b/lupinreach/mesh/proxy/__main__.py
@@ -2,6 +2,7 @@
 
 import sys
 
+import lupinreach.mesh.without_tls  # noqa: F401  # before anything that would import ssl
 from lupinreach.mesh.process import serve
 from lupinreach.mesh.proxy.program import ProxyProgram
 
