--- /dev/null
+++ b/lupinreach/policy/calls.py
@@ -0,0 +1,181 @@
+"""SLOs, products and API calls as the decisions use them, and the rules asked before every shot."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from lupinreach.known import Backend, Shot
+from lupinreach.model import NEVER_RAN, Ask, Ending, Group, Kind, Load, Product, State
+
+if TYPE_CHECKING:
+    from lupinreach.balance import Balancer
+
+FULL_AT = 0.4  # x SLO: a shot that takes longer is a slow one, and so is one that takes
+EASE = 3.0  # x what the SLO's API calls took when they last took least, but never one that takes under
+LEAST_SLOW = 0.2  # x SLO
+
+
+class Target:
+    """One latency SLO and what its API calls usually take."""
+
+    __slots__ = ("index", "slo", "given", "typical", "recent", "ease", "base")
+
+    def __init__(self, index: int, slo: float) -> None:
+        self.index = index
+        self.slo = slo
+        self.given = slo > 0
+        self.typical = 0.0  # ms from send to answer; 0 = none seen
+        self.recent = self.ease = 0.0  # smoothed latency, and its lowest of late
+        self.base = 0.0  # smoothed latency at backends that the list says have room
+
+    def slow(self, latency: float) -> bool:
+        """If a shot took so long that backends must be holding too many."""
+        # Guards against quick API calls, of which one that met a late loop would pass for a full backend.
+        return latency > min(FULL_AT * self.slo, max(EASE * self.ease, LEAST_SLOW * self.slo))
+
+
+class Offer:
+    """A product as the decisions use it."""
+
+    __slots__ = ("kind", "group", "memory", "target", "late_counts", "value")
+
+    def __init__(self, product: Product, target: Target) -> None:
+        self.kind = product.kind
+        self.group = product.group
+        self.memory = product.memory
+        self.target = target
+        self.late_counts = product.late_value > 0
+        self.value = max(product.billed_value, 1e-9)
+
+
+class Call:
+    """The handle of one API call."""
+
+    __slots__ = (
+        "_to",
+        "token",
+        "offer",
+        "target",
+        "until",
+        "taken",
+        "key",
+        "work",
+        "room",
+        "shots",
+        "out",
+        "done",
+        "streaming",
+        "waiting",
+        "only",
+    )
+
+    def __init__(self, to: Balancer, now: float, ask: Ask, work: float, room: float) -> None:
+        self._to = to
+        self.token = ask.token
+        self.offer = to.offers[ask.product]
+        self.target = self.offer.target
+        self.until = ask.until
+        self.taken = now
+        self.key = ask.key
+        self.work = work
+        self.room = room
+        self.shots: list[Shot] = []
+        self.out = 0
+        self.done = False
+        self.streaming = False
+        self.waiting = False
+        self.only = ask.only
+
+    @property
+    def closed(self) -> bool:
+        """True once nothing more can come for this handle."""
+        return self.done and not self.out
+
+    # The rules, asked before every shot and every rate-limit reply.
+
+    def may_send(self, now: float) -> bool:
+        """If any further shot is allowed at all; `may_use` says where to."""
+        to = self._to
+        if self.done or self.streaming or now >= self.until or len(self.shots) >= to.max_shots:
+            return False
+        if (self.out and not to.copies) or (self.only is not None and self.shots):
+            return False
+        if self.offer.kind is Kind.NON_IDEMPOTENT:
+            return not any(s.ran for s in self.shots)
+        if self.offer.kind is Kind.DEDUPLICATED:
+            first = min((s.sent for s in self.shots if s.ran), default=None)
+            return first is None or now + to.step < first + self.offer.memory
+        return True
+
+    def may_use(self, b: Backend) -> bool:
+        """If a shot that `may_send` allows may go to this backend."""
+        if b.state is not State.READY or (self.only is not None and b.index != self.only):
+            return False
+        if self.offer.kind is Kind.DEDUPLICATED and self.offer.group is not Group.ALL:
+            zone = self.offer.group is Group.ZONE
+            for s in self.shots:
+                if s.ran and (s.backend.zone != b.zone if zone else s.backend.cell != b.cell):
+                    return False
+        return True
+
+    def may_rate_limit(self) -> bool:
+        """If telling the client that trying again is harmless would be true."""
+        if self.offer.kind is Kind.IDEMPOTENT:
+            return True
+        if self.offer.kind is Kind.DEDUPLICATED and self.offer.group is Group.ALL:
+            return True
+        return not any(s.ran for s in self.shots)
+
+    # What happens to the API call.
+
+    def began(self, now: float, number: int, latency: float | None = None, load: Load | None = None) -> None:
+        """The answer has begun to stream: this shot is now the client's.
+
+        With a latency, that is the shot's, to its first bytes: what comes after is transfer and says nothing
+        of how full the backend is. Without one, all of it is the shot's.
+        """
+        shot, to = self.shots[number], self._to
+        self.streaming = True
+        if latency is not None and shot.out and not shot.passing:
+            shot.ran = shot.passing = True
+            to.landed(now, self, shot, Ending.FULFILLED, latency, load)
+            to.call_off(self, shot)
+        shot.overdue = True
+        to.pump(now)
+
+    def left(self, now: float) -> None:
+        """The client has gone; nothing more is owed."""
+        self._to.finish(self, now)
+
+    def ended(
+        self,
+        now: float,
+        number: int,
+        ending: Ending,
+        latency: float,
+        complete: bool,
+        load: Load | None = None,
+    ) -> None:
+        """A shot has ended."""
+        shot = self.shots[number]
+        if not shot.out:
+            return
+        shot.out = False
+        shot.ran = ending not in NEVER_RAN
+        self.out -= 1
+        to = self._to
+        if not shot.passing:
+            to.landed(now, self, shot, ending, latency, load)
+        elif ending is not Ending.FULFILLED and ending is not Ending.CANCELLED:
+            # What broke under way may be any backend's; it ejects like a break, and narrows no bound.
+            to.broke(now, self, shot)
+        if complete:
+            to.finish(self, now)
+        elif not self.done and not self.out and not self.streaming:
+            if shot.ran and not shot.called_off and not to.spend():
+                to.give_up(now, self)
+            else:
+                to.place(now, self)
+        to.pump(now)
+        if self.closed:
+            to.forget(self)
--- /dev/null
+++ b/lupinreach/policy/learning.py
@@ -0,0 +1,176 @@
+"""Learning from what came back: smoothed latencies, ejection, trials and the bound in flight."""
+
+from __future__ import annotations
+
+from math import sqrt
+
+from lupinreach.known import Backend, Shot
+from lupinreach.model import Ending, Load
+from lupinreach.policy.calls import Call, Target
+
+CUT_OFF = frozenset({Ending.UNREACHABLE, Ending.REFUSED})
+NO_SIGN = frozenset({Ending.UNSENT, Ending.CANCELLED, Ending.TIMED_OUT, Ending.UNREACHABLE})  # of life
+SPOILT = frozenset({Ending.ERRORED, Ending.RESET})  # something is wrong, but not that too much is out
+NEWEST = 0.15  # weight of the newest latency sample
+MISS = 2.0  # a failed shot counts as a sample of this many SLOs; no sample counts for more
+DEFAULT_SLO = 2.0  # with no SLO given: this many times the median smoothed latency
+STANDS_OUT = 2.0  # x median figure of the others: below it a miss is shared and does not eject
+LOADED = 2.0  # x mean reported in flight for a backend's size: above it the backend rests, and so many
+STRAY = 3.0  # standard deviations of a count of that mean
+KEEP = 0.5  # share of the ready backends that ejection leaves in a pool
+TYPICAL = 0.02  # weight of the newest sample in what an SLO's API calls usually take, and how many are spoilt
+SOON = 0.05  # weight of the newest shot in the share of slow ones
+SUDDEN = 0.5  # one shot never weighs more than this
+FULL_SHARE = 1 / 3  # share of shots slower than FULL_AT from which the agent's own bound narrows
+NARROW = 0.3  # how far the bound narrows, for a share of slow shots that is over by 1
+LEAST_ROOM = 0.5  # share of the bound that the API calls of least value may fill; the dearest fill it all
+
+
+class Learning:
+    """The part of `Balancer` that books how shots ended."""
+
+    # Learning from what came back.
+
+    def landed(
+        self, now: float, call: Call, shot: Shot, ending: Ending, latency: float, load: Load | None
+    ) -> None:
+        """Book the end of a shot."""
+        b = shot.backend
+        b.flight -= 1
+        self._flight -= not shot.lost
+        target = call.target
+        failed = ending is not Ending.FULFILLED
+        if shot.trial:
+            b.trial = None
+        if ending is Ending.REFUSED:
+            # Its credit is spent: guards against agents that have all saved it up by the time it is back.
+            self._refused(now, b)
+        elif ending not in NO_SIGN:
+            b.heard = True
+            if b.down:
+                b.down, b.since = False, shot.sent
+                self._restarted(b, b.credit)
+            b.stood = b.stood or shot.sent
+        if ending in (Ending.UNSENT, Ending.CANCELLED) or (shot.overdue and failed) or shot.called_off:
+            if shot.trial and b.held[target.index]:
+                b.held[target.index] = now + (self._hold if shot.overdue else 0.0)
+            return
+        b.ill += TYPICAL * ((ending in SPOILT) - b.ill)
+        if not failed:
+            target.typical += TYPICAL * (latency - target.typical) if target.typical else latency
+            target.recent += SOON * (latency - target.recent)
+            if shot.load < 1 and self._tells:
+                target.base += SOON * (min(latency, target.slo) - target.base)
+            target.ease = min(target.ease * (1 + TYPICAL**2), target.recent)
+        if not shot.overdue:
+            self._sample(now, call, shot, ending, latency)
+        if load is not None and load.in_flight is not None:
+            # A report spots extremes and ranks nothing: agents that rank by late reports herd.
+            crowd = load.in_flight / b.size
+            self._crowd += TYPICAL * (crowd - self._crowd) if self._crowd else crowd
+            # Guards against counts of one or two, which stray to twice their mean by chance and would rest
+            # the fastest backends of a fleet that has little out.
+            if crowd > self._crowd + max((LOADED - 1) * self._crowd, STRAY * sqrt(self._crowd / b.size)):
+                # As long as what is over the mean takes to be worked off.
+                b.rest_until = max(b.rest_until, now + (crowd / self._crowd - 1) * target.typical)
+        if not failed:
+            b.silent_since = now
+            b.refusals = 0
+        elif latency < target.typical:
+            # Guards against a backend that fails at once and, always idle, would draw every turn.
+            b.rest_until = now + min(self._hold, target.typical * 2**b.refusals)
+            b.refusals += 1
+
+    def broke(self, now: float, call: Call, shot: Shot) -> None:
+        """A shot broke whose answer had begun and was booked."""
+        shot.backend.ill += TYPICAL * (1 - shot.backend.ill)
+        self._sample(now, call, shot, Ending.RESET, 0.0)
+
+    def _sample(self, now: float, call: Call, shot: Shot, ending: Ending, latency: float) -> None:
+        """One sample for the backend's figure of every SLO, scaled to what each SLO's API calls usually take.
+
+        Guards against agents with little traffic that would learn of a slow backend once for each product.
+        """
+        b, own, failed = shot.backend, call.target, ending is not Ending.FULFILLED
+        b.met_at = now
+        # Guards against a wave of cold backends, slow by their age, that would narrow what the warm ones get.
+        # But with hardly a warm one left it is the cold that tell, each by what it would have taken warm.
+        cold = self._is_cold(now, b)
+        aged = self._capacity(now, b) if cold else 1.0
+        tells = (not cold or self._bare) and ending not in CUT_OFF and ending not in SPOILT
+        if tells and not shot.lost and not b.held[own.index]:
+            self._learn_bound(now, failed or own.slow(latency * aged))
+        latency /= max(1.0, call.work)  # guards against a long API call that ejects a sound backend
+        for t in self._targets:
+            scale = t.typical / own.typical if own.typical and t.typical else t.slo / own.slo
+            sample = MISS * t.slo if failed else min(MISS * t.slo, latency * scale)
+            i = t.index
+            old = b.figure[i]
+            if b.held[i]:
+                if not shot.trial:
+                    continue
+                if sample <= t.slo:
+                    b.held[i] = 0.0
+                    b.figure[i] = sample
+                    b.back_at = now
+                    b.turn = self._clock  # what it stood at was counted by what it took before
+                    self._port.log(f"backend {b.index} restored for SLO {t.slo:.0f} ms")
+                else:
+                    b.held[i] = now + self._hold
+                continue
+            figure = b.figure[i] = sample if old is None and not failed else self._mix(old, t, sample)
+            if not t.given:
+                figures = sorted(f for o in self._ring if (f := o.figure[i]) is not None) or [figure]
+                t.slo = DEFAULT_SLO * figures[len(figures) // 2]
+            if figure > t.slo:
+                self._eject(now, b, t, ending in SPOILT)
+
+    def _learn_bound(self, now: float, slow: bool) -> None:
+        """The agent's bound on all its shots: widen while answers come well in time, narrow when they don't.
+
+        Guards against many agents with a shot or two each on every backend, where no backend's own bound can
+        get low enough: together they would still choke the fleet.
+        """
+        # Counted by how many are late and not by how much, so that a few long ones don't narrow it.
+        # An agent with a shot or two a second must not need twenty of them to see that the fleet is full.
+        weight = min(SUDDEN, max(SOON, (now - self._felt_at) / self._span))
+        self._felt_at = now
+        self._fullness += weight * (slow - self._fullness)
+        if self._fullness > FULL_SHARE:
+            if now >= self._narrowed_at + self._pace():
+                self._narrowed_at = now
+                excess = self._fullness - FULL_SHARE
+                self._bound = min(self._bound, self._peak) * (1 - NARROW * excess)
+                self._peak = self._flight
+        elif self._tells and self._flight > self._bound:
+            self._bound = self._flight
+        elif self._flight + 1 >= self._bound * (1 - LEAST_ROOM):
+            self._bound += min(self._bound, 1 / self._bound)
+        self._bound = max(self._least, self._bound)
+
+    def _pace(self) -> float:
+        """What the slowest product usually takes, 0 = none seen."""
+        return max(t.typical for t in self._targets)
+
+    def _mix(self, old: float | None, t: Target, sample: float) -> float:
+        if old is None:
+            others = [f for o in self._ring if (f := o.figure[t.index]) is not None]
+            old = sum(others) / len(others) if others else 0.0
+        return old + NEWEST * (sample - old)
+
+    def _eject(self, now: float, b: Backend, t: Target, spoilt: bool) -> None:
+        """Take a backend out of a pool, unless too few would be left: then the cause is not the backend."""
+        i = t.index
+        ready = len(self._ring)
+        left = [o.figure[i] for o in self._ring if not o.held[i] and o is not b]
+        known = sorted(f for f in left if f is not None)
+        usual = known[len(known) // 2] if known else 0.0
+        # Guards against breaks and spoilt answers that come from any backend alike, and in runs by chance.
+        ill = sum(o.ill for o in self._ring if o is not b) / max(1, ready - 1)
+        alike = spoilt and b.ill < STANDS_OUT * ill
+        if alike or len(left) < KEEP * ready or not left or (b.figure[i] or 0.0) < STANDS_OUT * usual:
+            # Guards against a shared slowdown that empties the pool and floods the few that are left.
+            b.figure[i] = min(b.figure[i] or 0.0, MISS * t.slo)
+            return
+        b.held[i] = now + self._hold
+        self._port.log(f"backend {b.index} ejected for SLO {t.slo:.0f} ms at {b.figure[i]:.0f} ms")
--- /dev/null
+++ b/lupinreach/policy/membership.py
@@ -0,0 +1,182 @@
+"""What the directory lists, what a process hands on to the next, and loads that lists tell."""
+
+from __future__ import annotations
+
+from math import ceil, inf
+
+from lupinreach.known import Backend
+from lupinreach.model import Learnt, Listing, Met, News, State
+from lupinreach.policy.calls import FULL_AT
+from lupinreach.policy.cold import BEYOND, FIRST_BOUND
+from lupinreach.policy.learning import KEEP, NEWEST
+
+SHARED_BY = 8.0  # so many that each backend is used by as many agents, and 2
+FEW = 3  # backends that an agent uses where the list tells loads and agents outnumber backends
+AIM = 0.65  # x SLO over what a shot takes where there is room: API calls held a core that come back in time
+LEAST_ADMIT, CUT, GROW = 0.01, 0.4, 1.5  # the least share admitted, and how far one list moves it
+SPREAD = 2.0  # x what the call that failed took, where that is more
+
+
+class Membership:
+    """The part of `Balancer` that keeps the backends."""
+
+    # What another process may go on with.
+
+    def learnt(self) -> Learnt:
+        """What stays true for whoever asks next. Loads, bounds, credit, states and shots out don't."""
+        return Learnt(
+            self._slos,
+            self._tells,
+            tuple((t.typical, t.recent, t.ease, t.base) for t in self._targets),
+            tuple(Met(b.name, b.boot_time, b.listed, tuple(b.figure), b.ill) for b in self._ring),
+        )
+
+    def recall(self, learnt: Learnt) -> bool:
+        """Begin with that, before the first list; false, with nothing taken, if it means something else."""
+        if learnt.slos != self._slos or learnt.live_weights is not self._tells:
+            return False
+        for t, (typical, recent, ease, base) in zip(self._targets, learnt.usual, strict=True):
+            t.typical, t.recent, t.ease, t.base = typical, recent or t.recent, ease or t.ease, base or t.base
+        self._recalled = {met.name: met for met in learnt.backends}
+        return True
+
+    def _remember(self, now: float, b: Backend, e: Listing) -> None:
+        met = self._recalled.pop(e.name, None)
+        if met is None or met.boot_time != e.boot_time or e.state is not State.READY:
+            return
+        b.figure, b.ill = list(met.figures), met.ill
+        b.listed = met.listed if self._tells else 0.0
+        # What was too slow gets a trial, due at once, and no turn before it.
+        b.held = [now if (f or 0.0) > t.slo else 0.0 for f, t in zip(b.figure, self._targets, strict=True)]
+
+    def listed(self, now: float, news: News, entries: list[Listing]) -> None:
+        """The directory has spoken."""
+        if news is News.FAILED:
+            # Guards against a directory that turns away a crowd, works through it all the same, and meets it
+            # again in step: each agent comes back at its own time, within a span in which the directory gets
+            # through what was ahead of this call and as much again.
+            # Of a crowd that it can't get through, each comes as late as an agent may go without asking.
+            took = max(0.0, now - self._asked_at)
+            span = max(self._ask_first, min(max(self._ask_wait, SPREAD * took), self._ask_most - took))
+            self._port.wake(now + span * (1 + self._chance()) / 2, "ask")
+            self._ask_wait = 2 * span
+            return
+        if news is not News.CACHED:
+            self._ask_wait = self._ask_first
+        for e in entries:
+            b = self._backends.get(e.backend)
+            if b is None:
+                b = self._backends[e.backend] = Backend(e.backend, len(self._targets))
+                self._remember(now, b, e)
+                b.turn = self._clock
+                if self._tells:
+                    b.turn -= self._chance() * min(t.slo for t in self._targets) * FULL_AT
+                b.credit = self._first_credit() if e.boot_time else 0.0
+                b.since = e.boot_time
+            elif e.boot_time > b.boot_time:
+                if e.boot_time > b.since:
+                    self._restarted(b)
+                b.since, b.down = e.boot_time, False
+            b.name, b.zone, b.cell = e.name, e.zone, e.cell
+            weight = e.size or 1.0
+            if self._tells and not 0 < weight < (self._mean * BEYOND or inf):
+                weight = b.listed or 1.0  # guards against one wrong weight that would be the highest for good
+            # Guards against a load that is taken for a size: homes and credit would wander with it.
+            b.listed = max(b.listed, weight) if self._tells else weight
+            b.load = b.listed / weight - 1
+            b.state, b.boot_time = e.state, max(b.boot_time, e.boot_time)
+        if news is not News.CHANGES:
+            named = {e.backend for e in entries}
+            for b in self._backends.values():
+                if b.index not in named:
+                    b.state = State.GONE
+        for b in [b for b in self._backends.values() if b.state is State.GONE and not b.flight]:
+            del self._backends[b.index]
+        if news is not News.CACHED:
+            self._recalled.clear()
+            if self._dark:
+                self._dark = False
+                for b in self._backends.values():
+                    if b.doubted:  # what it does not name has not changed
+                        b.down, b.doubted, b.since = False, False, b.boot_time
+        known = {b.index for b in self._ring if b.state is State.READY}
+        self._ring = [b for b in self._ring if b.state is State.READY]
+        for b in self._backends.values():
+            if b.state is State.READY and b.index not in known:
+                self._ring.insert(int(self._chance() * (len(self._ring) + 1)), b)
+        self._mean = mean = sum(b.listed for b in self._ring) / len(self._ring) if self._ring else 1.0
+        for b in self._ring:
+            # Guards against a list of changes, whose few raw sizes would mix with shares of the mean.
+            b.size = b.listed / mean
+        if self._tells and self._ring:
+            self._weigh(now, news)
+        for t in self._targets:
+            held = sorted((b for b in self._ring if b.held[t.index]), key=lambda b: b.figure[t.index] or 0.0)
+            for b in held[: max(0, len(held) - int((1 - KEEP) * len(self._ring)))]:
+                # Guards against a list that shrinks to the ejected: they'd get shots but no way back.
+                b.held[t.index] = 0.0
+        # Guards against agents that stay narrow on a fleet that grows: two shots for each ready backend,
+        # shared among the agents, are not what chokes it.
+        # Guards against a backend whose load is up to one or two agents.
+        self._least_used = max(FEW if self._tells else 2, ceil(SHARED_BY * len(self._ring) / self._agents))
+        self._least = FIRST_BOUND * max(1, len(self._ring)) / self._agents
+        self._bound = max(self._least, self._bound)
+        if self._dark:
+            self._doubt(now, self._ring, True)
+        self.pump(now)
+
+    def _weigh(self, now: float, news: News) -> None:
+        """What the list says of the fleet: how much it holds, how old that is, and the share to admit.
+
+        Guards against hundreds of agents with a shot or two a second, each of which sees the fleet fill up
+        only when it is full, while the list, late as it is, tells all of them.
+        """
+        loads = sorted(b.load for b in self._ring)
+        middle = loads[
+            len(loads) // 4 : -(len(loads) // 4) or None
+        ]  # a few that hang say nothing of the fleet
+        before, self._load = self._load, sum(middle) / len(middle)
+        if news is News.CHANGES and self._listed_at:
+            gap = now - self._listed_at
+            self._gap += NEWEST * (gap - self._gap) if self._gap else gap
+        self._listed_at = now
+        # What a backend would hold by the time the next list comes if all were sent alike (Little): one that
+        # holds less has room for the difference. Guards against all agents that rush to what was idle then.
+        self._level = self._load * (1 + self._gap / (self._pace() or max(self._gap, 1.0)))
+        self._by_list = self._agents > len(self._ring)
+        if self._gap:
+            # By the trend, half of the excess at a time: guards against a share that swings with late lists.
+            excess = (2 * self._load - before - min(AIM * t.slo / t.base for t in self._targets)) / 2
+            answered = self._gap / max(t.base for t in self._targets)  # by a core, alone, until the next list
+            step = min(GROW, max(CUT, 1 - excess / answered))
+            self._admit = min(1.0, max(LEAST_ADMIT, self._admit * step))
+
+    def _restarted(self, b: Backend, left: float = inf) -> None:
+        """What was known of the old process says nothing of the new one; credit no more than what is left of it.
+
+        Guards against shots that found out that it stands, and that the first answer would make unspent.
+        """
+        b.figure = [None] * len(self._targets)
+        b.held = [0.0] * len(self._targets)
+        b.rest_until, b.refusals = 0.0, 0
+        b.credit, b.stood = min(left, self._first_credit()), 0.0
+
+    def _refused(self, now: float, b: Backend) -> None:
+        """No process listens there: what comes from it next is a fresh one's, whatever the list says."""
+        b.down, b.doubted, b.stood, b.refused_at = True, False, 0.0, now
+        self._doubt(now, [o for o in self._ring if o.heard or o.down], False)
+
+    def _doubt(self, now: float, known: list[Backend], by_list: bool) -> None:
+        """Where most of what is known is down or cold, take what was never heard of for no better.
+
+        Guards against a list from before a power loss, by which the rest of the fleet is warm. What an old
+        list says counts until the registry speaks; refusals count beside its word: it learns late of a death.
+        """
+        if sum(self._is_cold(now, b) for b in known) >= max(FIRST_BOUND, KEEP * len(known)):
+            for b in self._ring:
+                if not b.heard and not self._is_cold(now, b):
+                    b.down, b.doubted, b.refused_at = True, by_list, now
+
+    def _first_credit(self) -> float:
+        # Guards against agents that hear of a cold backend together, earn alike, and all send in one instant.
+        return self._chance() - 0.5  # nothing in the mean
--- a/tests/test_power.py
+++ b/tests/test_power.py
@@ -6,8 +6,8 @@
 import pytest
 from helpers import READY, Bench, crowd, settings
 
-from lupinreach.balance import FIRST_BOUND, MOST_EARNS, RARE, WIDEN
 from lupinreach.model import Ending, Group, Kind, Listing, News
+from lupinreach.policy.cold import FIRST_BOUND, MOST_EARNS, RARE, WIDEN
 from lupinreach.trial import play, spec
 
 COLD = 20_000.0
