--- a/lupinreach/mesh/proxy/program.py
+++ b/lupinreach/mesh/proxy/program.py
@@ -27,8 +27,9 @@
 
 BODY_SHARE = 0.35  # of the process's memory, for buffered bodies
 LINGER_S = 2.6  # after SIGTERM, until the platform has noticed that this proxy is not ready
-GRACE_LEFT_S = 0.5  # of the grace period, kept for the end itself
+GRACE_LEFT_S = 0.9  # of the grace period, kept for the end itself
 STOP_CHECK_S = 0.05
+LAST_WRITES_S = 0.1  # for the last answers to leave the process
 HOUSEKEEPING_S = 1.0
 PROBE_AFTER_S = 0.05  # from the first configuration to the health probe, unless a heartbeat came
 
@@ -221,6 +222,8 @@
             busy = self._server.busy or self.gate.in_flight or self.gate.admission.running
             if not busy and loop.time() > began + LINGER_S:
                 break
+        self._server.abandon()
+        await asyncio.sleep(LAST_WRITES_S)
         self.state = ProxyState.STOPPED
         self._server.close()
         self.inbound.close()
--- a/lupinreach/mesh/registry/program.py
+++ b/lupinreach/mesh/registry/program.py
@@ -37,6 +37,7 @@
 from lupinreach.mesh.tasks import spawn
 
 HEARTBEAT_S = 0.5
+FLUSH_S = 0.03  # between two batches of entries to proxies
 ALIVE_EVERY = 2  # heartbeats between two lists of connected proxies for the other registries
 
 
@@ -50,7 +51,9 @@
         self._news = News()
         self._known_versions: dict[Link, str] = {}  # of the configuration, by proxy's link
         self._registries: dict[str, Dialer] = {}  # by host
-        self._zones: dict[str, str] = {settings.ip_address: settings.zone}
+        self._changed: dict[str, AgentEntry] = {}  # since the last batch, by address
+        self._joined: list[Link] = []  # proxies that want the whole table
+        self._flushing: asyncio.TimerHandle | None = None
         self._stores = StoreLinks(
             settings.store_port, lambda: self._news.config_version, self._on_store_message
         )
@@ -98,7 +101,8 @@
                 self._tell_alive()
             for entry in self.agents.expire(loop.time()):
                 self._log.write(Event.AGENT_REMOVED, agent=entry.address)
-                self._to_agents(entry, None)
+                self._changed[entry.address] = entry
+                self._flush_soon()
 
     # Other registries.
 
@@ -149,24 +153,37 @@
         self.agents.connect(hello.address, hello.life, link, now)
         self._log.write(Event.AGENT_JOINED, agent=hello.address)
         link.send(self._status(with_registries=True))
-        for entry in self.agents.entries():
-            if entry.sequence >= 0:
-                link.send(entry)
         if self._news.stamp:
             self._send_news(link)
+        self._joined.append(link)
+        self._flush_soon()
 
     def _on_entry(self, link: Link, entry: AgentEntry, now: float) -> None:
         if not self.agents.apply(entry, now):
             return
-        self._to_agents(entry, link)
+        self._changed[entry.address] = entry
+        self._flush_soon()
         if link.owner is not None:
             self._to_registries(entry)
 
-    def _to_agents(self, message: Message, but: Link | None) -> None:
-        data = encode(message)
+    def _flush_soon(self) -> None:
+        if self._flushing is None:
+            self._flushing = asyncio.get_running_loop().call_later(FLUSH_S, self._flush)
+
+    def _flush(self) -> None:
+        """Send what changed to all proxies, and the whole table to those that joined: each encoded once."""
+        self._flushing = None
+        joined, self._joined = set(self._joined), []
+        changed, self._changed = self._changed, {}
+        news = b"".join([encode(entry) for entry in changed.values()])
+        whole = (
+            b"".join([encode(entry) for entry in self.agents.entries() if entry.sequence >= 0])
+            if joined
+            else b""
+        )
         for known in self.agents.connected():
-            if known.link is not None and known.link is not but:
-                known.link.send_encoded(data)
+            if known.link is not None:
+                known.link.send_encoded(whole if known.link in joined else news)
 
     def _on_acknowledged(self, link: Link, message: NewsAcknowledged) -> None:
         known = self.agents.find(link.owner) if link.owner is not None else None
--- a/lupinreach/mesh/server.py
+++ b/lupinreach/mesh/server.py
@@ -147,6 +147,11 @@
         for connection in list(self.connections):
             connection.close_if_idle()
 
+    def abandon(self) -> None:
+        """Answer all that is still under way, as its outcome is unknown: better than a connection cut."""
+        for connection in list(self.connections):
+            connection.abandon()
+
     def close(self) -> None:
         """Stop accepting."""
         if self._server is not None:
@@ -199,6 +204,15 @@
         if not self.busy and self._transport is not None:
             self._transport.close()
 
+    def abandon(self) -> None:
+        for exchange in self._queue:
+            if exchange.answer is None:
+                if exchange.task is not None:
+                    exchange.task.cancel()
+                exchange.answer = error_answer(ErrorKind.OUTCOME_UNKNOWN)
+        self._last = True
+        self._flush()
+
     def check(self, now: float) -> None:
         """Enforce the time-outs of an idle connection and of a request that comes in pieces."""
         limits = self._server.limits
