--- a/lupinreach/mesh/errors.py
+++ b/lupinreach/mesh/errors.py
@@ -25,7 +25,6 @@
     OUT_OF_MEMORY = 9  # the budget for buffered bodies is spent
     STOPPING = 10
     OUTCOME_UNKNOWN = 11  # it may have run, and may not be sent again
-    BACKEND_FAILED = 12
     TIMED_OUT = 13
     EXPIRED = 14  # its deadline passed before it was sent to a backend
     UNKNOWN_CALL = 20  # of the control interfaces
@@ -60,7 +59,6 @@
     ErrorKind.OUT_OF_MEMORY: ErrorAnswer(503, "no memory for the request", retry=True),
     ErrorKind.STOPPING: ErrorAnswer(503, "shutting down", retry=True),
     ErrorKind.OUTCOME_UNKNOWN: ErrorAnswer(502, "the outcome is unknown"),
-    ErrorKind.BACKEND_FAILED: ErrorAnswer(502, "the backend failed"),
     ErrorKind.TIMED_OUT: ErrorAnswer(504, "timed out"),
     ErrorKind.EXPIRED: ErrorAnswer(503, "the deadline passed before it was sent", retry=True),
     ErrorKind.UNKNOWN_CALL: ErrorAnswer(404, "unknown call"),
--- a/lupinreach/mesh/fields.py
+++ b/lupinreach/mesh/fields.py
@@ -6,11 +6,14 @@
 
 from __future__ import annotations
 
-from typing import Any
+from collections.abc import Callable
+from typing import Any, TypeVar
 
 import orjson
 from result import Err, Ok, Result
 
+Built = TypeVar("Built")
+
 _REQUIRED: Any = object()
 
 
@@ -80,10 +83,15 @@
         return values
 
 
-def parse_object(data: bytes) -> Result[Fields, str]:
-    """A JSON object for reading, or a complaint."""
+def read_object(data: bytes, build: Callable[[Fields], Built]) -> Result[Built, str]:
+    """What `build` makes of a JSON object, or a complaint that names the key."""
     try:
         raw = orjson.loads(data)
     except orjson.JSONDecodeError as failed:
         return Err(f"not JSON: {failed}")
-    return Ok(Fields(raw)) if isinstance(raw, dict) else Err("not a JSON object")
+    if not isinstance(raw, dict):
+        return Err("not a JSON object")
+    try:
+        return Ok(build(Fields(raw)))
+    except FieldError as wrong:
+        return Err(str(wrong))
--- a/lupinreach/mesh/instance_calls.py
+++ b/lupinreach/mesh/instance_calls.py
@@ -4,11 +4,11 @@
 
 from collections.abc import Callable
 
-from result import Err, Ok, Result
+from result import Err, Result
 
 from lupinreach.mesh.dispatch import ANY, Dispatcher
 from lupinreach.mesh.errors import ErrorKind
-from lupinreach.mesh.fields import FieldError, parse_object
+from lupinreach.mesh.fields import Fields, read_object
 from lupinreach.mesh.proxy.local_backend import Heartbeat
 from lupinreach.mesh.server import HttpAnswer, HttpRequest, error_answer
 
@@ -17,25 +17,20 @@
 
 def parse_heartbeat(body: bytes) -> Result[Heartbeat, str]:
     """A heartbeat, or a complaint that names the key."""
-    parsed = parse_object(body)
-    if isinstance(parsed, Err):
-        return parsed
-    fields = parsed.ok_value
-    try:
-        return Ok(
-            Heartbeat(
-                target_service=fields.text("target_service"),
-                address=fields.text("address"),
-                zone=fields.text("zone"),
-                capacity=fields.integer("capacity"),
-                state=fields.text("state"),
-                sequence=fields.integer("sequence"),
-                version=fields.text("version", ""),
-                cold_remaining_ms=fields.number("cold_remaining_ms", 0),
-            )
-        )
-    except FieldError as wrong:
-        return Err(str(wrong))
+    return read_object(body, _heartbeat)
+
+
+def _heartbeat(fields: Fields) -> Heartbeat:
+    return Heartbeat(
+        target_service=fields.text("target_service"),
+        address=fields.text("address"),
+        zone=fields.text("zone"),
+        capacity=fields.integer("capacity"),
+        state=fields.text("state"),
+        sequence=fields.integer("sequence"),
+        version=fields.text("version", ""),
+        cold_remaining_ms=fields.number("cold_remaining_ms", 0),
+    )
 
 
 def add_instance_calls(
--- a/lupinreach/mesh/registry/orders.py
+++ b/lupinreach/mesh/registry/orders.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from result import Err, Ok, Result
@@ -29,7 +30,7 @@
 class StoreLinks:
     """Held links to all known stores, and the orders that are out on them."""
 
-    def __init__(self, port: int, version: object, on_news: object) -> None:
+    def __init__(self, port: int, version: Callable[[], str], on_news: Callable[[Message], None]) -> None:
         self._port = port
         self._stores: dict[str, _Store] = {}  # by host
         self._numbers = 0
@@ -54,7 +55,7 @@
         return list(self._stores)
 
     def _up(self, link: Link) -> None:
-        link.send(Subscribe(self._version()))  # type: ignore[operator]
+        link.send(Subscribe(self._version()))
 
     def _down(self, store: _Store) -> None:
         store.serving = False
@@ -69,7 +70,7 @@
             if future is not None and not future.done():
                 future.set_result(message)
         else:
-            self._on_news(message)  # type: ignore[operator]
+            self._on_news(message)
 
     def primary(self) -> Link | None:
         """The link to the store that serves under the highest epoch."""
--- a/lupinreach/mesh/settings.py
+++ b/lupinreach/mesh/settings.py
@@ -7,7 +7,7 @@
 
 from result import Err, Ok, Result
 
-from lupinreach.mesh.fields import FieldError, Fields, parse_object
+from lupinreach.mesh.fields import Fields, read_object
 from lupinreach.mesh.link import Address, parse_address
 
 SETTINGS_VARIABLE = "LUPINREACH_SETTINGS"
@@ -98,13 +98,8 @@
 
 def parse_settings(data: bytes) -> Result[Settings, str]:
     """The settings in a JSON text, or a complaint that names the key."""
-    parsed = parse_object(data)
-    if isinstance(parsed, Err):
-        return parsed
-    try:
-        return _checked(_read(parsed.ok_value))
-    except FieldError as wrong:
-        return Err(str(wrong))
+    read = read_object(data, _read)
+    return _checked(read.ok_value) if isinstance(read, Ok) else read
 
 
 def _read(fields: Fields) -> Settings:
--- /dev/null
+++ b/tests/mesh/test_reading.py
@@ -0,0 +1,65 @@
+"""Settings and heartbeats: a complaint names the key."""
+
+from __future__ import annotations
+
+import orjson
+import pytest
+from result import Err, Ok
+
+from lupinreach.mesh.configuration import Configuration
+from lupinreach.mesh.configuration_check import parse_configuration
+from lupinreach.mesh.demo import CONFIGURATION
+from lupinreach.mesh.instance_calls import parse_heartbeat
+from lupinreach.mesh.settings import parse_settings
+
+SETTINGS = {
+    "node_name": "n",
+    "ip_address": "10.0.0.1",
+    "zone": "a",
+    "region": "r",
+    "zones": {"a": "r"},
+    "listen_addresses": {"control_plane": "10.0.0.1:8306"},
+    "internal_port_range": [7620, 7635],
+    "seed_nodes": ["10.0.0.1:8306"],
+    "bounds": {"retry_budget_ratio": 0.25, "unknown": True},
+    "unknown": 1,
+}
+BEAT = {"target_service": "s", "address": "a", "zone": "z", "capacity": 4, "state": "ready", "sequence": 1}
+
+
+def test_settings_are_read_and_unknown_fields_skipped() -> None:
+    read = parse_settings(orjson.dumps(SETTINGS))
+    assert isinstance(read, Ok)
+    assert read.ok_value.bounds.retry_budget_ratio == 0.25
+
+
+@pytest.mark.parametrize(
+    ("change", "complaint"),
+    [
+        ({"node_name": None}, "node_name"),
+        ({"zones": {"a": 1}}, "zones.a"),
+        ({"seed_nodes": ["nowhere"]}, "seed_nodes[0]"),
+        ({"seed_nodes": [1]}, "seed_nodes[0]"),
+        ({"internal_port_range": [1]}, "internal_port_range"),
+        ({"zone": "b"}, "zone"),
+        ({"bounds": {"ack_ms": "soon"}}, "bounds.ack_ms"),
+        ({"first_start": 1}, "first_start"),
+    ],
+)
+def test_a_faulty_setting_is_named(change: dict[str, object], complaint: str) -> None:
+    read = parse_settings(orjson.dumps(SETTINGS | change))
+    assert isinstance(read, Err)
+    assert read.err_value.startswith(f"{complaint}:")
+
+
+@pytest.mark.parametrize("key", list(BEAT))
+def test_a_heartbeat_without_a_field_names_it(key: str) -> None:
+    beat = {name: value for name, value in BEAT.items() if name != key}
+    assert parse_heartbeat(orjson.dumps(beat)) == Err(f"{key}: missing")
+    assert isinstance(parse_heartbeat(orjson.dumps(BEAT)), Ok)
+
+
+def test_a_configuration_travels_as_it_was_checked() -> None:
+    parsed = parse_configuration(orjson.dumps(CONFIGURATION))
+    assert isinstance(parsed, Ok)
+    assert Configuration.from_list(parsed.ok_value.to_list()) == parsed.ok_value
