SIGTERM: nothing is read any more once the process ends; the gate stays open 1.2 s longer

The listener closes before what is left is answered, and a connection that comes up later is ended unread; a scenario fails without it.

--- a/lupinreach/mesh/proxy/program.py
+++ b/lupinreach/mesh/proxy/program.py
@@ -27,6 +27,7 @@
 
 BODY_SHARE = 0.35  # of the process's memory, for buffered bodies
 LINGER_S = 2.6  # after SIGTERM, until the platform has noticed that this proxy is not ready
+GATE_OPEN_S = 1.2  # after SIGTERM the gate still takes requests for so long: its backend is sound
 GRACE_LEFT_S = 0.9  # of the grace period, kept for the end itself
 STOP_CHECK_S = 0.05
 LAST_WRITES_S = 0.1  # for the last answers to leave the process
@@ -215,17 +216,18 @@
         loop = asyncio.get_running_loop()
         began = loop.time()
         last = began + self._settings.bounds.grace_period_s - GRACE_LEFT_S
-        self.gate.stop()
         self._server.stop()
         while loop.time() < last:
             await asyncio.sleep(STOP_CHECK_S)
+            if not self.gate.stopping and loop.time() > began + GATE_OPEN_S:
+                self.gate.stop()
             busy = self._server.busy or self.gate.in_flight or self.gate.admission.running
             if not busy and loop.time() > began + LINGER_S:
                 break
+        self._server.close()
         self._server.abandon()
         await asyncio.sleep(LAST_WRITES_S)
         self.state = ProxyState.STOPPED
-        self._server.close()
         self.inbound.close()
 
 
--- a/lupinreach/mesh/server.py
+++ b/lupinreach/mesh/server.py
@@ -116,6 +116,7 @@
         self.budget = budget or BufferBudget(64 << 20)
         self.limits = ServerLimits()
         self.stopping = False
+        self.closed = False
         self.connections: set[_Connection] = set()
         self._server: asyncio.Server | None = None
         self._sweeper: asyncio.Task[None] | None = None
@@ -153,7 +154,8 @@
             connection.abandon()
 
     def close(self) -> None:
-        """Stop accepting."""
+        """Stop accepting; a connection that comes up all the same is ended unread."""
+        self.closed = True
         if self._server is not None:
             self._server.close()
         if self._sweeper is not None:
@@ -184,6 +186,10 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = transport
         tune(transport.get_extra_info("socket"))
+        if self._server.closed:
+            self._last = True
+            self._transport.abort()
+            return
         self._server.connections.add(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
--- a/tests/mesh/scenario.py
+++ b/tests/mesh/scenario.py
@@ -196,6 +196,14 @@
         ]
         return f"no answer for {lost[:5]}" if lost else None
 
+    def do_expect_no_cut(self, prefix: str) -> str | None:
+        """Whoever got no answer was not served either: its proxy did not read the request."""
+        names = [
+            name for name, (status, _) in self.world.answers.items() if name.startswith(prefix) and not status
+        ]
+        cut = [name for name in names if self.world.runs(name)]
+        return f"cut {cut}" if cut else None
+
     def do_expect_ran_once(self, prefix: str) -> str | None:
         ran = [name for b in self.world.backends.values() for name in b.ran if name.startswith(prefix)]
         twice = {name for name in ran if ran.count(name) > 1}
