Mesh, second reading: one parse of objects, one check of late proposals, unread state out

configuration_check parsed JSON objects as fields.py does; on_prepare and on_accept repeated the refusal of late proposers (Replica._takes_part now); state and parameters that nothing read are gone (beat_at, changed_at, Outbound.in_flight, the epoch of heard).

--- a/lupinreach/mesh/configuration_check.py
+++ b/lupinreach/mesh/configuration_check.py
@@ -4,12 +4,12 @@
 
 from typing import Any
 
-import orjson
 from mashumaro.codecs.basic import BasicDecoder
 from mashumaro.exceptions import InvalidFieldValue, MissingField
 from result import Err, Ok, Result
 
 from lupinreach.mesh.configuration import Configuration, Route
+from lupinreach.mesh.fields import parse_object
 
 MOST_TIMEOUT_MS = 600_000
 VERSION_DIGITS = 8
@@ -19,14 +19,11 @@
 
 def parse_configuration(data: bytes) -> Result[Configuration, str]:
     """A configuration as sent by an operator, checked, or a complaint that names the key."""
+    raw = parse_object(data)
+    if isinstance(raw, Err):
+        return raw
     try:
-        raw = orjson.loads(data)
-    except orjson.JSONDecodeError as failed:
-        return Err(f"not JSON: {failed}")
-    if not isinstance(raw, dict):
-        return Err("not a JSON object")
-    try:
-        configuration = _DECODER.decode(raw)
+        configuration = _DECODER.decode(raw.ok_value)
     except (MissingField, InvalidFieldValue) as wrong:
         return Err(_field_path(wrong))
     problem = _problem(configuration)
--- a/lupinreach/mesh/fields.py
+++ b/lupinreach/mesh/fields.py
@@ -83,15 +83,21 @@
         return values
 
 
-def read_object(data: bytes, build: Callable[[Fields], Built]) -> Result[Built, str]:
-    """What `build` makes of a JSON object, or a complaint that names the key."""
+def parse_object(data: bytes) -> Result[dict[str, Any], str]:
+    """The JSON object in a text, or a complaint."""
     try:
         raw = orjson.loads(data)
     except orjson.JSONDecodeError as failed:
         return Err(f"not JSON: {failed}")
-    if not isinstance(raw, dict):
-        return Err("not a JSON object")
+    return Ok(raw) if isinstance(raw, dict) else Err("not a JSON object")
+
+
+def read_object(data: bytes, build: Callable[[Fields], Built]) -> Result[Built, str]:
+    """What `build` makes of a JSON object, or a complaint that names the key."""
+    parsed = parse_object(data)
+    if isinstance(parsed, Err):
+        return parsed
     try:
-        return Ok(build(Fields(raw)))
+        return Ok(build(Fields(parsed.ok_value)))
     except FieldError as wrong:
         return Err(str(wrong))
--- a/lupinreach/mesh/process.py
+++ b/lupinreach/mesh/process.py
@@ -102,7 +102,7 @@
     where = ""
     if isinstance(fault, BaseException):
         last = traceback.extract_tb(fault.__traceback__)[-1:]
-        where = f"{last[0].filename.rpartition(chr(47))[2]}:{last[0].lineno}" if last else ""
+        where = f"{os.path.basename(last[0].filename)}:{last[0].lineno}" if last else ""
     log.write(Event.FAULT, what=context.get("message"), fault=repr(fault), at=where)
 
 
--- a/lupinreach/mesh/proxy/local_backend.py
+++ b/lupinreach/mesh/proxy/local_backend.py
@@ -41,7 +41,6 @@
         self.state = BackendState.UNKNOWN
         self.capacity = 1
         self.cold_until = 0.0
-        self.beat_at = 0.0
         self._cold_unknown = False
         self._sequence = -1
         self._past: dict[str, None] = {}
@@ -69,7 +68,6 @@
         self.capacity = max(1, beat.capacity)
         self.cold_until = now + beat.cold_remaining_ms / 1000
         self._cold_unknown = False
-        self.beat_at = now
         draining = beat.state != "ready" or self.state is BackendState.DRAINING
         self.state = BackendState.DRAINING if draining else BackendState.READY
         return True
@@ -107,7 +105,6 @@
         self.instance_id = instance_id
         self.capacity = max(1, capacity)
         self.cold_until = now + cold_ms / 1000
-        self.beat_at = now
         self.state = BackendState.READY
 
     def assume_cold(self, until: float) -> None:
--- a/lupinreach/mesh/proxy/news.py
+++ b/lupinreach/mesh/proxy/news.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import Callable
 
 import msgpack
@@ -22,7 +21,6 @@
         self.stamp: Stamp = (0, 0)
         self.evacuations: dict[str, bool] = {}
         self._listeners: list[Callable[[], None]] = []
-        self.changed_at = 0.0
 
     @property
     def version(self) -> str:
@@ -44,7 +42,6 @@
             changed = changed or self.evacuations != news.evacuations
             self.evacuations = dict(news.evacuations)
         if changed:
-            self.changed_at = asyncio.get_running_loop().time()
             for listener in self._listeners:
                 listener()
         return changed
--- a/lupinreach/mesh/proxy/outbound.py
+++ b/lupinreach/mesh/proxy/outbound.py
@@ -67,7 +67,6 @@
         self._policy = policy
         self._budget = budget
         self._answer_kb: dict[tuple[str, float], float] = {}
-        self.in_flight = 0
 
     def may_overlap(self, request: HttpRequest) -> bool:
         """If a request may run beside others of its connection: only what is repeatable."""
@@ -89,11 +88,7 @@
         route = self._route(request)
         if route is None:
             return error_answer(ErrorKind.NO_ROUTE)
-        self.in_flight += 1
-        try:
-            return await self._pass(self._passage(request, route))
-        finally:
-            self.in_flight -= 1
+        return await self._pass(self._passage(request, route))
 
     def _passage(self, request: HttpRequest, route: Route) -> _Passage:
         given = request.header(DEADLINE) or b""
--- a/lupinreach/mesh/store/program.py
+++ b/lupinreach/mesh/store/program.py
@@ -13,7 +13,6 @@
     Message,
     News,
     Order,
-    OrderResult,
     StoreHello,
     StoreStatus,
     Subscribe,
@@ -130,7 +129,7 @@
         elif isinstance(message, Subscribe):
             self._on_subscribe(link, message)
         elif isinstance(message, Order):
-            self.replica.submit(message, lambda result: self._reply(link, result))
+            self.replica.submit(message, link.send)
         elif link.owner is not None:
             self.replica.handle(link.owner, message)
 
@@ -140,21 +139,21 @@
         self._dial(hello.address)
         if self._is_dialled(link):
             self._links[hello.identity] = link
-            self._heard(hello.identity, self.replica.view.epoch)
+            self._heard(hello.identity)
             self.replica.link_up(hello.identity)
         else:
             self._accepted[hello.identity] = link
             link.send(self._hello())
 
-    def _heard(self, identity: str, epoch: int) -> None:
+    def _heard(self, identity: str) -> None:
         known = self._stores.get(identity)
         if known is not None:
             member = Member(known[0], known[1], known[2])
-            self.replica.heard(member, known[3], epoch, asyncio.get_running_loop().time())
+            self.replica.heard(member, known[3], asyncio.get_running_loop().time())
 
     def _on_status(self, status: StoreStatus) -> None:
         self._epochs[status.identity] = status.epoch
-        self._heard(status.identity, status.epoch)
+        self._heard(status.identity)
         if status.view is not None:
             self.replica.learn(View.from_list(status.view))
         for identity, host, zone, born_first in status.stores:
@@ -215,10 +214,6 @@
         subscriber.config_version = document.version
         link.send(News(stamp, document.version, config or None, document.evacuations))
 
-    @staticmethod
-    def _reply(link: Link, result: OrderResult) -> None:
-        link.send(result)
-
     # The replica's port.
 
     def send(self, identity: str, message: Message) -> None:
--- a/lupinreach/mesh/store/replica.py
+++ b/lupinreach/mesh/store/replica.py
@@ -213,7 +213,7 @@
 
     # Time and membership.
 
-    def heard(self, member: Member, born_first: bool, epoch: int, now: float) -> None:
+    def heard(self, member: Member, born_first: bool, now: float) -> None:
         """A store gave a sign of life."""
         for identity, (known, _) in list(self._members.items()):
             if known.host == member.host and identity != member.identity:
@@ -389,13 +389,7 @@
         ballot: Ballot = (message.ballot[0], message.ballot[1])
         if self.view.epoch < base.epoch:
             self.learn(base)
-        if self.view.epoch >= message.epoch:
-            self._reply(sender, Outdated(message.epoch, [], self.view.to_list()))
-            return
-        if not self._may_vote(self.view):
-            return
-        if self._promised > (message.epoch, ballot):
-            self._reply(sender, Outdated(message.epoch, list(self._promised[1])))
+        if not self._takes_part(sender, message.epoch, ballot):
             return
         self._record.save({"promised": [message.epoch, list(ballot)]})
         self._promised = (message.epoch, ballot)
@@ -405,6 +399,18 @@
             promise.accepted_view = self._accepted[2].to_list()
         self._reply(sender, promise)
 
+    def _takes_part(self, sender: str, epoch: int, ballot: Ballot) -> bool:
+        """If this store votes on the view of an epoch under a ballot; a proposer that is late is told."""
+        if self.view.epoch >= epoch:
+            self._reply(sender, Outdated(epoch, [], self.view.to_list()))
+            return False
+        if self.view.epoch != epoch - 1 or not self._may_vote(self.view):
+            return False
+        if self._promised > (epoch, ballot):
+            self._reply(sender, Outdated(epoch, list(self._promised[1])))
+            return False
+        return True
+
     def _reply(self, sender: str, message: Message) -> None:
         if sender == self.identity:
             self.handle(sender, message)
@@ -437,13 +443,7 @@
 
     def on_accept(self, sender: str, message: Accept) -> None:
         ballot: Ballot = (message.ballot[0], message.ballot[1])
-        if self.view.epoch >= message.epoch:
-            self._reply(sender, Outdated(message.epoch, [], self.view.to_list()))
-            return
-        if self.view.epoch != message.epoch - 1 or not self._may_vote(self.view):
-            return
-        if self._promised > (message.epoch, ballot):
-            self._reply(sender, Outdated(message.epoch, list(self._promised[1])))
+        if not self._takes_part(sender, message.epoch, ballot):
             return
         view = View.from_list(message.view)
         self._record.save(
--- a/tests/mesh/test_store_histories.py
+++ b/tests/mesh/test_store_histories.py
@@ -135,7 +135,7 @@
 
     def hear(self, other: Store, living: Replica, source: Replica, store: Store) -> None:
         if other.replica is living and self.now >= other.frozen_until:
-            living.heard(Member(source.identity, store.host, store.zone), source.born_first, 0, self.now)
+            living.heard(Member(source.identity, store.host, store.zone), source.born_first, self.now)
             living.learn(source.view)
 
     def operate(self) -> None:
