Store split by concern; writes fenced by incarnation, disks that fail, contact before service

Cause: a late whole write put an older document over an acknowledged one; a primary whose disk was full acknowledged; a backup without a disk was never replaced; ballots and round numbers were used again after a restart; two contents were confirmed under one version; a registry without contact handed out its configuration as current; sign-offs sent to a registry were acknowledged and forgotten; a proxy whose clock was put back was ignored. Durable incarnation of the primary and durable rounds of ballots; the primary counts its own disk as a copy; DiskFailed takes a store out of service; an installation seals; voters are added only where every tolerated loss leaves a majority; a leaving store hands over first. 409 names the version that is held. News say if their sender is in contact. Registries forward beats to the proxy. config_mode is read.

--- a/lupinreach/mesh/errors.py
+++ b/lupinreach/mesh/errors.py
@@ -36,6 +36,8 @@
     STORE_UNAVAILABLE = 26
     HEAD_TIMED_OUT = 27
     BODY_TIMED_OUT = 28
+    VERSION_CONFLICT = 29  # the held configuration version has another content
+    PROXY_UNREACHABLE = 30  # the proxy beside the backend that calls does not answer
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,6 +71,10 @@
     ErrorKind.NO_PRIMARY: ErrorAnswer(503, "no primary store", retry=True),
     ErrorKind.STORE_UNAVAILABLE: ErrorAnswer(503, "the store did not answer", retry=True),
     ErrorKind.HEAD_TIMED_OUT: ErrorAnswer(408, "the request head took too long"),
+    ErrorKind.PROXY_UNREACHABLE: ErrorAnswer(
+        503, "the proxy beside this backend does not answer", retry=True
+    ),
+    ErrorKind.VERSION_CONFLICT: ErrorAnswer(409, "this version is held with another content"),
     ErrorKind.BODY_TIMED_OUT: ErrorAnswer(408, "the request body took too long"),
 }
 
--- a/lupinreach/mesh/events.py
+++ b/lupinreach/mesh/events.py
@@ -37,6 +37,9 @@
     PRIMARY_STEPPED_DOWN = 404
     MEMBER_SUSPECTED = 405
     ORDER_COMMITTED = 407
+    DISK_FAILED = 408
+    DISK_RECOVERED = 409
+    HANDED_OVER = 410
 
 
 class EventLog:
--- a/lupinreach/mesh/instance_calls.py
+++ b/lupinreach/mesh/instance_calls.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from typing import Protocol
 
+import orjson
 from result import Err, Result
 
 from lupinreach.mesh.dispatch import ANY, Dispatcher
@@ -33,23 +34,34 @@
     )
 
 
-def add_instance_calls(
-    dispatcher: Dispatcher,
-    on_heartbeat: Callable[[str, Heartbeat], None],
-    on_deregister: Callable[[str], None],
-) -> None:
+class InstanceSink(Protocol):
+    """Whoever takes what backends say of themselves."""
+
+    async def heartbeat(self, instance_id: str, body: bytes, beat: Heartbeat) -> Result[str, ErrorKind]:
+        """Ok once it is in force, with the address for later heartbeats; empty: this one."""
+
+    async def sign_off(self, instance_id: str) -> Result[str, ErrorKind]:
+        """Ok once nothing more is sent to the instance."""
+
+
+def add_instance_calls(dispatcher: Dispatcher, sink: InstanceSink) -> None:
     """Register `POST /instances/ID/heartbeat` and `POST /instances/ID/deregister`."""
 
     async def heartbeat(request: HttpRequest, instance_id: str) -> HttpAnswer:
         parsed = parse_heartbeat(request.body)
         if isinstance(parsed, Err):
             return error_answer(ErrorKind.INVALID_CALL, parsed.err_value)
-        on_heartbeat(instance_id, parsed.ok_value)
-        return HttpAnswer(200, JSON_TYPE, b"{}")
+        return _answer(await sink.heartbeat(instance_id, request.body, parsed.ok_value))
 
     async def deregister(request: HttpRequest, instance_id: str) -> HttpAnswer:
-        on_deregister(instance_id)
-        return HttpAnswer(200, JSON_TYPE, b"{}")
+        return _answer(await sink.sign_off(instance_id))
 
     dispatcher.add("POST", "instances", ANY, "heartbeat", call=heartbeat)
     dispatcher.add("POST", "instances", ANY, "deregister", call=deregister)
+
+
+def _answer(taken: Result[str, ErrorKind]) -> HttpAnswer:
+    if isinstance(taken, Err):
+        return error_answer(taken.err_value)
+    told = {"heartbeat_endpoint": taken.ok_value} if taken.ok_value else {}
+    return HttpAnswer(200, JSON_TYPE, orjson.dumps(told))
--- a/lupinreach/mesh/messages.py
+++ b/lupinreach/mesh/messages.py
@@ -265,6 +265,7 @@
     config_version: str = ""
     config: bytes | None = None  # to proxies packed, to registries as sent; None: as the receiver holds it
     evacuations: dict[str, bool] = field(default_factory=dict)
+    fresh: bool = True  # the sender is in contact with a primary; else it may be an old state
 
 
 @register
@@ -305,6 +306,26 @@
     agents: list[list[Any]] = field(default_factory=list)
 
 
+@register
+@dataclass(slots=True)
+class ForwardedBeat(Message):
+    """A backend's heartbeat or sign-off that reached a registry, for the proxy beside that backend."""
+
+    NUMBER: ClassVar[int] = 37
+    number: int = 0
+    instance_id: str = ""
+    body: bytes | None = None  # of the heartbeat, as it came; None: it signs off
+
+
+@register
+@dataclass(slots=True)
+class BeatTaken(Message):
+    """The proxy has put a forwarded beat in force."""
+
+    NUMBER: ClassVar[int] = 38
+    number: int = 0
+
+
 # Store to store.
 
 
@@ -330,6 +351,8 @@
     serving: bool = False  # is the primary and acknowledges orders
     stamp: list[int] = field(default_factory=list)
     stores: list[list[Any]] = field(default_factory=list)  # [identity, address, zone, born_first]
+    healthy: bool = True  # its disk takes writes
+    leaving: bool = False  # its process was told to end
 
 
 @register
@@ -417,6 +440,7 @@
     previous: int = -1  # -1: whole
     document: list[Any] = field(default_factory=list)
     round: int = 0  # number of the primary's write, echoed by `Written`
+    incarnation: int = 0  # of the primary, echoed too; a lower one is fenced off
 
 
 @register
@@ -427,6 +451,7 @@
     sequence: int = 0
     whole: bool = False  # the change did not follow what is held: send the whole document
     round: int = 0
+    incarnation: int = 0
 
 
 # Registry to store and back.
@@ -461,3 +486,4 @@
     number: int = 0
     error: int = 0  # an ErrorKind, 0 where it was done
     payload: bytes = b""  # of a read: the configuration
+    held: str = ""  # of a conflict: the version that is held with another content
--- /dev/null
+++ b/lupinreach/mesh/model/ledger.py
@@ -0,0 +1,58 @@
+"""What clients of a modelled store group have seen, and the invariants that this must keep."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from lupinreach.mesh.messages import OrderResult
+from lupinreach.mesh.store.document import Document
+
+
+class Broken(AssertionError):
+    """An invariant does not hold; the text says which and how."""
+
+
+@dataclass
+class Ledger:
+    """Checks every confirmation against all earlier ones. Versions are numbers here."""
+
+    acknowledged: int = 0  # highest version whose order was confirmed
+    contents: dict[int, bytes] = field(default_factory=dict)  # confirmed or read under each version
+    primaries: dict[int, str] = field(default_factory=dict)  # who served each epoch
+    newest_stamp: list[int] = field(default_factory=lambda: [0, 0])
+
+    def served(self, epoch: int, identity: str) -> None:
+        """A store says that it serves an epoch: one store does."""
+        owner = self.primaries.setdefault(epoch, identity)
+        if owner != identity:
+            raise Broken(f"epoch {epoch} has two primaries")
+
+    def published(self, stamp: list[int], document: Document) -> None:
+        """A primary pushes a document: nothing that was confirmed is missing."""
+        if stamp < self.newest_stamp:
+            return  # a primary that stood still tells old news, which everybody skips by its stamp
+        self.newest_stamp = stamp
+        self._holds(document.version, document.config, self.acknowledged, "published")
+
+    def confirmed(self, version: int, content: bytes, result: OrderResult) -> None:
+        """The result of an order came back."""
+        if result.error:
+            return
+        self.acknowledged = max(self.acknowledged, version)
+        held = self.contents.setdefault(version, content)
+        if held != content:
+            raise Broken(f"version {version} was confirmed with two contents: {held!r} and {content!r}")
+
+    def read(self, asked_after: int, result: OrderResult) -> None:
+        """A read came back that was asked for once `asked_after` had been confirmed."""
+        if not result.error:
+            version = result.payload.partition(b"/")[0].decode()
+            self._holds(version, result.payload, asked_after, "read")
+
+    def _holds(self, version: str, content: bytes, least: int, what: str) -> None:
+        number = int(version or "0", 16)
+        if number < least:
+            raise Broken(f"{what} {number} after {least} was confirmed")
+        held = self.contents.get(number)
+        if held is not None and held != content:
+            raise Broken(f"{what} version {number} as {content!r}, confirmed as {held!r}")
--- a/lupinreach/mesh/proxy/inbound.py
+++ b/lupinreach/mesh/proxy/inbound.py
@@ -9,9 +9,11 @@
 from lupinreach.mesh.link import Address, Link, listen
 from lupinreach.mesh.messages import (
     BackendStatus,
+    BeatTaken,
     Cancel,
     Describe,
     Description,
+    ForwardedBeat,
     Message,
     NewsPull,
     PeerHello,
@@ -28,8 +30,14 @@
     """Accepts links and serves the requests that come over them."""
 
     def __init__(
-        self, gate: Gate, news: NewsHolder, gossip: Gossip, describe: Callable[[], dict[str, Any]]
+        self,
+        gate: Gate,
+        news: NewsHolder,
+        gossip: Gossip,
+        describe: Callable[[], dict[str, Any]],
+        on_beat: Callable[[ForwardedBeat], bool],
     ) -> None:
+        self._on_beat = on_beat
         self._gate = gate
         self._news = news
         self._gossip = gossip
@@ -66,6 +74,9 @@
             self._gossip.answer(link, message)
         elif isinstance(message, NewsPull):
             link.send(self._news.as_news())
+        elif isinstance(message, ForwardedBeat):
+            if self._on_beat(message):
+                link.send(BeatTaken(message.number))
         elif isinstance(message, Describe):
             link.send(Description(self._describe()))
 
--- a/lupinreach/mesh/proxy/news.py
+++ b/lupinreach/mesh/proxy/news.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 
 import msgpack
@@ -10,6 +11,7 @@
 from lupinreach.mesh.messages import News
 
 Stamp = tuple[int, int]
+STALE_PATIENCE_S = 1.0  # a proxy without a configuration waits so long for one that is surely the newest
 
 
 class NewsHolder:
@@ -20,6 +22,7 @@
         self.packed = b""  # the configuration as it travels
         self.stamp: Stamp = (0, 0)
         self.evacuations: dict[str, bool] = {}
+        self._stale: list[News] = []  # that senders without contact to a primary told, until it may be used
         self._listeners: list[Callable[[], None]] = []
 
     @property
@@ -34,7 +37,26 @@
         return self.evacuations.get(zone, False)
 
     def apply(self, news: News) -> bool:
-        """Put what is newer in force; true where anything changed."""
+        """Put what is newer in force; true where anything changed.
+
+        A sender that is cut off from the primary may hold an old configuration. It is progress for a proxy
+        that holds an older one; a proxy that has just started waits a little for somebody in contact.
+        """
+        if self.table is None and not news.fresh:
+            if not self._stale:
+                asyncio.get_running_loop().call_later(STALE_PATIENCE_S, self.use_stale)
+            self._stale.append(news)
+            return False
+        self._stale.clear()
+        return self._apply(news)
+
+    def use_stale(self) -> None:
+        """Nobody in contact was found in time: use what there is."""
+        stale, self._stale = self._stale, []
+        for news in stale:
+            self._apply(news)
+
+    def _apply(self, news: News) -> bool:
         changed = self._apply_configuration(news)
         stamp: Stamp = (news.stamp[0], news.stamp[1])
         if stamp > self.stamp:
@@ -54,5 +76,5 @@
         return True
 
     def as_news(self) -> News:
-        """All that is held, as one message."""
-        return News(list(self.stamp), self.version, self.packed or None, self.evacuations)
+        """All that is held, as one message; a proxy can't know that it is the newest."""
+        return News(list(self.stamp), self.version, self.packed or None, self.evacuations, fresh=False)
--- a/lupinreach/mesh/proxy/program.py
+++ b/lupinreach/mesh/proxy/program.py
@@ -7,10 +7,13 @@
 from enum import Enum
 from typing import Any
 
+from result import Err, Ok, Result
+
 from lupinreach.mesh.dispatch import Dispatcher
+from lupinreach.mesh.errors import ErrorKind
 from lupinreach.mesh.events import Event, EventLog
-from lupinreach.mesh.instance_calls import add_instance_calls
-from lupinreach.mesh.messages import AgentEntry, AgentHello
+from lupinreach.mesh.instance_calls import add_instance_calls, parse_heartbeat
+from lupinreach.mesh.messages import AgentEntry, AgentHello, ForwardedBeat
 from lupinreach.mesh.proxy.gate import Gate
 from lupinreach.mesh.proxy.gossip import Gossip
 from lupinreach.mesh.proxy.inbound import Inbound
@@ -70,7 +73,7 @@
         )
         self.gossip = Gossip(self._address, self.news)
         self.peers.on_new = self.gossip.view.offer
-        self.inbound = Inbound(self.gate, self.news, self.gossip, self.describe)
+        self.inbound = Inbound(self.gate, self.news, self.gossip, self.describe, self._on_forwarded)
         self._server = HttpServer(
             self.outbound.handle,
             self.outbound.may_overlap,
@@ -78,7 +81,7 @@
             self._fault,
         )
         calls = Dispatcher()
-        add_instance_calls(calls, self._on_heartbeat, self._on_deregister)
+        add_instance_calls(calls, self)
         self._control = HttpServer(calls.handle, on_fault=self._fault)
         readiness = Dispatcher()
         readiness.add("GET", "readiness", call=self._readiness)
@@ -96,7 +99,7 @@
         self.news.on_change(self._on_news)
         seeds = [f"{host}:{settings.registry_port}" for host in settings.seed_hosts]
         self._registries = RegistryClient(
-            seeds, settings.zone, self._hello, self._own_entry, self.news, self.peers.apply, self._log
+            seeds, settings.zone, self._hello, self._own_entry, self.news, self._on_entry, self._log
         )
         self._housekeeper = spawn(self._housekeeping())
 
@@ -115,6 +118,27 @@
         self.gate.deregister(instance_id)
         self._log_backend()
 
+    async def heartbeat(self, instance_id: str, body: bytes, beat: Heartbeat) -> Result[str, ErrorKind]:
+        """A heartbeat of the backend beside this proxy."""
+        self._on_heartbeat(instance_id, beat)
+        return Ok("")
+
+    async def sign_off(self, instance_id: str) -> Result[str, ErrorKind]:
+        """The backend beside this proxy signs off."""
+        self._on_deregister(instance_id)
+        return Ok("")
+
+    def _on_forwarded(self, forwarded: ForwardedBeat) -> bool:
+        """A beat of the backend beside this proxy came by way of a registry; true once it is in force."""
+        if forwarded.body is None:
+            self._on_deregister(forwarded.instance_id)
+            return True
+        parsed = parse_heartbeat(forwarded.body)
+        if isinstance(parsed, Err):
+            return False
+        self._on_heartbeat(forwarded.instance_id, parsed.ok_value)
+        return True
+
     def _log_backend(self) -> None:
         self._log.write(
             Event.BACKEND_CHANGED, instance=self.backend.instance_id, state=self.backend.state.value
@@ -170,6 +194,18 @@
             status.available,
         )
 
+    def _on_entry(self, entry: AgentEntry) -> None:
+        """A registry tells of a proxy. What it holds of this one from an earlier life is outbid.
+
+        Lives begin at the time of day, which may have been put back between two of them.
+        """
+        if entry.address != self._address:
+            self.peers.apply(entry)
+            return
+        if entry.removed or (entry.life, entry.sequence) > (self._life, self._sequence):
+            self._life = max(self._life, entry.life + 1)
+            self._announce()
+
     def _announce(self) -> None:
         self._sequence += 1
         if self._registries is not None:
--- a/lupinreach/mesh/registry/agents.py
+++ b/lupinreach/mesh/registry/agents.py
@@ -39,6 +39,16 @@
     def find(self, address: str) -> Known | None:
         return self._by_address.get(address)
 
+    def address_beside(self, instance_id: str, host: str) -> str | None:
+        """The proxy beside a backend, by the backend's instance or else by its host."""
+        on_host = None
+        for address, known in self._by_address.items():
+            if instance_id and known.entry.instance_id == instance_id:
+                return address
+            if host and address.rpartition(":")[0] == host:
+                on_host = address
+        return on_host
+
     def apply(self, entry: AgentEntry, now: float) -> bool:
         """Take an entry in; false where a newer one is held."""
         known = self._by_address.get(entry.address)
--- /dev/null
+++ b/lupinreach/mesh/registry/beats.py
@@ -0,0 +1,58 @@
+"""Heartbeats and sign-offs of backends that reach a registry: handed to the proxy beside the backend.
+
+Nothing is acknowledged that the proxy has not put in force, since a backend that was acknowledged as draining
+counts on getting no more requests. The answer names the proxy's own address for later heartbeats.
+"""
+
+from __future__ import annotations
+
+import asyncio
+
+from result import Err, Ok, Result
+
+from lupinreach.mesh.errors import ErrorKind
+from lupinreach.mesh.link import Dialer, Link, parse_address
+from lupinreach.mesh.messages import BeatTaken, ForwardedBeat, Message
+from lupinreach.mesh.proxy.local_backend import Heartbeat
+from lupinreach.mesh.registry.agents import AgentTable
+
+PATIENCE_S = 0.8  # backends turn to another agent after a second
+
+
+class BeatForwarder:
+    """Implements `InstanceSink` for a registry."""
+
+    def __init__(self, agents: AgentTable, control_port: int) -> None:
+        self._agents = agents
+        self._control_port = control_port
+
+    async def heartbeat(self, instance_id: str, body: bytes, beat: Heartbeat) -> Result[str, ErrorKind]:
+        """Hand a heartbeat on; Ok with the proxy's address for the later ones."""
+        host = beat.address.rpartition(":")[0]
+        address = self._agents.address_beside(instance_id, host)
+        return await self._forward(address, ForwardedBeat(1, instance_id, body))
+
+    async def sign_off(self, instance_id: str) -> Result[str, ErrorKind]:
+        """Hand a sign-off on."""
+        address = self._agents.address_beside(instance_id, "")
+        return await self._forward(address, ForwardedBeat(1, instance_id, None))
+
+    async def _forward(self, address: str | None, beat: ForwardedBeat) -> Result[str, ErrorKind]:
+        if address is None:
+            return Err(ErrorKind.PROXY_UNREACHABLE)
+        taken = asyncio.Event()
+
+        def on_message(link: Link, message: Message) -> None:
+            if isinstance(message, BeatTaken) and message.number == beat.number:
+                taken.set()
+
+        dialer = Dialer(parse_address(address), lambda link: link.send(beat), on_message, lambda link: None)
+        try:
+            async with asyncio.timeout(PATIENCE_S):
+                await taken.wait()
+        except TimeoutError:
+            return Err(ErrorKind.PROXY_UNREACHABLE)
+        finally:
+            dialer.close()
+        host = address.rpartition(":")[0]
+        return Ok(f"{host}:{self._control_port}")
--- a/lupinreach/mesh/registry/orders.py
+++ b/lupinreach/mesh/registry/orders.py
@@ -14,10 +14,19 @@
 from lupinreach.mesh.store.document import OrderKind
 
 PATIENCE_S = 0.9  # operators turn to another registry after a second of silence
+CUT_OFF_S = 2.5  # without a primary for so long, longer than a takeover takes, orders are refused at once
 RETRY_S = 0.05
 SILENT_AFTER_S = 1.5
 
 
+@dataclass(frozen=True, slots=True)
+class OrderFailure:
+    """Why an order was not confirmed."""
+
+    kind: ErrorKind
+    detail: str = ""
+
+
 @dataclass(slots=True)
 class _Store:
     """A store as this registry sees it."""
@@ -37,6 +46,7 @@
         self._out: dict[int, asyncio.Future[OrderResult]] = {}
         self._on_news = on_news
         self._version = version
+        self._primary_at = asyncio.get_running_loop().time()  # loop time at which one was last known
 
     def dial(self, host: str) -> None:
         """Hold a link to the store on a machine."""
@@ -83,22 +93,35 @@
                 best = store
         return best.dialer.link if best is not None and best.dialer is not None else None
 
+    def in_contact(self) -> bool:
+        """If this registry hears a primary that serves; to be called now and then."""
+        known = self.primary() is not None
+        if known:
+            self._primary_at = asyncio.get_running_loop().time()
+        return known
+
     async def order(
         self, kind: OrderKind, version: str = "", payload: bytes = b"", zone: str = ""
-    ) -> Result[bytes, ErrorKind]:
-        """Send an order to the primary and wait for its result, within an operator's patience."""
+    ) -> Result[bytes, OrderFailure]:
+        """Send an order to the primary and wait for its result, within an operator's patience.
+
+        A registry that has been cut off for longer than a takeover takes refuses at once.
+        """
         loop = asyncio.get_running_loop()
-        until = loop.time() + PATIENCE_S
-        error = ErrorKind.NO_PRIMARY
+        cut_off = not self.in_contact() and loop.time() - self._primary_at > CUT_OFF_S
+        until = loop.time() + (0.0 if cut_off else PATIENCE_S)
+        failure = OrderFailure(ErrorKind.NO_PRIMARY)
         while loop.time() < until:
             link = self.primary()
             if link is not None:
                 result = await self._ask(link, Order(0, int(kind), version, payload, zone), until)
                 if result is not None and not result.error:
                     return Ok(result.payload)
-                error = ErrorKind.STORE_UNAVAILABLE
+                if result is not None and result.error == ErrorKind.VERSION_CONFLICT:
+                    return Err(OrderFailure(ErrorKind.VERSION_CONFLICT, f"version {result.held}"))
+                failure = OrderFailure(ErrorKind.STORE_UNAVAILABLE)
             await asyncio.sleep(RETRY_S)
-        return Err(error)
+        return Err(failure)
 
     async def _ask(self, link: Link, order: Order, until: float) -> OrderResult | None:
         self._numbers += 1
--- a/lupinreach/mesh/registry/program.py
+++ b/lupinreach/mesh/registry/program.py
@@ -28,9 +28,9 @@
     RegistryStatus,
     encode,
 )
-from lupinreach.mesh.proxy.local_backend import Heartbeat
 from lupinreach.mesh.registry.agents import AgentTable
-from lupinreach.mesh.registry.orders import StoreLinks
+from lupinreach.mesh.registry.beats import BeatForwarder
+from lupinreach.mesh.registry.orders import OrderFailure, StoreLinks
 from lupinreach.mesh.server import HttpAnswer, HttpRequest, HttpServer, error_answer
 from lupinreach.mesh.settings import Settings
 from lupinreach.mesh.store.document import OrderKind
@@ -38,6 +38,7 @@
 
 HEARTBEAT_S = 0.5
 FLUSH_S = 0.03  # between two batches of entries to proxies
+ORDER_RETRY_MS = 200.0  # when an operator whose order was not confirmed may come back
 ALIVE_EVERY = 2  # heartbeats between two lists of connected proxies for the other registries
 
 
@@ -62,7 +63,8 @@
         calls.add("GET", "configuration", "describe", call=self._describe_configuration)
         calls.add("POST", "evacuations", ANY, "start", call=self._start_evacuation)
         calls.add("POST", "evacuations", ANY, "stop", call=self._stop_evacuation)
-        add_instance_calls(calls, self._on_heartbeat, self._on_deregister)
+        control_port = settings.listen_address("control_plane")[1]
+        add_instance_calls(calls, BeatForwarder(self.agents, control_port))
         self._server = HttpServer(
             calls.handle, on_fault=lambda fault: log.write(Event.FAULT, fault=repr(fault))
         )
@@ -193,7 +195,7 @@
     def _status(self, with_registries: bool) -> RegistryStatus:
         port = self._settings.registry_port
         registries = [[f"{host}:{port}", ""] for host in self._stores.hosts] if with_registries else []
-        return RegistryStatus(self._stores.primary() is not None, registries)
+        return RegistryStatus(self._stores.in_contact(), registries)
 
     def _heartbeat(self, with_registries: bool) -> None:
         data = encode(self._status(with_registries))
@@ -239,7 +241,8 @@
         held = self._known_versions.get(link, "")
         config = news.config if news.config_version != held else None
         self._known_versions[link] = news.config_version
-        link.send(News(news.stamp, news.config_version, config, news.evacuations))
+        fresh = self._stores.in_contact()
+        link.send(News(news.stamp, news.config_version, config, news.evacuations, fresh))
 
     # Calls.
 
@@ -254,7 +257,7 @@
     async def _describe_configuration(self, request: HttpRequest) -> HttpAnswer:
         result = await self._stores.order(OrderKind.READ_CONFIGURATION)
         if isinstance(result, Err):
-            return error_answer(result.err_value, retry_ms=200)
+            return self._refused(result.err_value)
         if not result.ok_value:
             return error_answer(ErrorKind.NOT_CONFIGURED, retry_ms=500)
         return HttpAnswer(200, JSON_TYPE, result.ok_value)
@@ -275,15 +278,13 @@
     ) -> HttpAnswer:
         result = await self._stores.order(kind, version, payload, zone)
         if isinstance(result, Err):
-            return error_answer(result.err_value, retry_ms=200)
+            return self._refused(result.err_value)
         self._log.write(Event.ORDER_TAKEN, kind=kind.name.lower(), version=version or "-", zone=zone or "-")
         return HttpAnswer(200, JSON_TYPE, b"{}")
 
-    def _on_heartbeat(self, instance_id: str, beat: Heartbeat) -> None:
-        """Backends on proxies' machines call their own proxy; nothing is kept of one that calls here."""
-
-    def _on_deregister(self, instance_id: str) -> None:
-        """As for heartbeats."""
+    def _refused(self, failure: OrderFailure) -> HttpAnswer:
+        self._log.write(Event.ORDER_REFUSED, why=failure.kind.name.lower(), detail=failure.detail or "-")
+        return error_answer(failure.kind, failure.detail, retry_ms=ORDER_RETRY_MS)
 
 
 def _packed(config: bytes) -> bytes | None:
--- a/lupinreach/mesh/settings.py
+++ b/lupinreach/mesh/settings.py
@@ -13,6 +13,9 @@
 SETTINGS_VARIABLE = "LUPINREACH_SETTINGS"
 
 
+CONFIG_MODE_HIGHEST = "highest"  # the highest version of the configuration holds: the only mode there is
+
+
 @dataclass(slots=True)
 class Limits:
     """What the machine grants the process."""
@@ -65,6 +68,7 @@
     limits: Limits = field(default_factory=Limits)
     data_directory: str | None = None
     heartbeat_ms: float = 1500
+    config_mode: str = CONFIG_MODE_HIGHEST
     fault_tolerance: FaultTolerance = field(default_factory=FaultTolerance)
     bounds: Bounds = field(default_factory=Bounds)
     app_address: str | None = None
@@ -117,6 +121,7 @@
         limits=_read_limits(fields.object("limits")),
         data_directory=fields.text("data_directory", None),
         heartbeat_ms=fields.number("heartbeat_ms", 1500),
+        config_mode=fields.text("config_mode", CONFIG_MODE_HIGHEST),
         fault_tolerance=_read_tolerance(fields.object("fault_tolerance")),
         bounds=_read_bounds(fields.object("bounds")),
         app_address=fields.text("app_address", None),
@@ -158,6 +163,8 @@
     ports = settings.internal_port_range
     if len(ports) != 2 or ports[1] - ports[0] < 1:
         return Err("internal_port_range: two ports are needed, the second above the first")
+    if settings.config_mode != CONFIG_MODE_HIGHEST:
+        return Err(f"config_mode: unknown mode {settings.config_mode!r}, {CONFIG_MODE_HIGHEST!r} is known")
     if settings.zone not in settings.zones:
         return Err(f"zone: {settings.zone!r} is not among zones")
     return Ok(settings)
--- a/lupinreach/mesh/store/disk.py
+++ b/lupinreach/mesh/store/disk.py
@@ -18,12 +18,17 @@
 SET_ASIDE = ".damaged"
 
 
+class DiskFailed(Exception):
+    """The disk did not take a write; what it holds is what it held before, or the whole write."""
+
+
 class Record(Protocol):
     """What a replica needs of a disk: values by key, saved together and for good before `save` returns."""
 
     def load(self) -> dict[str, Any]: ...
 
-    def save(self, changes: Mapping[str, Any]) -> None: ...
+    def save(self, changes: Mapping[str, Any]) -> None:
+        """Raises `DiskFailed` where the values may not be on disk."""
 
 
 class SqliteRecord:
@@ -58,13 +63,27 @@
         return {key: msgpack.unpackb(value) for key, value in rows}
 
     def save(self, changes: Mapping[str, Any]) -> None:
-        """Write the values in one transaction and sync it."""
-        self._connection.execute("BEGIN IMMEDIATE")
-        for key, value in changes.items():
-            self._connection.execute(
-                "REPLACE INTO record (key, value) VALUES (?, ?)", (key, msgpack.packb(value))
-            )
-        self._connection.execute("COMMIT")
+        """Write the values in one transaction and sync it; `DiskFailed` where that was not done."""
+        connection = self._connection
+        try:
+            connection.execute("BEGIN IMMEDIATE")
+            for key, value in changes.items():
+                connection.execute(
+                    "REPLACE INTO record (key, value) VALUES (?, ?)", (key, msgpack.packb(value))
+                )
+            connection.execute("COMMIT")
+        except sqlite3.Error as failed:
+            self._roll_back()
+            raise DiskFailed(str(failed)) from failed
+
+    def _roll_back(self) -> None:
+        """End a transaction that failed; SQLite may have done so by itself."""
+        if not self._connection.in_transaction:
+            return
+        try:
+            self._connection.execute("ROLLBACK")
+        except sqlite3.Error:
+            pass  # the next save fails on its BEGIN and is reported in its turn
 
     def close(self) -> None:
         self._connection.close()
--- a/lupinreach/mesh/store/document.py
+++ b/lupinreach/mesh/store/document.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field, replace
-from enum import IntEnum
+from enum import Enum, IntEnum
 from typing import Any
 
 from lupinreach.mesh.configuration import is_newer
+from lupinreach.mesh.messages import Order
 
 
 class OrderKind(IntEnum):
@@ -18,6 +19,13 @@
     READ_CONFIGURATION = 4
 
 
+class Outcome(Enum):
+    """How an order ends once the document that it led to is on all copies."""
+
+    DONE = "done"  # carried out now or before, or overtaken by a higher version
+    CONFLICT = "conflict"  # the held version has another content
+
+
 @dataclass(frozen=True, slots=True)
 class Document:
     """One state of all that operators have ordered; `sequence` grows with each change."""
@@ -39,15 +47,22 @@
             config = held.config if held is not None else b""
         return cls(sequence, version, config, dict(evacuations))
 
-    def after(self, kind: OrderKind, version: str, payload: bytes, zone: str) -> Document:
-        """The document once an order is carried out; itself where the order changes nothing."""
+    def after(self, order: Order) -> tuple[Document, Outcome]:
+        """The document once an order is carried out, itself where nothing changes; and how the order ends."""
+        kind = OrderKind(order.kind)
         if kind is OrderKind.REPLACE_CONFIGURATION:
-            if not is_newer(version, self.version):
-                return self
-            return replace(self, sequence=self.sequence + 1, version=version, config=payload)
+            return self._with_configuration(order.version, order.payload)
         if kind in (OrderKind.START_EVACUATION, OrderKind.STOP_EVACUATION):
             on = kind is OrderKind.START_EVACUATION
-            if self.evacuations.get(zone, False) == on:
-                return self
-            return replace(self, sequence=self.sequence + 1, evacuations=self.evacuations | {zone: on})
-        return self
+            if self.evacuations.get(order.zone, False) == on:
+                return self, Outcome.DONE
+            evacuations = self.evacuations | {order.zone: on}
+            return replace(self, sequence=self.sequence + 1, evacuations=evacuations), Outcome.DONE
+        return self, Outcome.DONE
+
+    def _with_configuration(self, version: str, config: bytes) -> tuple[Document, Outcome]:
+        if is_newer(version, self.version):
+            return replace(self, sequence=self.sequence + 1, version=version, config=config), Outcome.DONE
+        if is_newer(self.version, version) or config == self.config:
+            return self, Outcome.DONE
+        return self, Outcome.CONFLICT
--- /dev/null
+++ b/lupinreach/mesh/store/members.py
@@ -0,0 +1,128 @@
+"""The other stores as one store sees them: who was heard when, who is well, and who may vote under which name."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from lupinreach.mesh.store.view import Liveness, Member, View, seed_identity
+
+SUSPECT_S = 0.8  # a member not heard for so long counts as down
+LONG_DEAD_S = 1.5  # and after so long its vote may go to another
+SHUN_S = 3.0  # a member that left a write or an installation unanswered is passed over for so long
+
+
+@dataclass(slots=True)
+class KnownMember:
+    """One other store."""
+
+    member: Member
+    born_first: bool  # its disk was first used at the first start of the system
+    heard_at: float
+    healthy: bool = True  # its disk takes writes
+    leaving: bool = False  # its process was told to end
+    shunned_until: float = 0.0
+
+
+class Members:
+    """All stores that ever said hello, and a failure detector over them. It decides suspicion, never safety."""
+
+    def __init__(self, me: Member, born_first: bool) -> None:
+        self.me = me
+        self._born_first = born_first
+        self.others: dict[str, KnownMember] = {}
+        self._now = 0.0
+        self._began: float | None = None
+
+    def heard(
+        self, member: Member, born_first: bool, now: float, healthy: bool = True, leaving: bool = False
+    ) -> None:
+        """A store gave a sign of life; an earlier identity at its address is gone for good."""
+        for identity, known in list(self.others.items()):
+            if known.member.host == member.host and identity != member.identity:
+                del self.others[identity]
+        known = self.others.get(member.identity)
+        if known is None:
+            self.others[member.identity] = KnownMember(member, born_first, now, healthy, leaving)
+            return
+        known.heard_at, known.healthy, known.leaving = now, healthy, leaving
+
+    def advance(self, now: float, stalled: bool) -> None:
+        """Time has passed; a process that stood still has heard nobody for that reason."""
+        if self._began is None:
+            self._began = now
+        self._now = now
+        if stalled:
+            for known in self.others.values():
+                known.heard_at = now
+
+    def age_s(self) -> float:
+        """Seconds since this process began."""
+        return self._now - (self._began if self._began is not None else self._now)
+
+    def silent_s(self, identity: str) -> float:
+        """Seconds since a store was heard."""
+        if identity == self.me.identity:
+            return 0.0
+        known = self.others.get(identity)
+        return self._now - known.heard_at if known is not None else self.age_s()
+
+    def shun(self, identity: str) -> None:
+        """Pass a store over for a while: it lives, but left a request unanswered."""
+        known = self.others.get(identity)
+        if known is not None:
+            known.shunned_until = self._now + SHUN_S
+
+    def is_alive(self, identity: str) -> bool:
+        """If the store was heard lately."""
+        return self.silent_s(identity) <= SUSPECT_S
+
+    def has_failed(self, identity: str) -> bool:
+        """If the store can't be counted on for a copy: silent, without a disk, or unresponsive."""
+        if identity == self.me.identity:
+            return False
+        known = self.others.get(identity)
+        if known is None:
+            return not self.is_alive(identity)
+        return not self.is_alive(identity) or not known.healthy or known.shunned_until > self._now
+
+    def is_leaving(self, identity: str) -> bool:
+        """If the store's process was told to end."""
+        known = self.others.get(identity)
+        return known is not None and known.leaving
+
+    def liveness(self, view: View) -> Liveness:
+        """What the choice of a next view goes by."""
+        alive = {self.me.identity: self.me}
+        alive |= {
+            identity: known.member for identity, known in self.others.items() if self.is_alive(identity)
+        }
+        sound = {identity for identity in alive if not self.has_failed(identity)}
+        dead = {voter.identity for voter in view.voters if self.silent_s(voter.identity) > LONG_DEAD_S}
+        leaving = {identity for identity in self.others if self.is_leaving(identity)}
+        return Liveness(alive, frozenset(sound), frozenset(dead), frozenset(leaving))
+
+    def reaches_majority(self, view: View) -> bool:
+        """If more than half of the voters were heard lately."""
+        heard = sum(self.is_alive(voter.identity) for voter in view.voters)
+        return heard >= view.majority
+
+    # Names under which stores vote.
+
+    def voter_names(self, identity: str) -> tuple[str, ...]:
+        """The names of a store among voters: a seed votes on the first view by its host."""
+        if identity == self.me.identity:
+            member, born_first = self.me, self._born_first
+        else:
+            known = self.others.get(identity)
+            if known is None:
+                return (identity,)
+            member, born_first = known.member, known.born_first
+        return (identity, seed_identity(member.host)) if born_first else (identity,)
+
+    def vote_of(self, view: View, identity: str) -> str | None:
+        """The voter of a view that a store is, if any."""
+        return next((name for name in self.voter_names(identity) if view.voter(name)), None)
+
+    def voters(self, view: View) -> list[str]:
+        """Identities of the known stores that vote on the view after this one."""
+        return [name for name in (self.me.identity, *self.others) if self.vote_of(view, name)]
--- a/lupinreach/mesh/store/program.py
+++ b/lupinreach/mesh/store/program.py
@@ -28,6 +28,7 @@
 STATUS_TICKS = 2  # ticks between two heartbeats to other stores
 SUBSCRIBER_TICKS = 5  # and to registries
 GOSSIP_TICKS = 20  # and between two of them that name all known stores
+HAND_OVER_SHARE = 0.4  # of the grace period: the longest wait for others to take over
 
 
 class _Subscriber:
@@ -88,7 +89,15 @@
             self._dial(host)
 
     async def stop(self) -> None:
-        """End at once: whatever was acknowledged is on disk, and another copy takes over."""
+        """Let others take over what this store holds a copy of, then end; its disk may never come back."""
+        loop = asyncio.get_running_loop()
+        until = loop.time() + self._settings.bounds.grace_period_s * HAND_OVER_SHARE
+        self.replica.leave()
+        self._tell_stores([])
+        while not self.replica.handed_over and self._links and loop.time() < until:
+            await asyncio.sleep(TICK_S)
+        self._log.write(Event.HANDED_OVER, done=self.replica.handed_over, epoch=self.replica.view.epoch)
+        self._ticker.cancel()
         self._server.close()
         self._record.close()
 
@@ -123,7 +132,7 @@
         if isinstance(message, StoreHello):
             self._on_hello(link, message)
         elif isinstance(message, StoreStatus):
-            self._on_status(message)
+            self._on_status(link, message)
         elif isinstance(message, Describe):
             link.send(Description(self.describe()))
         elif isinstance(message, Subscribe):
@@ -145,15 +154,18 @@
             self._accepted[hello.identity] = link
             link.send(self._hello())
 
-    def _heard(self, identity: str) -> None:
+    def _heard(self, identity: str, healthy: bool = True, leaving: bool = False) -> None:
         known = self._stores.get(identity)
         if known is not None:
             member = Member(known[0], known[1], known[2])
-            self.replica.heard(member, known[3], asyncio.get_running_loop().time())
+            now = asyncio.get_running_loop().time()
+            self.replica.heard(member, known[3], now, healthy, leaving)
 
-    def _on_status(self, status: StoreStatus) -> None:
+    def _on_status(self, link: Link, status: StoreStatus) -> None:
+        if link.owner != status.identity:
+            return
         self._epochs[status.identity] = status.epoch
-        self._heard(status.identity)
+        self._heard(status.identity, status.healthy, status.leaving)
         if status.view is not None:
             self.replica.learn(View.from_list(status.view))
         for identity, host, zone, born_first in status.stores:
@@ -167,17 +179,30 @@
             [self._stores[identity] for identity in self._links if identity in self._stores] if gossip else []
         )
         if self._ticks % STATUS_TICKS == 0:
-            for identity, link in self._links.items():
-                behind = self._epochs.get(identity, -1) < replica.view.epoch
-                link.send(self._status(replica.view.to_list() if behind else None, stores))
+            self._tell_stores(stores)
         if self._ticks % SUBSCRIBER_TICKS == 0:
             hosts = [*stores, [replica.identity, replica.me.host, replica.me.zone, replica.born_first]]
             for link in self._subscribers:
                 link.send(self._status(None, hosts if gossip else []))
 
+    def _tell_stores(self, stores: list[list[Any]]) -> None:
+        view = self.replica.view
+        for identity, link in self._links.items():
+            behind = self._epochs.get(identity, -1) < view.epoch
+            link.send(self._status(view.to_list() if behind else None, stores))
+
     def _status(self, view: list[Any] | None, stores: list[list[Any]]) -> StoreStatus:
         replica = self.replica
-        return StoreStatus(replica.identity, replica.view.epoch, view, replica.serving, replica.stamp, stores)
+        return StoreStatus(
+            replica.identity,
+            replica.view.epoch,
+            view,
+            replica.serving,
+            replica.stamp,
+            stores,
+            replica.healthy,
+            replica.leaving,
+        )
 
     def describe(self) -> dict[str, Any]:
         """What this store holds, for operators."""
--- a/lupinreach/mesh/store/view.py
+++ b/lupinreach/mesh/store/view.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
 from typing import Any
@@ -74,38 +75,97 @@
 
 @dataclass(slots=True)
 class Liveness:
-    """Whom the proposer hears, and whom it has not heard for long."""
+    """The stores as the proposer sees them, by identity."""
 
-    alive: dict[str, Member] = field(default_factory=dict)  # by identity, the proposer among them
+    alive: dict[str, Member] = field(default_factory=dict)  # heard lately, the proposer among them
+    sound: Collection[str] = ()  # of these, the ones whose disks take writes
     long_dead: Collection[str] = ()
-
-
-def next_voters(view: View, liveness: Liveness, tolerance: Tolerance) -> tuple[Member, ...]:
-    """The voters of a next view: a new disk replaces the old one, live newcomers join, surplus dead ones leave."""
-    alive = liveness.alive
-    by_host = {member.host: member for member in alive.values()}
-    if view.epoch == 0:
-        return tuple(sorted(alive.values(), key=lambda member: member.host))
-    voters: list[Member] = []
-    for voter in view.voters:
-        at_host = by_host.get(voter.host)
-        voters.append(at_host if at_host is not None else voter)
-    voters = list(dict.fromkeys(voters))
-    for newcomer in sorted(alive.values(), key=lambda member: member.host):
-        if newcomer not in voters:
-            _join(voters, newcomer, liveness)
+    leaving: Collection[str] = ()
+
+
+RegionOf = Callable[[str], str]
+
+
+def next_voters(
+    view: View, liveness: Liveness, tolerance: Tolerance, region_of: RegionOf
+) -> tuple[Member, ...]:
+    """The voters of a next view.
+
+    A new disk takes the place of the old one on its machine. A newcomer takes the place of a voter that is
+    long dead or leaves; it is added beside the others only where every loss that the tolerance allows still
+    leaves a majority. Dead and leaving voters go while enough others are left.
+    """
+    by_host = {member.host: member for member in liveness.alive.values()}
+    voters = []
+    if view.epoch > 0:
+        voters = list(dict.fromkeys(by_host.get(voter.host, voter) for voter in view.voters))
+    for newcomer in _newcomers(voters, liveness):
+        voters = _with_newcomer(voters, newcomer, liveness, tolerance, region_of)
+    return tuple(_without_lost(voters, liveness, tolerance, region_of))
+
+
+def _newcomers(voters: list[Member], liveness: Liveness) -> list[Member]:
+    """Sound members without a vote; those of zones with few voters first."""
+    held = {voter.identity for voter in voters}
+    found = [
+        member
+        for identity, member in sorted(liveness.alive.items(), key=lambda item: item[1].host)
+        if identity not in held and identity in liveness.sound and identity not in liveness.leaving
+    ]
+    taken = Counter(voter.zone for voter in voters)
+    ranked = []
+    for member in found:
+        ranked.append((taken[member.zone], member.host, member))
+        taken[member.zone] += 1
+    return [member for _, _, member in sorted(ranked, key=lambda entry: entry[:2])]
+
+
+def _with_newcomer(
+    voters: list[Member],
+    newcomer: Member,
+    liveness: Liveness,
+    tolerance: Tolerance,
+    region_of: RegionOf,
+) -> list[Member]:
+    margin = majority_margin(voters, tolerance, region_of)
+    lost = [
+        voter
+        for voter in voters
+        if voter.identity in liveness.long_dead or voter.identity in liveness.leaving
+    ]
+    for voter in sorted(lost, key=lambda voter: voter.zone != newcomer.zone):
+        replaced = [newcomer if other is voter else other for other in voters]
+        if majority_margin(replaced, tolerance, region_of) >= min(0, margin):
+            return replaced
+    added = [*voters, newcomer]
+    added_margin = majority_margin(added, tolerance, region_of)
+    if len(added) <= tolerance.least_voters or added_margin >= 0 or added_margin > margin:
+        return added
+    return voters
+
+
+def _without_lost(
+    voters: list[Member], liveness: Liveness, tolerance: Tolerance, region_of: RegionOf
+) -> list[Member]:
     for voter in list(voters):
-        if len(voters) > tolerance.least_voters and voter.identity in liveness.long_dead:
-            voters.remove(voter)
-    return tuple(voters)
-
-
-def _join(voters: list[Member], newcomer: Member, liveness: Liveness) -> None:
-    for position, voter in enumerate(voters):
-        if voter.identity in liveness.long_dead:
-            voters[position] = newcomer
-            return
-    voters.append(newcomer)
+        lost = voter.identity in liveness.long_dead or voter.identity in liveness.leaving
+        rest = [other for other in voters if other is not voter]
+        if lost and len(rest) >= tolerance.least_voters and majority_margin(rest, tolerance, region_of) >= 0:
+            voters = rest
+    return voters
+
+
+def majority_margin(voters: Collection[Member], tolerance: Tolerance, region_of: RegionOf) -> int:
+    """By how many voters the survivors of the worst loss that is tolerated exceed a bare majority."""
+    majority = len(voters) // 2 + 1
+    by_zone = Counter(voter.zone for voter in voters)
+    by_region = Counter(region_of(voter.zone) for voter in voters)
+    worst = max(
+        tolerance.machines,
+        sum(size for _, size in by_zone.most_common(tolerance.zones)),
+        sum(size for _, size in by_region.most_common(tolerance.regions)),
+    )
+    return len(voters) - worst - majority
 
 
 def next_copies(
@@ -114,7 +174,7 @@
     voters: Collection[Member],
     alive: Collection[str],
     tolerance: Tolerance,
-    region_of: Callable[[str], str],
+    region_of: RegionOf,
 ) -> tuple[str, ...] | None:
     """The primary and enough live voters, spread over zones and regions; None where there are too few."""
     chosen = [primary]
@@ -135,7 +195,7 @@
     return tuple(member.identity for member in chosen)
 
 
-def _enough(chosen: list[Member], tolerance: Tolerance, region_of: Callable[[str], str]) -> bool:
+def _enough(chosen: list[Member], tolerance: Tolerance, region_of: RegionOf) -> bool:
     return (
         len(chosen) >= tolerance.copies
         and len({member.zone for member in chosen}) > tolerance.zones
--- /dev/null
+++ b/lupinreach/mesh/store/voting.py
@@ -0,0 +1,128 @@
+"""Agreement on the next view: one register for each epoch, decided by a majority of the present voters.
+
+Prepare and accept with ballots, as in Paxos: a proposer that finds an accepted view adopts it. Ballots are
+unique for ever, since the round is on disk before it is used. All methods return the message to send.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import Enum
+
+from lupinreach.mesh.messages import Accept, Accepted, Message, Outdated, Prepare, Promise
+from lupinreach.mesh.store.members import Members
+from lupinreach.mesh.store.state import Acceptance, Ballot, StoreState
+from lupinreach.mesh.store.view import View
+
+
+class Acceptor:
+    """Votes of one store."""
+
+    def __init__(self, state: StoreState, members: Members, learn: Callable[[View], None]) -> None:
+        self._state = state
+        self._members = members
+        self._learn = learn
+
+    def prepare(self, message: Prepare) -> Message | None:
+        """The promise, a refusal, or None where this store has no vote."""
+        base = View.from_list(message.base)
+        if self._state.view.epoch < base.epoch:
+            self._learn(base)
+        ballot: Ballot = (message.ballot[0], message.ballot[1])
+        refusal = self._refusal(message.epoch, ballot)
+        if refusal is not None:
+            return refusal
+        if not self._may_vote(message.epoch):
+            return None
+        self._state.promise(message.epoch, ballot)
+        promise = Promise(message.epoch, list(ballot))
+        accepted = self._state.accepted
+        if accepted is not None and accepted.epoch == message.epoch:
+            promise.accepted_ballot = list(accepted.ballot)
+            promise.accepted_view = accepted.view.to_list()
+        return promise
+
+    def accept(self, message: Accept) -> Message | None:
+        """The vote, a refusal, or None where this store has no vote."""
+        ballot: Ballot = (message.ballot[0], message.ballot[1])
+        refusal = self._refusal(message.epoch, ballot)
+        if refusal is not None:
+            return refusal
+        if not self._may_vote(message.epoch):
+            return None
+        self._state.accept(Acceptance(message.epoch, ballot, View.from_list(message.view)))
+        return Accepted(message.epoch, list(ballot))
+
+    def _may_vote(self, epoch: int) -> bool:
+        view = self._state.view
+        return view.epoch == epoch - 1 and self._members.vote_of(view, self._members.me.identity) is not None
+
+    def _refusal(self, epoch: int, ballot: Ballot) -> Outdated | None:
+        """What a proposer is told that comes too late."""
+        if self._state.view.epoch >= epoch:
+            return Outdated(epoch, [], self._state.view.to_list())
+        if self._state.promised > (epoch, ballot):
+            return Outdated(epoch, list(self._state.promised[1]))
+        return None
+
+
+class Phase(Enum):
+    """Steps of a proposal."""
+
+    INSTALL = 1
+    PREPARE = 2
+    ACCEPT = 3
+
+
+@dataclass(slots=True)
+class Proposal:
+    """One attempt at deciding a next view."""
+
+    base: View
+    view: View
+    ballot: Ballot
+    phase_began: float
+    phase: Phase = Phase.INSTALL
+    waiting: set[str] = field(default_factory=set)  # copies that do not hold the document yet
+    promised: dict[str, Acceptance | None] = field(default_factory=dict)  # by voter
+    accepted: set[str] = field(default_factory=set)
+
+    def _enter(self, phase: Phase, now: float) -> None:
+        self.phase = phase
+        self.phase_began = now
+
+    def installed(self, identity: str, now: float) -> Prepare | None:
+        """A copy holds the document; voters are asked once all of them do."""
+        self.waiting.discard(identity)
+        if self.waiting or self.phase is not Phase.INSTALL:
+            return None
+        self._enter(Phase.PREPARE, now)
+        return Prepare(self.view.epoch, list(self.ballot), self.base.to_list())
+
+    def promise(self, voter: str, message: Promise, now: float) -> Accept | None:
+        """A voter promised; with a majority of them the view, or one accepted before, is put to the vote."""
+        if self.phase is not Phase.PREPARE or not self._is_answer(message.epoch, message.ballot):
+            return None
+        accepted = None
+        if message.accepted_view is not None and message.accepted_ballot is not None:
+            ballot: Ballot = (message.accepted_ballot[0], message.accepted_ballot[1])
+            accepted = Acceptance(message.epoch, ballot, View.from_list(message.accepted_view))
+        self.promised[voter] = accepted
+        if len(self.promised) < self.base.majority:
+            return None
+        earlier = [found for found in self.promised.values() if found is not None]
+        if earlier:
+            self.view = max(earlier, key=lambda found: found.ballot).view
+        self._enter(Phase.ACCEPT, now)
+        return Accept(self.view.epoch, list(self.ballot), self.view.to_list())
+
+    def vote(self, voter: str, message: Accepted) -> bool:
+        """A voter accepted; true once a majority has, and the view is decided."""
+        if self.phase is not Phase.ACCEPT or not self._is_answer(message.epoch, message.ballot):
+            return False
+        self.accepted.add(voter)
+        return len(self.accepted) >= self.base.majority
+
+    def _is_answer(self, epoch: int, ballot: list[object]) -> bool:
+        return epoch == self.view.epoch and tuple(ballot) == self.ballot
