--- a/lupinreach/mesh/backend_client.py
+++ b/lupinreach/mesh/backend_client.py
@@ -89,7 +89,8 @@
 
     def _finish(self, whole: WholeMessage) -> None:
         assert self._future is not None
-        self.reusable = whole.head.keeps and not self._reader.begun and not self._surplus
+        sent = self._transport.get_write_buffer_size() == 0  # the answer may come before a long body is read
+        self.reusable = sent and whole.head.keeps and not self._reader.begun and not self._surplus
         stated = KEEP_ALIVE.search(whole.head.headers.get(b"keep-alive", b""))
         if stated:
             self.idle_limit_s = int(stated[1]) * IDLE_SHARE
--- a/lupinreach/mesh/messages.py
+++ b/lupinreach/mesh/messages.py
@@ -106,6 +106,7 @@
     NUMBER: ClassVar[int] = 10
     address: str = ""  # of its own inbound listener
     config_version: str = ""
+    sent_at: float = 0.0  # by the sender's steady clock, seconds
 
 
 @register
@@ -130,7 +131,7 @@
     """One request handed to the gate beside the backend that is to run it."""
 
     NUMBER: ClassVar[int] = 12
-    number: int = 0  # of this request on this link
+    number: int = 0  # unique: the sender's incarnation and a count
     service: str = ""
     instance_id: str = ""
     config_version: str = ""
@@ -144,6 +145,7 @@
     host: bytes = b""
     headers: bytes = b""  # whole header lines
     body: bytes = b""
+    sent_at: float = 0.0  # by the sender's steady clock, seconds
 
 
 @register
--- a/lupinreach/mesh/proxy/gate.py
+++ b/lupinreach/mesh/proxy/gate.py
@@ -141,16 +141,22 @@
 
     # A request.
 
-    async def serve(self, asked: Request) -> Outcome:
-        """Pass a request to the backend if it may go there, and wait for its answer."""
-        began = self._now()
+    async def serve(self, asked: Request, age_s: float = 0.0) -> Outcome:
+        """Pass a request to the backend if it may go there, and wait for its answer.
+
+        `age_s`: how long ago it was sent here, at least.
+        """
+        began = self._now() - age_s
         until = began + asked.remaining_ms / 1000
         reason = self._refusal(asked)
+        if reason is None and (until - self._now()) * 1000 < MIN_RUN_MS:
+            reason = NotTakenReason.EXPIRED
         if reason is not None:
             return self._not_taken(asked, reason, 0.0)
+        wait_ms = min(asked.wait_ms, asked.remaining_ms) - 1000 * age_s
         self.in_flight += 1
         try:
-            await self.admission.enter(began + asked.rank / 1000, min(asked.wait_ms, asked.remaining_ms))
+            await self.admission.enter(began + asked.rank / 1000, max(0.0, wait_ms))
         except NotAdmitted as refused:
             return self._not_taken(asked, refused.reason, refused.retry_ms)
         finally:
--- a/lupinreach/mesh/proxy/gossip.py
+++ b/lupinreach/mesh/proxy/gossip.py
@@ -48,7 +48,7 @@
                 done.set()
 
         def on_up(link: Link) -> None:
-            link.send(PeerHello(self._own, self._news.version))
+            link.send(PeerHello(self._own, self._news.version, asyncio.get_running_loop().time()))
             link.send(Shuffle(sample, self._news.version, list(self._news.stamp)))
 
         dialer = Dialer(parse_address(partner), on_up, on_message, lambda link: None)
--- a/lupinreach/mesh/proxy/inbound.py
+++ b/lupinreach/mesh/proxy/inbound.py
@@ -23,6 +23,7 @@
 from lupinreach.mesh.proxy.gate import Gate
 from lupinreach.mesh.proxy.gossip import Gossip
 from lupinreach.mesh.proxy.news import NewsHolder
+from lupinreach.mesh.proxy.request_age import LinkDelay, SeenRequests
 from lupinreach.mesh.tasks import spawn
 
 
@@ -43,6 +44,8 @@
         self._gossip = gossip
         self._describe = describe
         self._links: dict[Link, dict[int, asyncio.Task[None]]] = {}
+        self._delays: dict[Link, LinkDelay] = {}
+        self._seen = SeenRequests()
         self._server: asyncio.Server | None = None
         gate.on_status(self._broadcast)
 
@@ -61,14 +64,14 @@
 
     def _message(self, link: Link, message: Message) -> None:
         if isinstance(message, Request):
-            task = spawn(self._serve(link, message))
-            self._links.setdefault(link, {})[message.number] = task
+            self._on_request(link, message)
         elif isinstance(message, Cancel):
             task_out = self._links.get(link, {}).get(message.number)
             if task_out is not None:
                 task_out.cancel()
         elif isinstance(message, PeerHello):
             self._links.setdefault(link, {})
+            self._age_s(link, message.sent_at)
             link.send(self._gate.status())
         elif isinstance(message, Shuffle):
             self._gossip.answer(link, message)
@@ -80,12 +83,24 @@
         elif isinstance(message, Describe):
             link.send(Description(self._describe()))
 
-    async def _serve(self, link: Link, asked: Request) -> None:
+    def _age_s(self, link: Link, sent_at: float) -> float:
+        delay = self._delays.setdefault(link, LinkDelay())
+        return delay.age_s(sent_at, asyncio.get_running_loop().time())
+
+    def _on_request(self, link: Link, asked: Request) -> None:
+        """Serve a request once; a `Cancel` that came with it ends its task before that begins."""
+        if not self._seen.is_new(asked.number):
+            return
+        task = spawn(self._serve(link, asked, self._age_s(link, asked.sent_at)))
+        self._links.setdefault(link, {})[asked.number] = task
+
+    async def _serve(self, link: Link, asked: Request, age_s: float) -> None:
         try:
-            link.send(await self._gate.serve(asked))
+            link.send(await self._gate.serve(asked, age_s))
         finally:
             self._links.get(link, {}).pop(asked.number, None)
 
     def _closed(self, link: Link) -> None:
+        self._delays.pop(link, None)
         for task in self._links.pop(link, {}).values():
             task.cancel()
--- a/lupinreach/mesh/proxy/peers.py
+++ b/lupinreach/mesh/proxy/peers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from collections.abc import Callable
 from zlib import crc32
 
@@ -30,9 +31,23 @@
 MOST_LINKS = 12  # backends of a service that a proxy holds links to
 MOST_NEAR_LINKS = 8  # of these in its own zone
 UNUSED_S = 10.0  # a link that is not wanted any more is kept for so long
+COUNT_BITS = 32  # of a request's number; the bits above are the process's incarnation
+INCARNATION_BITS = 31
 ANSWER_SLACK_S = 0.1  # for the answer to travel back, past the time that the far gate enforces
 
 
+class RequestNumbers:
+    """Numbers for requests to other proxies: never the same twice, by whatever process, in whatever life."""
+
+    def __init__(self, incarnation: int) -> None:
+        self._next = incarnation << COUNT_BITS
+
+    def draw(self) -> int:
+        """The next number."""
+        self._next += 1
+        return self._next
+
+
 class Peer:
     """One backend as a target: the proxy beside it, and what that proxy tells."""
 
@@ -91,11 +106,18 @@
 class RemotePeer(Peer):
     """A backend behind another proxy, over a held link."""
 
-    def __init__(self, address: str, zone: str, own_address: str, own_version: Callable[[], str]) -> None:
+    def __init__(
+        self,
+        address: str,
+        zone: str,
+        own_address: str,
+        own_version: Callable[[], str],
+        numbers: RequestNumbers,
+    ) -> None:
         super().__init__(address, zone)
         self._own_address = own_address
         self._own_version = own_version
-        self._numbers = 0
+        self._numbers = numbers
         self._out: dict[int, tuple[asyncio.Future[Outcome], bool]] = {}  # with: may be repeated
         self._pinged_at = 0.0  # loop time of the first ping since anything was heard; 0: none
         self._dialer = Dialer(parse_address(address), self._up, self._message, self._down)
@@ -120,7 +142,8 @@
     def _up(self, link: Link) -> None:
         self.silent = False
         self._pinged_at = 0.0
-        link.send(PeerHello(self._own_address, self._own_version()))
+        now = asyncio.get_running_loop().time()
+        link.send(PeerHello(self._own_address, self._own_version(), now))
 
     def _down(self, link: Link) -> None:
         self.silent = False
@@ -149,8 +172,8 @@
         if link is None:
             return Failed(asked.number, int(AttemptFailure.UNREACHABLE), False)
         loop = asyncio.get_running_loop()
-        self._numbers += 1
-        asked.number = number = self._numbers
+        asked.number = number = self._numbers.draw()
+        asked.sent_at = loop.time()
         future: asyncio.Future[Outcome] = loop.create_future()
         self._out[number] = (future, asked.repeatable)
         self.in_flight += 1
@@ -167,9 +190,16 @@
             self.in_flight -= 1
 
     def _time_out(self, number: int) -> None:
+        self._give_up(number, AttemptFailure.TIMED_OUT)
+
+    def _give_up(self, number: int, failure: AttemptFailure) -> None:
+        """The attempt has failed here; the other side is told, so that it neither begins nor goes on."""
         found = self._out.pop(number, None)
-        if found is not None and not found[0].done():
-            found[0].set_result(Failed(number, int(AttemptFailure.TIMED_OUT), True))
+        if found is None or found[0].done():
+            return
+        found[0].set_result(Failed(number, int(failure), True))
+        if self._dialer.link is not None:
+            self._dialer.link.send(Cancel(number))
 
     def check(self) -> None:
         """Ask a silent link for a sign of life; give repeatable attempts up once it gives none."""
@@ -190,10 +220,9 @@
             self._fail_repeatable()
 
     def _fail_repeatable(self) -> None:
-        for number, (future, repeatable) in list(self._out.items()):
-            if repeatable and not future.done():
-                del self._out[number]
-                future.set_result(Failed(number, int(AttemptFailure.SILENT), True))
+        for number, (_, repeatable) in list(self._out.items()):
+            if repeatable:
+                self._give_up(number, AttemptFailure.SILENT)
 
 
 class PeerTable:
@@ -210,6 +239,7 @@
         self._own_address = own_address
         self._zone = zone
         self._own_version = own_version
+        self._numbers = RequestNumbers(random.getrandbits(INCARNATION_BITS))
         self._unused_since: dict[str, float] = {}
         self._wide: set[str] = set()  # services whose chosen backends did not do
         self._checker = spawn(self._check())
@@ -285,7 +315,7 @@
         return crc32(f"{self._own_address} {address}".encode())
 
     def _link(self, entry: AgentEntry) -> None:
-        peer = RemotePeer(entry.address, entry.zone, self._own_address, self._own_version)
+        peer = RemotePeer(entry.address, entry.zone, self._own_address, self._own_version, self._numbers)
         peer.status = BackendStatus(entry.service, entry.instance_id, False)
         self.linked[entry.address] = peer
 
--- a/lupinreach/mesh/proxy/program.py
+++ b/lupinreach/mesh/proxy/program.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import time
+from collections.abc import Callable
 from enum import Enum
 from typing import Any
 
@@ -29,7 +30,7 @@
 from lupinreach.mesh.tasks import spawn
 
 BODY_SHARE = 0.35  # of the process's memory, for buffered bodies
-LINGER_S = 2.6  # after SIGTERM, until the platform has noticed that this proxy is not ready
+LINGER_S = 2.6  # after SIGTERM, until the platform has noticed; no request is read after it
 GATE_OPEN_S = 1.2  # after SIGTERM the gate still takes requests for so long: its backend is sound
 GRACE_LEFT_S = 0.9  # of the grace period, kept for the end itself
 STOP_CHECK_S = 0.05
@@ -50,12 +51,14 @@
 class ProxyProgram:
     """One proxy."""
 
-    def __init__(self, settings: Settings, log: EventLog) -> None:
+    def __init__(
+        self, settings: Settings, log: EventLog, wall_clock: Callable[[], float] = time.time
+    ) -> None:
         assert settings.app_address is not None and settings.target_service is not None
         self.state = ProxyState.STARTING
         self._settings = settings
         self._log = log
-        self._life = int(time.time() * 1000)
+        self._life = int(wall_clock() * 1000)
         self._sequence = 0
         self._probed = False
         self._was_evacuated = False
@@ -258,7 +261,10 @@
             if not self.gate.stopping and loop.time() > began + GATE_OPEN_S:
                 self.gate.stop()
             busy = self._server.busy or self.gate.in_flight or self.gate.admission.running
-            if not busy and loop.time() > began + LINGER_S:
+            if loop.time() <= began + LINGER_S:
+                continue
+            self._server.close()  # what would be read from here on could not be finished
+            if not busy:
                 break
         self._server.close()
         self._server.abandon()
--- a/lupinreach/mesh/reader.py
+++ b/lupinreach/mesh/reader.py
@@ -82,9 +82,7 @@
             return head.length or 0
         if self.bodiless or head.first[2] < 200 or head.first[2] in NO_BODY_STATUSES:
             return 0
-        if head.length is None and head.keeps:
-            raise Ended(End.MALFORMED)  # nothing would tell where it ends
-        return head.length
+        return head.length  # without one the answer ends with its connection
 
     def _read_body(self) -> WholeMessage | None:
         if self._chunks is not None:
--- a/lupinreach/mesh/server.py
+++ b/lupinreach/mesh/server.py
@@ -215,7 +215,8 @@
             if exchange.answer is None:
                 if exchange.task is not None:
                     exchange.task.cancel()
-                exchange.answer = error_answer(ErrorKind.OUTCOME_UNKNOWN)
+                begun = exchange.task is not None
+                exchange.answer = error_answer(ErrorKind.OUTCOME_UNKNOWN if begun else ErrorKind.STOPPING)
         self._last = True
         self._flush()
 
--- a/tests/mesh/scenario.py
+++ b/tests/mesh/scenario.py
@@ -22,6 +22,7 @@
         self.world = World(folder)
         self.failures: list[str] = []
         self.statuses: dict[str, int] = {}
+        self.reads: dict[str, bytes] = {}
         self._tasks: list[asyncio.Task[Any]] = []
 
     def play(self) -> None:
@@ -85,6 +86,26 @@
     def do_cut_one_way(self, source: str, target: str) -> None:
         self.world.loop.one_way.add((source, target))
 
+    def do_disk_full(self, host: str) -> None:
+        self.world.full_disks.add(host)
+
+    def do_disk_free(self, host: str) -> None:
+        self.world.full_disks.discard(host)
+
+    def do_clock(self, host: str, seconds: str) -> None:
+        """The host's time of day, from now on."""
+        self.world.clock_steps[host] = float(seconds)
+
+    def do_stop(self, host: str) -> None:
+        """SIGTERM at a core machine, and its end."""
+        programs = [self.world.programs[(host, role)] for role in self.world.roles(host)]
+
+        async def stop() -> None:
+            await asyncio.gather(*(program.stop() for program in programs))
+            self.world.kill(host)
+
+        self._spawn(stop())
+
     def do_heal(self) -> None:
         self.world.loop.cuts.clear()
         self.world.loop.one_way.clear()
@@ -109,6 +130,26 @@
 
         self._spawn(order())
 
+    def do_orders(self, host: str, first: str, count: str, every: str) -> None:
+        """Many configurations, one after the other."""
+
+        async def send() -> None:
+            for number in range(int(first, 16), int(first, 16) + int(count)):
+                await self.world.order(host, f"{number:08x}")
+                await asyncio.sleep(float(every))
+
+        self._spawn(send())
+
+    def do_read(self, host: str, name: str) -> None:
+        """An operator reads the configuration back."""
+
+        async def read() -> None:
+            status, body = await self.world.call(host, 8306, "GET", "/configuration/describe")
+            self.statuses[name] = status
+            self.reads[name] = body
+
+        self._spawn(read())
+
     def do_evacuate(self, host: str, zone: str, verb: str) -> None:
         async def order() -> None:
             self.statuses[zone + verb] = (
@@ -131,8 +172,17 @@
         backend = self.world.backends[host]
         setattr(backend, key, type(getattr(backend, key))(value))
 
-    def do_beat(self, host: str) -> None:
-        self._spawn(self.world.beat(host))
+    def do_beat(self, host: str, via: str = "") -> None:
+        async def beat() -> None:
+            self.statuses[f"beat-{host}"] = await self.world.beat(host, via)
+
+        self._spawn(beat())
+
+    def do_sign_off(self, host: str, via: str) -> None:
+        async def sign_off() -> None:
+            self.statuses[f"sign-off-{host}"] = await self.world.sign_off(host, via)
+
+        self._spawn(sign_off())
 
     def do_crash(self, host: str) -> None:
         self.world.stop_backend(host)
@@ -148,6 +198,36 @@
         found = self.statuses.get(name, self.world.answers.get(name, (None, 0.0))[0])
         return None if str(found) in statuses else f"found {found}"
 
+    def do_expect_read(self, name: str, version: str, text: str = "") -> str | None:
+        """What was read back holds a version, and a text."""
+        found = self.reads.get(name, b"").decode()
+        return None if f'"version":"{version}"' in found and text in found else f"found {found[:80]!r}"
+
+    def do_expect_one_of(self, status: str, *names: str) -> str | None:
+        """Exactly one of the orders got a status."""
+        found = [self.statuses.get(name) for name in names]
+        return None if [str(one) for one in found].count(status) == 1 else f"found {found}"
+
+    def do_expect_voters(self, host: str, *hosts: str) -> str | None:
+        view = self.world.programs[(host, "store")].replica.view
+        found = sorted(voter.host for voter in view.voters)
+        return None if found == sorted(hosts) else f"found {found}"
+
+    def do_expect_copies(self, least: str, version: str) -> str | None:
+        """So many stores at least are complete copies of the newest view and hold a version."""
+        replicas = [p.replica for (_, role), p in self.world.programs.items() if role == "store"]
+        newest = max(replica.view.epoch for replica in replicas)
+        held = [
+            replica.me.host
+            for replica in replicas
+            if replica.view.epoch == newest and replica._may_propose and replica.document.version == version
+        ]
+        return None if len(held) >= int(least) else f"found {held}"
+
+    def do_expect_disk_at_most(self, host: str, kilobytes: str) -> str | None:
+        found = sum(file.stat().st_size for file in (self.world.folder / host).iterdir()) / 1024
+        return None if found <= float(kilobytes) else f"found {found:.0f} KB"
+
     def do_expect_within(self, request_id: str, seconds: str) -> str | None:
         _, took = self.world.answers.get(request_id, (0, 999.0))
         return None if took <= float(seconds) else f"took {took:.3f}"
--- a/tests/mesh/world.py
+++ b/tests/mesh/world.py
@@ -18,6 +18,7 @@
 from lupinreach.mesh.registry.program import RegistryProgram
 from lupinreach.mesh.server import HttpAnswer, HttpRequest, HttpServer
 from lupinreach.mesh.settings import Bounds, FaultTolerance, Settings
+from lupinreach.mesh.store.disk import DiskFailed
 from lupinreach.mesh.store.program import StoreProgram
 
 ONE_WAY_S = 0.001
@@ -144,6 +145,18 @@
         self._world.story.append((self._world.now, self._name, event, facts))
 
 
+class FaultyDisk:
+    """A store's record on a disk that may take no more bytes."""
+
+    def __init__(self, record: Any, world: World, host: str) -> None:
+        self._record, self._world, self._host = record, world, host
+
+    def save(self, changes: Any) -> None:
+        if self._host in self._world.full_disks:
+            raise DiskFailed("no space")
+        self._record.save(changes)
+
+
 @dataclass
 class Backend:
     """A stand-in backend; what it ran is in `ran`."""
@@ -179,6 +192,8 @@
         self.first = True
         self.tolerance = FaultTolerance(1, 1, 0)
         self.answers: dict[str, tuple[int, float]] = {}
+        self.full_disks: set[str] = set()
+        self.clock_steps: dict[str, float] = {}  # seconds that a host's time of day is ahead
         self._owner = 0
         self._instances = 0
 
@@ -241,7 +256,13 @@
         random.seed(
             f"{host} {role} {OWNER.get()}"
         )  # what one process draws must not move with what others drew
-        program = FACTORIES[role](settings, StoryLog(self, f"{host}/{role}"))
+        log = StoryLog(self, f"{host}/{role}")
+        if role == "proxy":
+            program: Any = ProxyProgram(settings, log, lambda: self.now + self.clock_steps.get(host, 1e6))
+        else:
+            program = FACTORIES[role](settings, log)
+        if role == "store":
+            program.replica.state._record = FaultyDisk(program._record, self, host)
         self.programs[(host, role)] = program
         await program.start()
 
@@ -297,14 +318,19 @@
         old = self.backends[host]
         self.backends[host] = Backend(host, old.service, old.zone, f"i-{self._instances}", cold_ms=cold_ms)
 
-    async def beat(self, host: str) -> int:
+    async def sign_off(self, host: str, via: str) -> int:
+        instance = self.backends[host].instance
+        return (await self.call(via, CONTROL, "POST", f"/instances/{instance}/deregister"))[0]
+
+    async def beat(self, host: str, via: str = "") -> int:
         backend = self.backends[host]
         backend.sequence += 1
         body = (
             f'{{"target_service":"{backend.service}","address":"{host}:{APP}","zone":"{backend.zone}","capacity":4,'
             f'"state":"{backend.state}","sequence":{backend.sequence},"cold_remaining_ms":{backend.cold_ms}}}'
         ).encode()
-        return (await self.call(host, CONTROL, "POST", f"/instances/{backend.instance}/heartbeat", body))[0]
+        path = f"/instances/{backend.instance}/heartbeat"
+        return (await self.call(via or host, CONTROL, "POST", path, body))[0]
 
     async def _serve(self, backend: Backend, asked: HttpRequest) -> HttpAnswer:
         request_id = (asked.header(b"lupinreach-request-id") or b"").decode()
@@ -322,6 +348,8 @@
             backend.running -= 1
         if backend.mode == "garbled":
             line = b"Lupinreach-Request-Id: another\r\n"
+        if backend.mode == "unframed":
+            return HttpAnswer(200, line + b"Lupinreach-Response-Seal: s\r\nConnection: close\r\n", b"whole")
         if backend.mode == "silent":
             await asyncio.sleep(60)
         return HttpAnswer(200, line + b"Lupinreach-Response-Seal: s\r\n", backend.instance.encode())
