--- a/tests/mesh/scenario.py
+++ b/tests/mesh/scenario.py
@@ -253,6 +253,13 @@
                 return None if found == version else f"found {found!r}"
         return "no primary"
 
+    def do_expect_registered(self, registry: str, host: str) -> str | None:
+        """A registry knows the backend that is beside a proxy now."""
+        instance = self.world.backends[host].instance
+        entries = self.world.programs[(registry, "registry")].agents.entries()
+        found = [entry.instance_id for entry in entries if entry.address.startswith(f"{host}:")]
+        return None if found == [instance] else f"found {found}, not {instance}"
+
     def do_expect_most_running(self, host: str, most: str) -> str | None:
         found = self.world.backends[host].most_running
         return None if found <= int(most) else f"found {found}"
--- a/tests/mesh/world.py
+++ b/tests/mesh/world.py
@@ -348,8 +348,6 @@
             backend.running -= 1
         if backend.mode == "garbled":
             line = b"Lupinreach-Request-Id: another\r\n"
-        if backend.mode == "unframed":
-            return HttpAnswer(200, line + b"Lupinreach-Response-Seal: s\r\nConnection: close\r\n", b"whole")
         if backend.mode == "silent":
             await asyncio.sleep(60)
         return HttpAnswer(200, line + b"Lupinreach-Response-Seal: s\r\n", backend.instance.encode())
