Fail over from a silent link only where the repeat is paid for; marks of later views are kept

A view learnt late dropped the mark of a later one (found by the drawn histories once they ask that every copy of a decided view is complete). Change: the attempt is waited for unless another backend is there and the budget grants the repeat; the mark of completeness keeps its epoch.

--- a/lupinreach/mesh/model/histories.py
+++ b/lupinreach/mesh/model/histories.py
@@ -16,17 +16,18 @@
 
 from lupinreach.mesh.events import Event
 from lupinreach.mesh.messages import Message, Order, OrderResult, decode, encode
-from lupinreach.mesh.model.disk import MemoryRecord
+from lupinreach.mesh.model.disk import Fate, MemoryRecord, ProcessDied
 from lupinreach.mesh.model.ledger import Broken, Ledger
 from lupinreach.mesh.store.document import Document, OrderKind
 from lupinreach.mesh.store.replica import Replica
-from lupinreach.mesh.store.view import Member, Tolerance
+from lupinreach.mesh.store.view import Member, Tolerance, View
 
 TICK_S, STATUS_S = 0.1, 0.2
 LENGTH_S = 60.0
 CALM_S = 15.0
 ZONES = 3
 CATCH_UP_S = 5.0  # after a loss, until the next may come
+REPLACED_S = 2.5  # a copy without a disk is replaced within this
 USUAL_DELAY_S = (0.001, 0.02)
 
 
@@ -79,6 +80,9 @@
         if event is Event.PRIMARY_SERVING:
             assert self.replica is not None
             self.history.ledger.served(facts["epoch"], self.replica.identity)
+        if event is Event.VIEW_DECIDED:
+            assert self.replica is not None
+            self.history.decided(self.replica.view)
 
     def publish(self, stamp: list[int], document: Document) -> None:
         self.history.ledger.published(stamp, document)
@@ -99,6 +103,7 @@
         self.sent = 0
         self.cuts: set[tuple[str, str]] = set()
         self.lossy = 0.0
+        self._crashes = 0
         self.lost: dict[str, float] = {}  # host: until when it counts as lost
         self._events: list[tuple[float, int, Any, tuple[Any, ...]]] = []
         self._order = count()
@@ -111,6 +116,23 @@
         if self.trace is not None:
             self.trace.append(f"{self.now:7.3f} {text}")
 
+    def decided(self, view: View) -> None:
+        """A store learnt of a view: every copy of it holds all, or its disk was lost since."""
+        complete = set(view.copies)
+        for store in self.stores.values():
+            values = store.record.values
+            if "identity" in values and view.uid not in values.get("complete", {}):
+                complete.discard(values["identity"])
+        self.ledger.decided(view, complete)
+
+    def _run(self, store: Store, work: Any, *args: Any) -> None:
+        """Let a store's process do something, in which it may die."""
+        try:
+            work(*args)
+        except ProcessDied:
+            self._note(f"{store.host}: dies in a write")
+            self._crash(store, self.chance.uniform(0.2, 2.0), False)
+
     # The network.
 
     def carry(self, source: Store, identity: str, data: bytes) -> None:
@@ -142,12 +164,12 @@
         if self.now < target.frozen_until:
             self.at(target.frozen_until - self.now, self._deliver, target, replica, sender, data)
             return
-        replica.handle(sender, decode(msgpack.unpackb(data)))
+        self._run(target, replica.handle, sender, decode(msgpack.unpackb(data)))
 
     def _tick(self, store: Store) -> None:
         self.at(TICK_S, self._tick, store)
         if store.awake is not None:
-            store.awake.tick(self.now)
+            self._run(store, store.awake.tick, self.now)
 
     def _status(self, store: Store) -> None:
         self.at(STATUS_S, self._status, store)
@@ -162,41 +184,44 @@
         if other.replica is living and other.awake is not None:
             member = Member(source.identity, store.host, store.zone)
             living.heard(member, source.born_first, self.now, source.healthy, source.leaving)
-            living.learn(source.view)
+            self._run(other, living.learn, source.view)
 
     # Operators.
 
     def _operate(self) -> None:
         """An operator sends to a store that says that it serves; now and then an order twice, or a read."""
         self.at(self.chance.uniform(0.05, 0.5), self._operate)
-        serving = [s.awake for s in self.stores.values() if s.awake is not None and s.awake.serving]
+        serving = [s for s in self.stores.values() if s.awake is not None and s.awake.serving]
         if not serving:
             return
-        replica = self.chance.choice(serving)
+        store = self.chance.choice(serving)
         drawn = self.chance.random()
         if drawn < 0.15:
-            self._read(replica)
+            self._read(store)
             return
         if drawn > 0.25 or not self.sent:
             self.sent += 1
-        self._order_version(replica, self.sent, self.chance.choice("ab"))
+        self._order_version(store, self.sent, self.chance.choice("ab"))
 
-    def _order_version(self, replica: Replica, number: int, operator: str) -> None:
+    def _order_version(self, store: Store, number: int, operator: str) -> None:
         version = f"{number:08x}"
         content = f"{version}/{operator}".encode()
 
         def reply(result: OrderResult) -> None:
             self.ledger.confirmed(number, content, result)
 
-        replica.submit(Order(number, int(OrderKind.REPLACE_CONFIGURATION), version, content), reply)
+        assert store.replica is not None
+        order = Order(number, int(OrderKind.REPLACE_CONFIGURATION), version, content)
+        self._run(store, store.replica.submit, order, reply)
 
-    def _read(self, replica: Replica) -> None:
+    def _read(self, store: Store) -> None:
         asked_after = self.ledger.acknowledged
 
         def reply(result: OrderResult) -> None:
             self.ledger.read(asked_after, result)
 
-        replica.submit(Order(0, int(OrderKind.READ_CONFIGURATION)), reply)
+        assert store.replica is not None
+        self._run(store, store.replica.submit, Order(0, int(OrderKind.READ_CONFIGURATION)), reply)
 
     # Faults.
 
@@ -212,7 +237,7 @@
                     self._crash(store, self.chance.uniform(0.2, 1.5), False)
             return
         store = self.chance.choice([s for s in self.stores.values() if s.host not in lost])
-        kind = self.chance.choice(["crash", "wipe", "freeze", "cut", "one way", "loss", "full"])
+        kind = self.chance.choice(["crash", "wipe", "freeze", "cut", "one way", "loss", "full", "dies"])
         span = self.chance.uniform(0.2, 4.0)
         self._note(f"{store.host}: {kind} for {span:.2f} s")
         if kind != "loss":
@@ -225,11 +250,24 @@
             self.lossy = self.chance.uniform(0.0, 0.2)
             self.at(span, setattr, self, "lossy", 0.0)
         elif kind == "full":
-            store.record.full = True
-            self.at(span, setattr, store.record, "full", False)
+            store.record.fate = Fate.FULL
+            self.at(span, self._disk_free, store, store.record, self._crashes, span)
+        elif kind == "dies":
+            store.record.fate = self.chance.choice([Fate.DIES_BEFORE, Fate.DIES_AFTER])
         else:
             self._cut(store, span, both=kind == "cut")
 
+    def _disk_free(self, store: Store, record: MemoryRecord, crashes: int, span: float) -> None:
+        """A full disk takes writes again; if nothing else happened, another copy was made in its place."""
+        if record.fate is Fate.FULL:
+            record.fate = Fate.WELL
+        alone = sum(until > self.now for until in self.lost.values()) == 1
+        if not alone or self._crashes != crashes or self.plan.late_share or self.lossy:
+            return
+        newest = max((s.replica.view for s in self.stores.values() if s.replica), key=lambda view: view.epoch)
+        if span > REPLACED_S and record.values["identity"] in newest.copies:
+            raise Broken(f"{store.host} is a copy after {span:.2f} s without a disk")
+
     def _cut(self, store: Store, span: float, both: bool) -> None:
         pairs = {(store.host, host) for host in self.hosts}
         if both:
@@ -241,12 +279,13 @@
         if store.replica is None:
             return
         store.replica = None
+        self._crashes += 1
         if wiped:
             store.record = MemoryRecord()
         self.at(span, self._restart, store)
 
     def _restart(self, store: Store) -> None:
-        store.record.full = False
+        store.record.fate = Fate.WELL
         self._note(f"{store.host}: starts")
         store.start(False)
 
--- a/lupinreach/mesh/model/ledger.py
+++ b/lupinreach/mesh/model/ledger.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
 from dataclasses import dataclass, field
 
 from lupinreach.mesh.messages import OrderResult
 from lupinreach.mesh.store.document import Document
+from lupinreach.mesh.store.view import View
 
 
 class Broken(AssertionError):
@@ -19,8 +21,21 @@
     acknowledged: int = 0  # highest version whose order was confirmed
     contents: dict[int, bytes] = field(default_factory=dict)  # confirmed or read under each version
     primaries: dict[int, str] = field(default_factory=dict)  # who served each epoch
+    views: dict[int, str] = field(default_factory=dict)  # uid of the view of each epoch
     newest_stamp: list[int] = field(default_factory=lambda: [0, 0])
 
+    def decided(self, view: View, complete: Collection[str]) -> None:
+        """A store learnt that a view is decided; `complete`: the copies that hold it, or whose disks are lost."""
+        uid = self.views.get(view.epoch)
+        if uid is not None:
+            if uid != view.uid:
+                raise Broken(f"epoch {view.epoch} has two views")
+            return
+        self.views[view.epoch] = view.uid
+        missing = sorted(set(view.copies) - set(complete))
+        if missing:
+            raise Broken(f"view {view.epoch} is decided before {','.join(missing)} holds all")
+
     def served(self, epoch: int, identity: str) -> None:
         """A store says that it serves an epoch: one store does."""
         owner = self.primaries.setdefault(epoch, identity)
--- /dev/null
+++ b/lupinreach/mesh/model/mistakes.py
@@ -0,0 +1,372 @@
+"""Mistakes that can be planted in the store, one at a time, to show that the models would find them."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass
+from typing import Any
+
+from lupinreach.mesh.messages import Accepted, Message, Write
+from lupinreach.mesh.model.disk import MemoryRecord
+from lupinreach.mesh.store import replica as replica_module
+from lupinreach.mesh.store.document import Document, Outcome
+from lupinreach.mesh.store.members import Members
+from lupinreach.mesh.store.replica import Replica
+from lupinreach.mesh.store.serving import WHOLE, Primary, _written
+from lupinreach.mesh.store.state import StoreState
+from lupinreach.mesh.store.view import View
+from lupinreach.mesh.store.voting import Acceptor, Phase, Proposal
+
+
+@dataclass(frozen=True)
+class Mistake:
+    """One mistake: `owner.attribute` is replaced by what `make` gives for the original."""
+
+    name: str
+    told: str
+    owner: Any
+    attribute: str
+    make: Callable[[Any], Any]
+
+    @contextmanager
+    def planted(self) -> Iterator[None]:
+        """The store makes this mistake inside the block."""
+        original = self.owner.__dict__[self.attribute]
+        setattr(self.owner, self.attribute, self.make(original))
+        try:
+            yield
+        finally:
+            setattr(self.owner, self.attribute, original)
+
+
+def _late_write(original: Any) -> Any:
+    def take_write(state: StoreState, message: Write) -> Message | None:
+        if message.previous == WHOLE and (message.epoch, message.uid) == (state.view.epoch, state.view.uid):
+            if state.sealed or state.identity not in state.view.copies:
+                return None
+            state.write(Document.from_list(message.document), message.incarnation)
+            return _written(message, message.sequence)
+        answer: Message | None = original(state, message)
+        return answer
+
+    return take_write
+
+
+def _unchecked_change(original: Any) -> Any:
+    def take_write(state: StoreState, message: Write) -> Message | None:
+        same = (message.epoch, message.uid) == (state.view.epoch, state.view.uid)
+        if same and message.previous != WHOLE and not state.sealed and state.identity in state.view.copies:
+            state.write(Document.from_list(message.document, state.document), message.incarnation)
+            return _written(message, message.sequence)
+        answer: Message | None = original(state, message)
+        return answer
+
+    return take_write
+
+
+def _own_disk_ignored(original: Any) -> Any:
+    def begin_round(self: Primary, now: float) -> None:
+        try:
+            original(self, now)
+        except replica_module.DiskFailed:
+            assert self.round is not None
+            self.round.waiting.discard(self._state.identity)
+
+    return begin_round
+
+
+def _written_by_round(original: Any) -> Any:
+    def written(self: Primary, sender: str, message: Any) -> None:
+        message.incarnation = self._state.incarnation
+        original(self, sender, message)
+
+    return written
+
+
+def _round_forgotten(original: Any) -> Any:
+    def init(self: Replica, *args: Any, **options: Any) -> None:
+        original(self, *args, **options)
+        self._highest_round = 0
+
+    return init
+
+
+def _installed_unsealed(original: Any) -> Any:
+    def install(self: StoreState, epoch: int, uid: str, document: Document) -> None:
+        complete = self.complete | {uid: epoch}
+        self._record.save({"document": document.to_list(), "complete": complete})
+        self.document = document
+        self.complete = complete
+
+    return install
+
+
+def _unsynced(original: Any) -> Any:
+    def write(self: StoreState, document: Document, incarnation: int) -> None:
+        self.document = document
+        self.complete = {self.view.uid: self.view.epoch}
+        self.written_by = incarnation
+
+    return write
+
+
+def _unsealed(original: Any) -> Any:
+    def seal(self: StoreState, uid: str, ballot_round: int) -> None:
+        complete = self.complete | {uid: self.view.epoch + 1}
+        self._record.save({"complete": complete, "round": ballot_round})
+        self.complete = complete
+        self.round = ballot_round
+
+    return seal
+
+
+def _seal_unsynced(original: Any) -> Any:
+    def seal(self: StoreState, uid: str, ballot_round: int) -> None:
+        record, self._record = self._record, MemoryRecord()
+        original(self, uid, ballot_round)
+        self._record = record
+
+    return seal
+
+
+def _marks_dropped(original: Any) -> Any:
+    def learn(self: StoreState, view: View) -> None:
+        self.complete = {uid: epoch for uid, epoch in self.complete.items() if uid == view.uid}
+        original(self, view)
+
+    return learn
+
+
+def _no_wait_for_copies(original: Any) -> Any:
+    def installed(self: Proposal, identity: str, now: float) -> Any:
+        self.waiting.clear()
+        return original(self, identity, now)
+
+    return installed
+
+
+def _no_adoption(original: Any) -> Any:
+    def promise(self: Proposal, voter: str, message: Any, now: float) -> Any:
+        message.accepted_view = None
+        return original(self, voter, message, now)
+
+    return promise
+
+
+def _half(original: Any) -> Any:
+    return property(lambda self: max(1, len(self.voters) // 2))
+
+
+def _reversed_ballots(original: Any) -> Any:
+    def refusal(self: Acceptor, epoch: int, ballot: Any) -> Any:
+        if self._state.view.epoch >= epoch:
+            return original(self, epoch, ballot)
+        return None
+
+    return refusal
+
+
+def _promise_unsynced(original: Any) -> Any:
+    def promise(self: StoreState, epoch: int, ballot: Any) -> None:
+        self.promised = (epoch, ballot)
+
+    return promise
+
+
+def _vote_unsynced(original: Any) -> Any:
+    def accept(self: StoreState, acceptance: Any) -> None:
+        self.promised = (acceptance.epoch, acceptance.ballot)
+        self.accepted = acceptance
+
+    return accept
+
+
+def _vote_before_phase(original: Any) -> Any:
+    def vote(self: Proposal, voter: str, message: Accepted) -> bool:
+        self.accepted.add(voter)
+        return self.phase is Phase.ACCEPT and len(self.accepted) >= 1
+
+    return vote
+
+
+def _incomplete_proposes(original: Any) -> Any:
+    def may_propose(self: Replica) -> bool:
+        if self.view.epoch == 0:
+            return bool(original.fget(self))
+        return self.view.voter(self.identity) is not None
+
+    return property(may_propose)
+
+
+def _serves_at_once(original: Any) -> Any:
+    def start(self: Primary, now: float) -> None:
+        original(self, now)
+        assert self.round is not None
+        self.round.waiting.clear()
+
+    return start
+
+
+def _first_answer_counts(original: Any) -> Any:
+    def written(self: Primary, sender: str, message: Any) -> None:
+        original(self, sender, message)
+        if self.round is not None and sender not in self.round.waiting:
+            self.round.waiting.clear()
+
+    return written
+
+
+def _mark_without_document(original: Any) -> Any:
+    def install(self: StoreState, epoch: int, uid: str, document: Document) -> None:
+        original(self, epoch, uid, self.document)
+
+    return install
+
+
+def _same_incarnation(original: Any) -> Any:
+    def begin_incarnation(self: StoreState) -> None:
+        self.incarnation = 1
+
+    return begin_incarnation
+
+
+def _numbers_alone(original: Any) -> Any:
+    def with_configuration(self: Document, version: str, config: bytes) -> Any:
+        document, _ = original(self, version, config)
+        return document, Outcome.DONE
+
+    return with_configuration
+
+
+def _any_install(original: Any) -> Any:
+    def on_install(self: Replica, sender: str, message: Any) -> None:
+        if message.epoch < self.view.epoch:
+            return original(self, sender, message)
+        if message.epoch == self.view.epoch:
+            self.state.install(message.epoch, message.uid, Document.from_list(message.document))
+            return None
+        return original(self, sender, message)
+
+    return on_install
+
+
+def _disk_unheeded(original: Any) -> Any:
+    return lambda self, identity: not self.is_alive(identity)
+
+
+MISTAKES = (
+    Mistake(
+        "late-write",
+        "a whole write is taken whatever its sequence",
+        replica_module,
+        "take_write",
+        _late_write,
+    ),
+    Mistake(
+        "change-unchecked",
+        "a change is applied to whatever is held",
+        replica_module,
+        "take_write",
+        _unchecked_change,
+    ),
+    Mistake(
+        "own-disk-ignored",
+        "a primary whose own disk refuses acknowledges",
+        Primary,
+        "begin_round",
+        _own_disk_ignored,
+    ),
+    Mistake("disk-unheeded", "a copy whose disk refuses stays one", Members, "has_failed", _disk_unheeded),
+    Mistake(
+        "numbers-alone",
+        "orders are compared by number, not by content",
+        Document,
+        "_with_configuration",
+        _numbers_alone,
+    ),
+    Mistake(
+        "written-by-round",
+        "an answer to an earlier life's write counts",
+        Primary,
+        "written",
+        _written_by_round,
+    ),
+    Mistake(
+        "round-forgotten", "ballots are used again after a restart", Replica, "__init__", _round_forgotten
+    ),
+    Mistake(
+        "installed-unsealed",
+        "a copy of a proposed view goes on with the old one",
+        StoreState,
+        "install",
+        _installed_unsealed,
+    ),
+    Mistake("unsynced-write", "a backup answers before its sync", StoreState, "write", _unsynced),
+    Mistake("unsealed", "a proposer goes on taking writes of the old view", StoreState, "seal", _unsealed),
+    Mistake("seal-unsynced", "the seal is lost with the process", StoreState, "seal", _seal_unsynced),
+    Mistake(
+        "marks-dropped",
+        "a view that is learnt late drops the mark of a later one",
+        StoreState,
+        "learn",
+        _marks_dropped,
+    ),
+    Mistake(
+        "no-wait-for-copies",
+        "a proposer does not wait for its copies",
+        Proposal,
+        "installed",
+        _no_wait_for_copies,
+    ),
+    Mistake("no-adoption", "an accepted view is not adopted", Proposal, "promise", _no_adoption),
+    Mistake("half-is-majority", "half of the voters decide", View, "majority", _half),
+    Mistake("ballots-ignored", "votes are given to lower ballots", Acceptor, "_refusal", _reversed_ballots),
+    Mistake(
+        "promise-unsynced", "a promise is lost with the process", StoreState, "promise", _promise_unsynced
+    ),
+    Mistake("vote-unsynced", "a vote is lost with the process", StoreState, "accept", _vote_unsynced),
+    Mistake("one-vote", "one vote decides", Proposal, "vote", _vote_before_phase),
+    Mistake(
+        "any-voter-proposes",
+        "a voter that is no copy proposes",
+        Replica,
+        "_may_propose",
+        _incomplete_proposes,
+    ),
+    Mistake(
+        "serves-at-once",
+        "a primary serves before its backups are up to date",
+        Primary,
+        "start",
+        _serves_at_once,
+    ),
+    Mistake(
+        "first-answer-counts",
+        "a write is done once one backup has it",
+        Primary,
+        "written",
+        _first_answer_counts,
+    ),
+    Mistake(
+        "mark-without-document",
+        "a copy is marked complete without the document",
+        StoreState,
+        "install",
+        _mark_without_document,
+    ),
+    Mistake(
+        "same-incarnation",
+        "a restarted primary writes under its old incarnation",
+        StoreState,
+        "begin_incarnation",
+        _same_incarnation,
+    ),
+    Mistake(
+        "late-installation",
+        "a late installation changes a copy of the decided view",
+        Replica,
+        "_on_install",
+        _any_install,
+    ),
+)
--- a/lupinreach/mesh/proxy/outbound.py
+++ b/lupinreach/mesh/proxy/outbound.py
@@ -152,7 +152,7 @@
             body=passage.request.body,
         )
         try:
-            return await peer.attempt(asked)
+            return await peer.attempt(asked, lambda: self._may_fail_over(passage, peer))
         except asyncio.CancelledError:
             self._policy.released(peer, passage.aim_ms)
             raise
@@ -211,10 +211,26 @@
             passage.refusals += 1
             return self._no_backend(passage) if passage.refusals >= MOST_REFUSALS else None
         passage.attempts += 1
+        if failure is AttemptFailure.SILENT:
+            return None  # its repeat is paid for
         if not passage.route.repeatable or failure is AttemptFailure.TIMED_OUT:
             return error_answer(kind)
         return None if self._may_repeat(passage) else error_answer(kind)
 
+    def _may_fail_over(self, passage: _Passage, silent: Peer) -> bool:
+        """If an attempt at a peer that has fallen silent is given up, for another one elsewhere.
+
+        What may not be repeated, by its kind or by the budget, stays where it is: it may be at work there.
+        """
+        if not passage.route.repeatable or passage.attempts + 1 >= passage.route.max_attempts:
+            return False
+        others = self._peers.of_service(passage.service)
+        if not any(
+            peer.reachable and peer is not silent and peer.address not in passage.excluded for peer in others
+        ):
+            return False
+        return self._budget.spend(passage.service)
+
     def _may_repeat(self, passage: _Passage) -> bool:
         return passage.attempts < passage.route.max_attempts and self._budget.spend(passage.service)
 
--- a/lupinreach/mesh/proxy/peers.py
+++ b/lupinreach/mesh/proxy/peers.py
@@ -36,6 +36,14 @@
 ANSWER_SLACK_S = 0.1  # for the answer to travel back, past the time that the far gate enforces
 
 
+MayFailOver = Callable[[], bool]
+
+
+def never() -> bool:
+    """For requests that go to one backend only."""
+    return False
+
+
 class RequestNumbers:
     """Numbers for requests to other proxies: never the same twice, by whatever process, in whatever life."""
 
@@ -67,8 +75,12 @@
     def reachable(self) -> bool:
         raise NotImplementedError
 
-    async def attempt(self, asked: Request) -> Outcome:
-        """Hand one request to the gate beside the backend and wait for the outcome."""
+    async def attempt(self, asked: Request, may_fail_over: MayFailOver = never) -> Outcome:
+        """Hand one request to the gate beside the backend and wait for the outcome.
+
+        `may_fail_over` is asked once nothing is heard from there any more: if the request goes to another
+        backend instead. Otherwise this attempt is waited for, as it may well be at work.
+        """
         raise NotImplementedError
 
     def cold(self, now: float) -> bool:
@@ -93,7 +105,7 @@
     def reachable(self) -> bool:
         return True
 
-    async def attempt(self, asked: Request) -> Outcome:
+    async def attempt(self, asked: Request, may_fail_over: MayFailOver = never) -> Outcome:
         self.in_flight += 1
         try:
             return await self._gate.serve(asked)
@@ -118,7 +130,7 @@
         self._own_address = own_address
         self._own_version = own_version
         self._numbers = numbers
-        self._out: dict[int, tuple[asyncio.Future[Outcome], bool]] = {}  # with: may be repeated
+        self._out: dict[int, tuple[asyncio.Future[Outcome], MayFailOver]] = {}
         self._pinged_at = 0.0  # loop time of the first ping since anything was heard; 0: none
         self._dialer = Dialer(parse_address(address), self._up, self._message, self._down)
 
@@ -167,7 +179,7 @@
             self.status = message
             self.status_at = asyncio.get_running_loop().time()
 
-    async def attempt(self, asked: Request) -> Outcome:
+    async def attempt(self, asked: Request, may_fail_over: MayFailOver = never) -> Outcome:
         link = self._dialer.link
         if link is None:
             return Failed(asked.number, int(AttemptFailure.UNREACHABLE), False)
@@ -175,7 +187,7 @@
         asked.number = number = self._numbers.draw()
         asked.sent_at = loop.time()
         future: asyncio.Future[Outcome] = loop.create_future()
-        self._out[number] = (future, asked.repeatable)
+        self._out[number] = (future, may_fail_over)
         self.in_flight += 1
         link.send(asked)
         timer = loop.call_later(asked.remaining_ms / 1000 + ANSWER_SLACK_S, self._time_out, number)
@@ -202,7 +214,7 @@
             self._dialer.link.send(Cancel(number))
 
     def check(self) -> None:
-        """Ask a silent link for a sign of life; give repeatable attempts up once it gives none."""
+        """Ask a silent link for a sign of life; let attempts fail over once it gives none."""
         link = self._dialer.link
         if link is None or not (self._out or self.silent):
             return
@@ -217,11 +229,11 @@
         link.send(Ping())
         if now - self._pinged_at > SILENT_AFTER_S:
             self.silent = True
-            self._fail_repeatable()
+            self._fail_over()
 
-    def _fail_repeatable(self) -> None:
-        for number, (_, repeatable) in list(self._out.items()):
-            if repeatable:
+    def _fail_over(self) -> None:
+        for number, (future, may_fail_over) in list(self._out.items()):
+            if not future.done() and may_fail_over():
                 self._give_up(number, AttemptFailure.SILENT)
 
 
--- a/lupinreach/mesh/store/replica.py
+++ b/lupinreach/mesh/store/replica.py
@@ -12,6 +12,7 @@
 import random
 from collections.abc import Callable
 from enum import Enum
+from itertools import takewhile
 from typing import Any, Protocol
 
 from lupinreach.mesh.errors import ErrorKind
@@ -77,7 +78,7 @@
         seed_hosts: list[str],
         first_start: bool,
         tolerance: Tolerance,
-        region_of: RegionOf = lambda zone: zone,
+        region_of: RegionOf = str,
         chance: random.Random | None = None,
     ) -> None:
         self._port = port
@@ -285,7 +286,7 @@
         """If it is this backup's turn to take over: the first sound one, later ones with more patience."""
         primary = self.view.primary
         backups = self.view.copies[1:]
-        place = backups.index(self.identity)
+        place = len(list(takewhile(lambda identity: identity != self.identity, backups)))
         if self.members.silent_s(primary) > SUSPECT_S + TAKEOVER_STEP_S * place:
             return True
         if not self.members.has_failed(primary) and not self.members.is_leaving(primary):
--- a/lupinreach/mesh/store/state.py
+++ b/lupinreach/mesh/store/state.py
@@ -50,7 +50,7 @@
             values = {
                 "identity": f"{chance.getrandbits(64):016x}",
                 "born_first": first_start,
-                "complete": [FOUNDING_UID] if first_start else [],
+                "complete": {FOUNDING_UID: 0} if first_start else {},
             }
             record.save(values)
         self.identity: str = values["identity"]
@@ -66,7 +66,11 @@
         self.sealed_epoch = int(values.get("sealed", -1))  # views up to this one: nothing is written any more
         document = values.get("document")
         self.document = Document.from_list(document) if document else Document()
-        self.complete: frozenset[str] = frozenset(values.get("complete", []))  # uids of views
+        # Views, decided or proposed, for which the document holds all: their epochs by uid.
+        complete = values.get("complete", {})
+        if isinstance(complete, list):  # written before 0.3.0: uids alone
+            complete = dict.fromkeys(complete, self.view.epoch)
+        self.complete: dict[str, int] = complete
         self.incarnation = int(values.get("incarnation", 0))  # of this store as a primary
         self.written_by = int(values.get("written_by", 0))  # incarnation whose write was taken last
         self.round = int(values.get("round", 0))  # of the newest ballot of its own
@@ -82,26 +86,28 @@
         return self.view.uid in self.complete
 
     def learn(self, view: View) -> None:
-        """A view above the present one is known to be decided."""
-        complete = self.complete & {view.uid}
-        self._record.save({"view": view.to_list(), "complete": sorted(complete), "written_by": 0})
+        """A view above the present one is known to be decided; what later ones count on is kept."""
+        complete = {
+            uid: epoch for uid, epoch in self.complete.items() if uid == view.uid or epoch > view.epoch
+        }
+        self._record.save({"view": view.to_list(), "complete": complete, "written_by": 0})
         self.view = view
         self.complete = complete
         self.written_by = 0
 
     def seal(self, uid: str, ballot_round: int) -> None:
         """Propose a view: nothing more is written in the present one with this store's help."""
-        complete = self.complete | {uid}
-        self._record.save({"sealed": self.view.epoch, "complete": sorted(complete), "round": ballot_round})
+        complete = self.complete | {uid: self.view.epoch + 1}
+        self._record.save({"sealed": self.view.epoch, "complete": complete, "round": ballot_round})
         self.sealed_epoch = self.view.epoch
         self.complete = complete
         self.round = ballot_round
 
     def install(self, epoch: int, uid: str, document: Document) -> None:
         """Hold the document of a proposed view; the views before it are sealed, as they are at its proposer."""
-        complete = self.complete | {uid}
+        complete = self.complete | {uid: epoch}
         sealed = max(self.sealed_epoch, epoch - 1)
-        self._record.save({"document": document.to_list(), "complete": sorted(complete), "sealed": sealed})
+        self._record.save({"document": document.to_list(), "complete": complete, "sealed": sealed})
         self.document = document
         self.complete = complete
         self.sealed_epoch = sealed
@@ -125,11 +131,10 @@
 
     def write(self, document: Document, incarnation: int) -> None:
         """Hold a document written in the present view by an incarnation of its primary."""
-        self._record.save(
-            {"document": document.to_list(), "complete": [self.view.uid], "written_by": incarnation}
-        )
+        complete = {self.view.uid: self.view.epoch}
+        self._record.save({"document": document.to_list(), "complete": complete, "written_by": incarnation})
         self.document = document
-        self.complete = frozenset((self.view.uid,))
+        self.complete = complete
         self.written_by = incarnation
 
     def check_disk(self) -> None:
