--- a/lupinreach/mesh/events.py
+++ b/lupinreach/mesh/events.py
@@ -7,7 +7,12 @@
 from enum import IntEnum
 from typing import Any
 
-import picologging
+try:
+    import picologging as logging
+except (
+    ImportError
+):  # it has no release for this interpreter; the standard library's module has the same calls
+    import logging
 
 
 class Event(IntEnum):
@@ -47,10 +52,10 @@
 
     def __init__(self, name: str) -> None:
         self._name = name
-        self._logger = picologging.getLogger("lupinreach.mesh")
-        self._logger.setLevel(picologging.INFO)
-        handler = picologging.StreamHandler(sys.stderr)
-        handler.setFormatter(picologging.Formatter("%(message)s"))
+        self._logger = logging.getLogger("lupinreach.mesh")
+        self._logger.setLevel(logging.INFO)
+        handler = logging.StreamHandler(sys.stderr)
+        handler.setFormatter(logging.Formatter("%(message)s"))
         self._logger.addHandler(handler)
 
     def write(self, event: Event, **facts: Any) -> None:
--- a/lupinreach/mesh/model/histories.py
+++ b/lupinreach/mesh/model/histories.py
@@ -17,7 +17,7 @@
 from lupinreach.mesh.events import Event
 from lupinreach.mesh.messages import Message, Order, OrderResult, decode, encode
 from lupinreach.mesh.model.disk import Fate, MemoryRecord, ProcessDied
-from lupinreach.mesh.model.ledger import Broken, Ledger
+from lupinreach.mesh.model.ledger import Broken, Ledger, held_versions
 from lupinreach.mesh.store.document import Document, OrderKind
 from lupinreach.mesh.store.replica import Replica
 from lupinreach.mesh.store.view import Member, Tolerance, View
@@ -209,6 +209,9 @@
 
         def reply(result: OrderResult) -> None:
             self.ledger.confirmed(number, content, result)
+            if not result.error and store.replica is not None:
+                records = [other.record for other in self.stores.values()]
+                self.ledger.durable(number, held_versions(store.replica.view, records))
 
         assert store.replica is not None
         order = Order(number, int(OrderKind.REPLACE_CONFIGURATION), version, content)
--- a/lupinreach/mesh/model/ledger.py
+++ b/lupinreach/mesh/model/ledger.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection
+from collections.abc import Collection, Mapping
 from dataclasses import dataclass, field
 
 from lupinreach.mesh.messages import OrderResult
+from lupinreach.mesh.model.disk import MemoryRecord
 from lupinreach.mesh.store.document import Document
 from lupinreach.mesh.store.view import View
 
@@ -14,10 +15,22 @@
     """An invariant does not hold; the text says which and how."""
 
 
+def held_versions(view: View, records: Collection[MemoryRecord]) -> dict[str, int]:
+    """The versions on the disks of a view's copies, by identity; disks that are lost hold none."""
+    held = {}
+    for record in records:
+        values = record.values
+        if values.get("identity") in view.copies:
+            document = Document.from_list(values.get("document", Document().to_list()))
+            held[values["identity"]] = int(document.version or "0", 16)
+    return held
+
+
 @dataclass
 class Ledger:
     """Checks every confirmation against all earlier ones. Versions are numbers here."""
 
+    pushed: int = 0  # version that a primary published last
     acknowledged: int = 0  # highest version whose order was confirmed
     contents: dict[int, bytes] = field(default_factory=dict)  # confirmed or read under each version
     primaries: dict[int, str] = field(default_factory=dict)  # who served each epoch
@@ -47,7 +60,14 @@
         if stamp < self.newest_stamp:
             return  # a primary that stood still tells old news, which everybody skips by its stamp
         self.newest_stamp = stamp
-        self._holds(document.version, document.config, self.acknowledged, "published")
+        self._holds(document.version, document.config, max(self.acknowledged, self.pushed), "published")
+        self.pushed = int(document.version or "0", 16)
+
+    def durable(self, version: int, held: Mapping[str, int]) -> None:
+        """A version was confirmed: it is on the disk of every copy of the view."""
+        for identity, found in held.items():
+            if found < version:
+                raise Broken(f"{version} was confirmed while the copy {identity} held {found}")
 
     def confirmed(self, version: int, content: bytes, result: OrderResult) -> None:
         """The result of an order came back."""
--- a/lupinreach/mesh/proxy/outbound.py
+++ b/lupinreach/mesh/proxy/outbound.py
@@ -42,6 +42,7 @@
     is_call: bool = False  # of a run at the backend beside this proxy
     is_repeat: bool = False  # it belongs to a run that is a repeat itself
     attempts: int = 0  # that may have reached a backend
+    repeat_paid: bool = False  # the budget has granted the next attempt
     refusals: int = 0
     retry_ms: float = 0.0
     excluded: set[str] = field(default_factory=set)
@@ -66,6 +67,7 @@
         self._peers = peers
         self._policy = policy
         self._budget = budget
+        self.stopping = False  # this proxy was told to end
         self._answer_kb: dict[tuple[str, float], float] = {}
 
     def may_overlap(self, request: HttpRequest) -> bool:
@@ -211,25 +213,32 @@
             passage.refusals += 1
             return self._no_backend(passage) if passage.refusals >= MOST_REFUSALS else None
         passage.attempts += 1
-        if failure is AttemptFailure.SILENT:
-            return None  # its repeat is paid for
+        if passage.repeat_paid:
+            passage.repeat_paid = False
+            return None
         if not passage.route.repeatable or failure is AttemptFailure.TIMED_OUT:
             return error_answer(kind)
         return None if self._may_repeat(passage) else error_answer(kind)
 
     def _may_fail_over(self, passage: _Passage, silent: Peer) -> bool:
-        """If an attempt at a peer that has fallen silent is given up, for another one elsewhere.
+        """If an attempt at a peer that has fallen silent is given up.
 
-        What may not be repeated, by its kind or by the budget, stays where it is: it may be at work there.
+        What may not be repeated by its kind stays where it is. A proxy that was told to end gives up only
+        what it surely sends elsewhere: it may be at work there, and its client can't come back here.
         """
-        if not passage.route.repeatable or passage.attempts + 1 >= passage.route.max_attempts:
+        if not passage.route.repeatable:
+            return False
+        if not self.stopping:
+            return True
+        if passage.attempts + 1 >= passage.route.max_attempts:
             return False
         others = self._peers.of_service(passage.service)
         if not any(
             peer.reachable and peer is not silent and peer.address not in passage.excluded for peer in others
         ):
             return False
-        return self._budget.spend(passage.service)
+        passage.repeat_paid = self._budget.spend(passage.service)
+        return passage.repeat_paid
 
     def _may_repeat(self, passage: _Passage) -> bool:
         return passage.attempts < passage.route.max_attempts and self._budget.spend(passage.service)
--- a/lupinreach/mesh/proxy/program.py
+++ b/lupinreach/mesh/proxy/program.py
@@ -256,6 +256,7 @@
         began = loop.time()
         last = began + self._settings.bounds.grace_period_s - GRACE_LEFT_S
         self._server.stop()
+        self.outbound.stopping = True
         while loop.time() < last:
             await asyncio.sleep(STOP_CHECK_S)
             if not self.gate.stopping and loop.time() > began + GATE_OPEN_S:
