--- a/lupinreach/mesh/model/ledger.py
+++ b/lupinreach/mesh/model/ledger.py
@@ -49,6 +49,11 @@
         if missing:
             raise Broken(f"view {view.epoch} is decided before {','.join(missing)} holds all")
 
+    def complete_copy(self, identity: str, held: int) -> None:
+        """A copy that counts as complete for the newest view holds a version: none that was confirmed is newer."""
+        if held < self.acknowledged:
+            raise Broken(f"the complete copy {identity} holds {held}, confirmed was {self.acknowledged}")
+
     def served(self, epoch: int, identity: str) -> None:
         """A store says that it serves an epoch: one store does."""
         owner = self.primaries.setdefault(epoch, identity)
--- a/lupinreach/mesh/model/mistakes.py
+++ b/lupinreach/mesh/model/mistakes.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from lupinreach.mesh.messages import Accepted, Message, Write
+from lupinreach.mesh.messages import Accepted, Install, Message, Write
 from lupinreach.mesh.model.disk import MemoryRecord
 from lupinreach.mesh.store import replica as replica_module
 from lupinreach.mesh.store.document import Document, Outcome
@@ -21,23 +21,30 @@
 
 @dataclass(frozen=True)
 class Mistake:
-    """One mistake: `owner.attribute` is replaced by what `make` gives for the original."""
+    """One mistake: an attribute of a class, or an entry of a table, is replaced by what `make` gives for it."""
 
     name: str
     told: str
     owner: Any
-    attribute: str
+    attribute: Any
     make: Callable[[Any], Any]
 
     @contextmanager
     def planted(self) -> Iterator[None]:
         """The store makes this mistake inside the block."""
-        original = self.owner.__dict__[self.attribute]
-        setattr(self.owner, self.attribute, self.make(original))
+        if isinstance(self.owner, dict):
+            original = self.owner[self.attribute]
+            self.owner[self.attribute] = self.make(original)
+        else:
+            original = self.owner.__dict__[self.attribute]
+            setattr(self.owner, self.attribute, self.make(original))
         try:
             yield
         finally:
-            setattr(self.owner, self.attribute, original)
+            if isinstance(self.owner, dict):
+                self.owner[self.attribute] = original
+            else:
+                setattr(self.owner, self.attribute, original)
 
 
 def _late_write(original: Any) -> Any:
@@ -365,8 +372,8 @@
     Mistake(
         "late-installation",
         "a late installation changes a copy of the decided view",
-        Replica,
-        "_on_install",
+        replica_module._HANDLERS,
+        Install,
         _any_install,
     ),
 )
--- a/lupinreach/mesh/model/search.py
+++ b/lupinreach/mesh/model/search.py
@@ -214,6 +214,17 @@
         except ProcessDied:
             store.replica = None
 
+    def make(self, method: str, args: tuple[Any, ...]) -> None:
+        """Make one move; `Broken` where an invariant fails with it."""
+        getattr(self, method)(*args)
+        for store in self.stores.values():
+            replica = store.replica
+            if replica is None or not self.ledger.views or replica.view.epoch < max(self.ledger.views):
+                continue
+            if replica.state.holds_all and replica.identity in replica.view.copies:
+                held = int(replica.document.version or "0", 16)
+                self.ledger.complete_copy(replica.identity, held)
+
     def deliver(self, index: int, again: bool) -> None:
         """A message arrives; it may come once more later."""
         envelope = self.in_flight.pop(index)
@@ -348,6 +359,9 @@
         )
 
 
+Step = tuple[str, tuple[Any, ...]]  # method of a cluster and its arguments
+
+
 @dataclass
 class Found:
     """What a search saw."""
@@ -356,7 +370,8 @@
     moves: int = 0
     seconds: float = 0.0
     complete: bool = True  # no state within the budget was left out
-    story: list[str] = field(default_factory=list)  # shortest history to a broken invariant, which is last
+    steps: list[Step] = field(default_factory=list)  # shortest history to a broken invariant
+    story: list[str] = field(default_factory=list)  # the same in words; what broke is last
 
     @property
     def broken(self) -> bool:
@@ -381,7 +396,7 @@
     found = Found()
     first = founded(budget)
     line = deque([(pickle.dumps(first), 0)])
-    parents: list[tuple[int, str, tuple[Any, ...]]] = [(-1, "", ())]
+    parents: list[tuple[int, Step]] = [(-1, ("", ()))]
     known = {first.key()}
     found.states = 1
     while line:
@@ -390,9 +405,10 @@
             state: Cluster = pickle.loads(packed)
             found.moves += 1
             try:
-                getattr(state, method)(*args)
-            except Broken as broken:
-                found.story = [*_story(first, parents, number, (method, args)), f"BROKEN: {broken}"]
+                state.make(method, args)
+            except Broken:
+                found.steps = [*_steps(parents, number), (method, args)]
+                found.story = replay(budget, found.steps)
                 found.seconds = time.monotonic() - began
                 return found
             key = state.key()
@@ -403,7 +419,7 @@
                 continue
             known.add(key)
             found.states += 1
-            parents.append((number, method, args))
+            parents.append((number, (method, args)))
             line.append((pickle.dumps(state), len(parents) - 1))
             if found.states % 10_000 == 0:
                 found.seconds = time.monotonic() - began
@@ -412,22 +428,22 @@
     return found
 
 
-def _story(
-    first: Cluster,
-    parents: list[tuple[int, str, tuple[Any, ...]]],
-    number: int,
-    last: tuple[str, tuple[Any, ...]],
-) -> list[str]:
-    steps = [last]
+def _steps(parents: list[tuple[int, Step]], number: int) -> list[Step]:
+    steps = []
     while number > 0:
-        number, method, args = parents[number]
-        steps.append((method, args))
-    state: Cluster = pickle.loads(pickle.dumps(first))
+        number, step = parents[number]
+        steps.append(step)
+    return steps[::-1]
+
+
+def replay(budget: Budget, steps: list[Step]) -> list[str]:
+    """A history in words; what broke is last, if anything did."""
+    state = founded(budget)
     story = []
-    for method, args in reversed(steps):
+    for method, args in steps:
         story.append(state.tell(method, args))
         try:
-            getattr(state, method)(*args)
-        except Broken:
-            break
+            state.make(method, args)
+        except Broken as broken:
+            return [*story, f"BROKEN: {broken}"]
     return story
