--- a/lupinreach/mesh/cli.py
+++ b/lupinreach/mesh/cli.py
@@ -1,4 +1,4 @@
-"""Command line of the mesh: check files, show what a process holds, read logs, and a demonstration."""
+"""Command line of the mesh: check files, show what a process holds, read logs, check the model, a demonstration."""
 
 from __future__ import annotations
 
@@ -19,6 +19,7 @@
 from lupinreach.mesh.events import Event
 from lupinreach.mesh.link import Link, parse_address
 from lupinreach.mesh.messages import Describe, Description, Message
+from lupinreach.mesh.model.command import Model
 from lupinreach.mesh.settings import read_settings
 
 EXIT_INVALID = 2
@@ -154,7 +155,7 @@
     """Entry point of `lupinreach mesh`."""
     application = Application("lupinreach mesh", "0.3.0")
     application.auto_exits(False)
-    for command in (CheckConfiguration(), CheckSettings(), Show(), Events(), Demo()):
+    for command in (CheckConfiguration(), CheckSettings(), Show(), Events(), Demo(), Model()):
         application.add(command)
     if arguments is None:
         return application.run()
