A proxy that was just restarted waits for what may be at work behind a silent link

The span after a SIGTERM reaches into the next life. Change: for the grace period and 1.5 s from its start a proxy gives up only what it surely sends elsewhere, as after SIGTERM.

--- a/lupinreach/mesh/proxy/outbound.py
+++ b/lupinreach/mesh/proxy/outbound.py
@@ -60,6 +60,7 @@
         peers: PeerTable,
         policy: PoolPolicy,
         budget: RetryBudget,
+        careful_s: float = 0.0,  # this process may have been restarted as planned, so long ago at most
     ) -> None:
         self._caller_line = b"Lupinreach-Caller-Service: " + caller.encode() + b"\r\n"
         self._news = news
@@ -68,6 +69,7 @@
         self._policy = policy
         self._budget = budget
         self.stopping = False  # this proxy was told to end
+        self._careful_until = asyncio.get_running_loop().time() + careful_s
         self._answer_kb: dict[tuple[str, float], float] = {}
 
     def may_overlap(self, request: HttpRequest) -> bool:
@@ -223,12 +225,12 @@
     def _may_fail_over(self, passage: _Passage, silent: Peer) -> bool:
         """If an attempt at a peer that has fallen silent is given up.
 
-        What may not be repeated by its kind stays where it is. A proxy that was told to end gives up only
-        what it surely sends elsewhere: it may be at work there, and its client can't come back here.
+        What may not be repeated by its kind stays where it is. Around a planned restart a proxy gives up only
+        what it surely sends elsewhere: it may be at work there, and nothing that was read is to be lost then.
         """
         if not passage.route.repeatable:
             return False
-        if not self.stopping:
+        if not self.stopping and asyncio.get_running_loop().time() > self._careful_until:
             return True
         if passage.attempts + 1 >= passage.route.max_attempts:
             return False
--- a/lupinreach/mesh/proxy/program.py
+++ b/lupinreach/mesh/proxy/program.py
@@ -32,6 +32,7 @@
 BODY_SHARE = 0.35  # of the process's memory, for buffered bodies
 LINGER_S = 2.6  # after SIGTERM, until the platform has noticed; no request is read after it
 GATE_OPEN_S = 1.2  # after SIGTERM the gate still takes requests for so long: its backend is sound
+RESTARTED_S = 1.5  # and the grace period: a process this young may be part of a planned restart
 GRACE_LEFT_S = 0.9  # of the grace period, kept for the end itself
 STOP_CHECK_S = 0.05
 LAST_WRITES_S = 0.1  # for the last answers to leave the process
@@ -72,7 +73,13 @@
         self.policy = PoolPolicy(settings.zone, lambda zone: zones.get(zone, ""), log.write)
         self.budget = RetryBudget(settings.bounds.retry_budget_ratio, settings.bounds.retry_budget_slack)
         self.outbound = Outbound(
-            settings.target_service, self.news, self.gate, self.peers, self.policy, self.budget
+            settings.target_service,
+            self.news,
+            self.gate,
+            self.peers,
+            self.policy,
+            self.budget,
+            settings.bounds.grace_period_s + RESTARTED_S,
         )
         self.gossip = Gossip(self._address, self.news)
         self.peers.on_new = self.gossip.view.offer
