--- a/lupinreach/mesh/store/state.py
+++ b/lupinreach/mesh/store/state.py
@@ -132,7 +132,10 @@
     def write(self, document: Document, incarnation: int) -> None:
         """Hold a document written in the present view by an incarnation of its primary."""
         complete = {self.view.uid: self.view.epoch}
-        self._record.save({"document": document.to_list(), "complete": complete, "written_by": incarnation})
+        changes: dict[str, Any] = {"document": document.to_list()}
+        if complete != self.complete or incarnation != self.written_by:
+            changes |= {"complete": complete, "written_by": incarnation}
+        self._record.save(changes)
         self.document = document
         self.complete = complete
         self.written_by = incarnation
