A slow store gets its vote all the same: only copies are passed over for it

Change: Liveness tells who may vote (heard, disk well, not leaving) from who may hold copies (answers in time too).

--- a/lupinreach/mesh/store/members.py
+++ b/lupinreach/mesh/store/members.py
@@ -97,9 +97,12 @@
             identity: known.member for identity, known in self.others.items() if self.is_alive(identity)
         }
         sound = {identity for identity in alive if not self.has_failed(identity)}
+        voting = {
+            identity for identity in alive if identity not in self.others or self.others[identity].healthy
+        }
         dead = {voter.identity for voter in view.voters if self.silent_s(voter.identity) > LONG_DEAD_S}
         leaving = {identity for identity in self.others if self.is_leaving(identity)}
-        return Liveness(alive, frozenset(sound), frozenset(dead), frozenset(leaving))
+        return Liveness(alive, sound, voting, dead, leaving)
 
     def reaches_majority(self, view: View) -> bool:
         """If more than half of the voters were heard lately."""
--- a/lupinreach/mesh/store/view.py
+++ b/lupinreach/mesh/store/view.py
@@ -78,7 +78,8 @@
     """The stores as the proposer sees them, by identity."""
 
     alive: dict[str, Member] = field(default_factory=dict)  # heard lately, the proposer among them
-    sound: Collection[str] = ()  # of these, the ones whose disks take writes
+    sound: Collection[str] = ()  # of these, the ones that may hold copies
+    voting: Collection[str] = ()  # and those that may get a vote: slow ones too
     long_dead: Collection[str] = ()
     leaving: Collection[str] = ()
 
@@ -110,7 +111,7 @@
     found = [
         member
         for identity, member in sorted(liveness.alive.items(), key=lambda item: item[1].host)
-        if identity not in held and identity in liveness.sound and identity not in liveness.leaving
+        if identity not in held and identity in liveness.voting and identity not in liveness.leaving
     ]
     taken = Counter(voter.zone for voter in voters)
     ranked = []
--- a/tests/mesh/test_store_histories.py
+++ b/tests/mesh/test_store_histories.py
@@ -7,6 +7,8 @@
 from lupinreach.mesh.model.histories import Plan, play_history
 
 HISTORIES = 40
+# Drawn later: a store that was slow in the founding had no vote, and two voters did not bear the loss of one.
+FOUND_BROKEN = [(101836, Plan(1, 5.0, 0.1))]
 
 
 @pytest.mark.parametrize("machines", [1, 2, 4])
@@ -19,3 +21,8 @@
         assert broken is None
         acknowledged += confirmed
     assert acknowledged > HISTORIES * 20
+
+
+@pytest.mark.parametrize(("seed", "plan"), FOUND_BROKEN)
+def test_a_history_that_broke_an_earlier_text(seed: int, plan: Plan) -> None:
+    assert play_history(seed, plan)[1] is None
