--- a/lupinreach/mesh/model/histories.py
+++ b/lupinreach/mesh/model/histories.py
@@ -245,6 +245,9 @@
         self._note(f"{store.host}: {kind} for {span:.2f} s")
         if kind != "loss":
             self.lost[store.host] = self.now + span + CATCH_UP_S
+        self._strike(store, kind, span)
+
+    def _strike(self, store: Store, kind: str, span: float) -> None:
         if kind in ("crash", "wipe"):
             self._crash(store, span, kind == "wipe")
         elif kind == "freeze":
