--- a/lupinreach/mesh/model/ledger.py
+++ b/lupinreach/mesh/model/ledger.py
@@ -15,6 +15,15 @@
     """An invariant does not hold; the text says which and how."""
 
 
+def complete_copies(view: View, records: Collection[MemoryRecord]) -> set[str]:
+    """The copies of a view that hold all, by their disks; those whose disks are lost count as such."""
+    complete = set(view.copies)
+    for record in records:
+        if view.uid not in record.values.get("complete", {}):
+            complete.discard(record.values.get("identity", ""))
+    return complete
+
+
 def held_versions(view: View, records: Collection[MemoryRecord]) -> dict[str, int]:
     """The versions on the disks of a view's copies, by identity; disks that are lost hold none."""
     held = {}
--- a/lupinreach/mesh/model/search.py
+++ b/lupinreach/mesh/model/search.py
@@ -21,7 +21,7 @@
 from lupinreach.mesh.events import Event
 from lupinreach.mesh.messages import Message, Order, OrderResult, decode, encode
 from lupinreach.mesh.model.disk import Fate, MemoryRecord, ProcessDied
-from lupinreach.mesh.model.ledger import Broken, Ledger, held_versions
+from lupinreach.mesh.model.ledger import Broken, Ledger, complete_copies, held_versions
 from lupinreach.mesh.store.document import Document, OrderKind
 from lupinreach.mesh.store.replica import Replica, Role
 from lupinreach.mesh.store.state import Acceptance
@@ -185,12 +185,7 @@
 
     def decided(self, view: View) -> None:
         """A store learnt of a view: every copy of it holds all, or its disk was lost since."""
-        complete = set(view.copies)
-        for store in self.stores.values():
-            values = store.record.values
-            if "identity" in values and view.uid not in values.get("complete", {}):
-                complete.discard(values["identity"])
-        self.ledger.decided(view, complete)
+        self.ledger.decided(view, complete_copies(view, [store.record for store in self.stores.values()]))
 
     def key(self) -> Any:
         """The same for states from which the same may follow."""
