Sight: figures of each program as text, and a log of proxies that lag behind

The logs could not show where news waits. Registry: unsent bytes, longest wait for an acknowledgement, E312 and E313; proxy: bytes unsent to peers, extra time of requests on the way; store: unsent to stores and registries. No change of logic.

--- a/lupinreach/mesh/process.py
+++ b/lupinreach/mesh/process.py
@@ -13,6 +13,8 @@
 from result import Err
 
 from lupinreach.mesh.events import Event, EventLog
+from lupinreach.mesh.metrics import Metric, MetricsPlace, read_arguments, serve_metrics
+from lupinreach.mesh.server import HttpServer
 from lupinreach.mesh.settings import SETTINGS_VARIABLE, Settings, read_settings, settings_path
 
 EXIT_BAD_SETTINGS = 2
@@ -31,6 +33,9 @@
 
     def settings_changed(self, settings: Settings) -> None: ...
 
+    def metrics(self) -> list[Metric]:
+        """The process's own figures."""
+
 
 class ProgramFactory(Protocol):
     def __call__(self, settings: Settings, log: EventLog) -> Program: ...
@@ -70,7 +75,22 @@
         self._log.write(Event.SETTINGS_RELOADED)
 
 
-async def _run(settings: Settings, path: str, factory: ProgramFactory, log: EventLog) -> int:
+async def _serve_metrics(
+    program: Program, settings: Settings, place: MetricsPlace | None, log: EventLog
+) -> HttpServer | None:
+    """Figures are no reason not to serve: a port that can't be had is logged."""
+    if place is None:
+        return None
+    try:
+        return await serve_metrics(settings.ip_address, place, program.metrics)
+    except OSError as failed:
+        log.write(Event.METRICS_UNAVAILABLE, port=place.port, why=failed)
+        return None
+
+
+async def _run(
+    settings: Settings, path: str, factory: ProgramFactory, log: EventLog, place: MetricsPlace | None
+) -> int:
     loop = asyncio.get_running_loop()
     stop = asyncio.Event()
     program = factory(settings, log)
@@ -84,6 +104,7 @@
     except OSError as failed:
         print(f"lupinreach: {failed}", file=sys.stderr)
         return EXIT_NO_ADDRESS
+    figures = await _serve_metrics(program, settings, place, log)
     log.write(Event.STARTED)
     watching = loop.create_task(watch.run())
     gc.collect()
@@ -93,6 +114,8 @@
     log.write(Event.STOPPING)
     await program.stop()
     watching.cancel()
+    if figures is not None:
+        figures.close()
     log.write(Event.STOPPED)
     return 0
 
@@ -108,6 +131,10 @@
 
 def serve(role: str, factory: ProgramFactory) -> int:
     """Run a program to its end; the exit code."""
+    place = read_arguments(sys.argv[1:])
+    if isinstance(place, Err):
+        print(f"lupinreach: {place.err_value}", file=sys.stderr)
+        return EXIT_BAD_SETTINGS
     path = settings_path()
     if path is None:
         print(f"lupinreach: {SETTINGS_VARIABLE} is not set", file=sys.stderr)
@@ -118,4 +145,4 @@
         return EXIT_BAD_SETTINGS
     settings = read.ok_value
     log = EventLog(f"{settings.node_name}/{role}")
-    return asyncio.run(_run(settings, path, factory, log))
+    return asyncio.run(_run(settings, path, factory, log, place.ok_value))
--- a/lupinreach/mesh/proxy/inbound.py
+++ b/lupinreach/mesh/proxy/inbound.py
@@ -46,6 +46,7 @@
         self._links: dict[Link, dict[int, asyncio.Task[None]]] = {}
         self._delays: dict[Link, LinkDelay] = {}
         self._seen = SeenRequests()
+        self._most_age_s = 0.0  # of the requests since it was last asked for
         self._server: asyncio.Server | None = None
         gate.on_status(self._broadcast)
 
@@ -87,11 +88,18 @@
         delay = self._delays.setdefault(link, LinkDelay())
         return delay.age_s(sent_at, asyncio.get_running_loop().time())
 
+    def take_most_age_s(self) -> float:
+        """The longest that a request was on its way here beyond the usual, since this was last asked."""
+        most, self._most_age_s = self._most_age_s, 0.0
+        return most
+
     def _on_request(self, link: Link, asked: Request) -> None:
         """Serve a request once; a `Cancel` that came with it ends its task before that begins."""
         if not self._seen.is_new(asked.number):
             return
-        task = spawn(self._serve(link, asked, self._age_s(link, asked.sent_at)))
+        age_s = self._age_s(link, asked.sent_at)
+        self._most_age_s = max(self._most_age_s, age_s)
+        task = spawn(self._serve(link, asked, age_s))
         self._links.setdefault(link, {})[asked.number] = task
 
     async def _serve(self, link: Link, asked: Request, age_s: float) -> None:
--- a/lupinreach/mesh/proxy/news.py
+++ b/lupinreach/mesh/proxy/news.py
@@ -24,6 +24,7 @@
         self.evacuations: dict[str, bool] = {}
         self._stale: list[News] = []  # that senders without contact to a primary told, until it may be used
         self._listeners: list[Callable[[], None]] = []
+        self.applied = 0  # configurations put in force
 
     @property
     def version(self) -> str:
@@ -72,6 +73,7 @@
         if news.config is None or not is_newer(news.config_version, self.version):
             return False
         self.packed = news.config
+        self.applied += 1
         self.table = RouteTable(Configuration.from_list(msgpack.unpackb(news.config)))
         return True
 
--- a/lupinreach/mesh/proxy/peers.py
+++ b/lupinreach/mesh/proxy/peers.py
@@ -146,6 +146,11 @@
     def connect_failures(self) -> int:
         return self._dialer.failures
 
+    @property
+    def unsent(self) -> int:
+        """Bytes that wait on the link to it."""
+        return self._dialer.link.unsent if self._dialer.link is not None else 0
+
     def close(self) -> None:
         """Give the peer up; attempts that are out fail."""
         self._dialer.close()
@@ -265,6 +270,11 @@
         """How many proxies are known, this one among them."""
         return len(self.entries) + 1
 
+    @property
+    def unsent(self) -> list[int]:
+        """Bytes that wait on each link to another proxy."""
+        return [peer.unsent for peer in self.linked.values() if isinstance(peer, RemotePeer)]
+
     def of_service(self, service: str) -> list[Peer]:
         """The linked backends of a service."""
         return [peer for peer in self.linked.values() if peer.service == service]
--- a/lupinreach/mesh/proxy/program.py
+++ b/lupinreach/mesh/proxy/program.py
@@ -10,11 +10,13 @@
 
 from result import Err, Ok, Result
 
+from lupinreach.mesh.configuration import version_number
 from lupinreach.mesh.dispatch import Dispatcher
 from lupinreach.mesh.errors import ErrorKind
 from lupinreach.mesh.events import Event, EventLog
 from lupinreach.mesh.instance_calls import add_instance_calls, parse_heartbeat
 from lupinreach.mesh.messages import AgentEntry, AgentHello, ForwardedBeat
+from lupinreach.mesh.metrics import Metric
 from lupinreach.mesh.proxy.gate import Gate
 from lupinreach.mesh.proxy.gossip import Gossip
 from lupinreach.mesh.proxy.inbound import Inbound
@@ -252,6 +254,30 @@
             "backends": self.policy.describe(self.peers.linked.values()),
         }
 
+    def metrics(self) -> list[Metric]:
+        """Figures of this proxy."""
+        unsent = self.peers.unsent or [0]
+        admission = self.gate.admission
+        registries = self._registries
+        return [
+            Metric("proxy_configuration_version", version_number(self.news.version or "0"), "in force"),
+            Metric("proxy_configurations_applied_total", self.news.applied, "put in force in this life"),
+            Metric("proxy_registry_links", registries.connected if registries else 0, "that are up"),
+            Metric(
+                "proxy_registry_silent_seconds",
+                registries.silent_s if registries else 0,
+                "since the last word",
+            ),
+            Metric(
+                "proxy_request_transit_seconds", self.inbound.take_most_age_s(), "most extra time on a link"
+            ),
+            Metric("proxy_unsent_bytes", sum(unsent), "that wait on links to other proxies"),
+            Metric("proxy_unsent_most_bytes", max(unsent), "that wait on one link"),
+            Metric("proxy_backend_running", admission.running, "requests at the backend beside this proxy"),
+            Metric("proxy_backend_waiting", admission.waiting, "requests that wait for it"),
+            Metric("proxy_retries_denied_total", self.budget.denied, "repeats that the budget did not grant"),
+        ]
+
     def settings_changed(self, settings: Settings) -> None:
         """Nothing of the settings moves within a life but what a restart would read too."""
         self._settings = settings
--- a/lupinreach/mesh/proxy/registry_client.py
+++ b/lupinreach/mesh/proxy/registry_client.py
@@ -141,6 +141,12 @@
         for held in self._held:
             self._send(held, entry)
 
+    @property
+    def silent_s(self) -> float:
+        """Seconds since the link that was heard last said anything; 0 where none is up."""
+        links = [held.dialer.link for held in self._held if held.dialer is not None]
+        return min((link.silent_s() for link in links if link is not None), default=0.0)
+
     @property
     def connected(self) -> int:
         return sum(held.dialer is not None and held.dialer.link is not None for held in self._held)
--- a/lupinreach/mesh/registry/program.py
+++ b/lupinreach/mesh/registry/program.py
@@ -28,7 +28,8 @@
     RegistryStatus,
     encode,
 )
-from lupinreach.mesh.registry.agents import AgentTable
+from lupinreach.mesh.metrics import Metric
+from lupinreach.mesh.registry.agents import AgentTable, Known
 from lupinreach.mesh.registry.beats import BeatForwarder
 from lupinreach.mesh.registry.orders import OrderFailure, StoreLinks
 from lupinreach.mesh.server import HttpAnswer, HttpRequest, HttpServer, error_answer
@@ -37,6 +38,7 @@
 from lupinreach.mesh.tasks import spawn
 
 HEARTBEAT_S = 0.5
+LATE_S = 1.0  # a change that a proxy has not acknowledged for so long is logged
 FLUSH_S = 0.03  # between two batches of entries to proxies
 ORDER_RETRY_MS = 200.0  # when an operator whose order was not confirmed may come back
 ALIVE_EVERY = 2  # heartbeats between two lists of connected proxies for the other registries
@@ -53,6 +55,8 @@
         self._known_versions: dict[Link, str] = {}  # of the configuration, by proxy's link
         self._registries: dict[str, Dialer] = {}  # by host
         self._changed: dict[str, AgentEntry] = {}  # since the last batch, by address
+        self._news_sent = 0
+        self._news_bytes = 0
         self._joined: list[Link] = []  # proxies that want the whole table
         self._flushing: asyncio.TimerHandle | None = None
         self._stores = StoreLinks(
@@ -98,6 +102,7 @@
             ticks += 1
             for host in self._stores.hosts:
                 self._dial_registry(host)
+            self._tell_late(loop.time())
             self._heartbeat(with_registries=ticks % 8 == 1)
             if ticks % ALIVE_EVERY == 0:
                 self._tell_alive()
@@ -191,6 +196,22 @@
         known = self.agents.find(link.owner) if link.owner is not None else None
         if known is not None and len(message.stamp) == 2:
             known.acknowledged = (message.stamp[0], message.stamp[1])
+            if message.stamp >= self._news.stamp:
+                self._caught_up(known)
+
+    def _caught_up(self, known: Known) -> None:
+        if known.told_late:
+            late_s = round(known.lag_s(asyncio.get_running_loop().time()), 2)
+            self._log.write(Event.NEWS_CAUGHT_UP, agent=known.entry.address, late_s=late_s)
+        known.behind_since = None
+        known.told_late = False
+
+    def _tell_late(self, now: float) -> None:
+        """Log the proxies that have not acknowledged what was sent to them, once each time."""
+        for known in self.agents.connected():
+            if known.lag_s(now) > LATE_S and not known.told_late:
+                known.told_late = True
+                self._log.write(Event.NEWS_LATE, agent=known.entry.address, unsent=known.unsent)
 
     def _status(self, with_registries: bool) -> RegistryStatus:
         port = self._settings.registry_port
@@ -219,6 +240,22 @@
             "proxies_behind": [known.entry.address for known in connected if known.acknowledged < stamp],
         }
 
+    def metrics(self) -> list[Metric]:
+        """Figures of this registry."""
+        now = asyncio.get_running_loop().time()
+        connected = self.agents.connected()
+        unsent = [known.unsent for known in connected] or [0]
+        lags = [known.lag_s(now) for known in connected] or [0.0]
+        return [
+            Metric("registry_proxies_connected", len(connected), "proxies with a link to this registry"),
+            Metric("registry_proxies_behind", sum(lag > 0 for lag in lags), "that lack an acknowledgement"),
+            Metric("registry_news_lag_seconds", max(lags), "longest wait for an acknowledgement"),
+            Metric("registry_unsent_bytes", sum(unsent), "that wait on links to proxies"),
+            Metric("registry_unsent_most_bytes", max(unsent), "that wait on one link"),
+            Metric("registry_news_sent_total", self._news_sent, "changes sent to proxies"),
+            Metric("registry_news_sent_bytes_total", self._news_bytes, "their bytes"),
+        ]
+
     # News.
 
     def _on_store_message(self, message: Message) -> None:
@@ -242,7 +279,13 @@
         config = news.config if news.config_version != held else None
         self._known_versions[link] = news.config_version
         fresh = self._stores.in_contact()
-        link.send(News(news.stamp, news.config_version, config, news.evacuations, fresh))
+        data = encode(News(news.stamp, news.config_version, config, news.evacuations, fresh))
+        link.send_encoded(data)
+        self._news_sent += 1
+        self._news_bytes += len(data)
+        known = self.agents.find(link.owner) if link.owner is not None else None
+        if known is not None and known.behind_since is None:
+            known.behind_since = asyncio.get_running_loop().time()
 
     # Calls.
 
--- a/lupinreach/mesh/store/program.py
+++ b/lupinreach/mesh/store/program.py
@@ -17,6 +17,7 @@
     StoreStatus,
     Subscribe,
 )
+from lupinreach.mesh.metrics import Metric
 from lupinreach.mesh.settings import Settings
 from lupinreach.mesh.store.disk import SqliteRecord
 from lupinreach.mesh.store.document import Document
@@ -65,6 +66,7 @@
         self._stores: dict[str, list[Any]] = {}  # by identity: as in StoreStatus
         self._subscribers: dict[Link, _Subscriber] = {}
         self._ticks = 0
+        self._published = 0
 
     async def start(self) -> None:
         """Listen, and dial the seeds."""
@@ -222,6 +224,20 @@
             "stores_linked": sorted(self._links),
         }
 
+    def metrics(self) -> list[Metric]:
+        """Figures of this store."""
+        replica = self.replica
+        subscribers = [link.unsent for link in self._subscribers] or [0]
+        stores = [link.unsent for link in self._links.values()] or [0]
+        return [
+            Metric("store_epoch", replica.view.epoch, "of the view that it knows"),
+            Metric("store_serving", replica.serving, "1: it is the primary and takes orders"),
+            Metric("store_committed_total", self._published, "documents that all copies hold, in this life"),
+            Metric("store_subscribers", len(self._subscribers), "registries that it tells"),
+            Metric("store_unsent_bytes", sum(stores), "that wait on links to other stores"),
+            Metric("store_unsent_news_bytes", sum(subscribers), "that wait on links to registries"),
+        ]
+
     # Registries.
 
     def _on_subscribe(self, link: Link, message: Subscribe) -> None:
@@ -250,6 +266,7 @@
         self._log.write(event, **facts)
 
     def publish(self, stamp: list[int], document: Document) -> None:
+        self._published += 1
         self._log.write(
             Event.ORDER_COMMITTED, stamp=f"{stamp[0]}.{stamp[1]}", version=document.version or "none"
         )
