--- a/tests/mesh/scenario.py
+++ b/tests/mesh/scenario.py
@@ -106,6 +106,10 @@
 
         self._spawn(stop())
 
+    def do_link(self, host: str, bytes_per_s: str) -> None:
+        """The link into a host carries so much, and queues the rest."""
+        self.world.loop.rates[host] = float(bytes_per_s)
+
     def do_heal(self) -> None:
         self.world.loop.cuts.clear()
         self.world.loop.one_way.clear()
@@ -130,12 +134,13 @@
 
         self._spawn(order())
 
-    def do_orders(self, host: str, first: str, count: str, every: str) -> None:
+    def do_orders(self, host: str, first: str, count: str, every: str, *options: str) -> None:
         """Many configurations, one after the other."""
+        given: dict[str, Any] = dict(option.split("=") for option in options)
 
         async def send() -> None:
             for number in range(int(first, 16), int(first, 16) + int(count)):
-                await self.world.order(host, f"{number:08x}")
+                await self.world.order(host, f"{number:08x}", **given)
                 await asyncio.sleep(float(every))
 
         self._spawn(send())
@@ -245,6 +250,23 @@
         found = self.world.programs[(host, "proxy")].news.version
         return None if found == version else f"found {found!r}"
 
+    def do_expect_in_force_within(self, host: str, seconds: str) -> str | None:
+        """Each version was in force at a proxy so soon after its commit, or a higher one was."""
+        committed: dict[str, float] = {}
+        applied = []
+        for at, name, event, facts in self.world.story:
+            if event is Event.ORDER_COMMITTED:
+                committed.setdefault(facts["version"], at)
+            elif event is Event.CONFIGURATION_APPLIED and name == f"{host}/proxy":
+                applied.append((at, facts["version"]))
+        committed.pop("none", None)
+        lags = {
+            version: min((at for at, held in applied if held >= version), default=self.world.now) - since
+            for version, since in committed.items()
+        }
+        late = {version: round(lag, 2) for version, lag in lags.items() if lag > float(seconds)}
+        return f"{len(late)} of {len(lags)} late, most {max(late.values())} s" if late else None
+
     def do_expect_kept(self, version: str) -> str | None:
         """The newest configuration that a primary acknowledges."""
         for (_, role), program in self.world.programs.items():
--- a/tests/mesh/world.py
+++ b/tests/mesh/world.py
@@ -100,6 +100,8 @@
         self.one_way: set[tuple[str, str]] = set()
         self.down: set[str] = set()
         self.transports: list[MemoryTransport] = []
+        self.rates: dict[str, float] = {}  # bytes a second into a host; absent: no limit
+        self._busy_until: dict[str, float] = {}  # when the link into a host will have carried what is queued
 
     def run_as(self, owner: int, work: Callable[..., Any], *args: Any) -> None:
         with self.owned_by(owner):
@@ -111,8 +113,19 @@
 
     def carry(self, end: MemoryTransport, work: Callable[..., Any], *args: Any) -> None:
         if self.passes(end.host, end.peer.host):
+            delay_s = ONE_WAY_S + self._queueing_s(end.peer.host, args) if end.host != end.peer.host else 0.0
             with self.owned_by(end.peer.owner):
-                self.call_later(ONE_WAY_S if end.host != end.peer.host else 0.0, work, *args)
+                self.call_later(delay_s, work, *args)
+
+    def _queueing_s(self, host: str, pieces: tuple[Any, ...]) -> float:
+        """How long the link into a host takes for what is queued there and these pieces."""
+        rate = self.rates.get(host)
+        if rate is None:
+            return 0.0
+        size = sum(len(piece) for piece in pieces if isinstance(piece, bytes))
+        done = max(self.time(), self._busy_until.get(host, 0.0)) + size / rate
+        self._busy_until[host] = done
+        return done - self.time()
 
     async def create_server(self, factory: Any, host: Any = None, port: Any = None, **_: Any) -> Any:  # type: ignore[override]
         self.listeners[(host, port)] = (factory, OWNER.get())
@@ -176,6 +189,17 @@
     arrived: list[float] = field(default_factory=list)
 
 
+def _idle_host(number: int, version: str, changed: bool) -> str:
+    """A host with five routes that nothing is asked on; where it is changed its time-outs differ by version."""
+    timeout = 2000 + int(version, 16) if changed else 2000
+    rules = ",".join(
+        f'{{"name":"idle-{number}-{index}","path_prefix":"/idle{number}/path{index}/","route_type":"safe",'
+        f'"timeout_ms":{timeout},"target_latency_ms":400,"priority":1,"target_service":"alpha","max_attempts":2}}'
+        for index in range(5)
+    )
+    return f',{{"hostname":"idle{number}.example","path_rules":[{rules}]}}'
+
+
 class World:
     """Hosts `c1..` with store and registry, hosts `s1..` with proxy and backend."""
 
@@ -387,6 +411,10 @@
         timeout = wrong.get("timeout", 2000)
         target = wrong.get("unknown", service)
         name = wrong.get("hostname", "h.example")
+        idle = "".join(
+            _idle_host(number, version, changed=number < int(wrong.get("changed", 1)))
+            for number in range(int(wrong.get("routes", 0)) // 5)
+        )
         rules = ",".join(
             f'{{"name":"{kind}","path_prefix":"/{kind}/","route_type":"{kind}","timeout_ms":{timeout},'
             f'"target_latency_ms":400,"priority":1,"target_service":"{target}","max_attempts":2}}'
@@ -398,7 +426,7 @@
         )
         text = (
             f'{{"version":"{version}","services":[{services}],"limits":{{}},'
-            f'"virtual_hosts":[{{"hostname":"{name}","path_rules":[{rules}]}}]}}'
+            f'"virtual_hosts":[{{"hostname":"{name}","path_rules":[{rules}]}}{idle}]}}'
         ).encode()
         if wrong.get("cut"):
             text = text[: len(text) // 2]
