News by difference within a window: a slow link delays the newest only

Registries keep what changed when and send what leads from the version that a proxy holds; at most 16 KB are unacknowledged on a link, then the newest follows. A checksum finds an update that does not fit; the proxy asks for the whole. The same between store and registries, and for neighbours (a pull waits 0.5 s for a registry). Found on the way: a registry that subscribed during a round got the stamp of the document being written with the one before, and then skipped the real one.

--- a/lupinreach/mesh/configuration.py
+++ b/lupinreach/mesh/configuration.py
@@ -1,4 +1,4 @@
-"""The operator's configuration: services, limits and routes, and the table that matches requests to routes.
+"""The operator's configuration: services, limits and routes.
 
 Operators' JSON is read and checked by `configuration_check`; between processes a checked configuration
 travels as plain values (`to_list`, `from_list`).
@@ -145,44 +145,6 @@
         )
 
 
-class RouteTable:
-    """The configuration in force, indexed for requests."""
-
-    def __init__(self, configuration: Configuration) -> None:
-        self.version = configuration.version
-        self.limits = configuration.limits
-        self.services = {service.name: service for service in configuration.services}
-        self._by_host: dict[str, list[Route]] = {}
-        for host in configuration.virtual_hosts:
-            routes = self._by_host.setdefault(host.hostname.lower(), [])
-            routes.extend(host.path_rules)
-        for routes in self._by_host.values():
-            routes.sort(key=lambda route: len(route.path_prefix), reverse=True)
-        self._by_prefix = {
-            host: {route.path_prefix: route for route in reversed(routes)}
-            for host, routes in self._by_host.items()
-        }
-
-    def find(self, host: str, target: str) -> Route | None:
-        """The route with the longest prefix of the target's path, or None."""
-        prefixes = self._by_prefix.get(host.lower())
-        if prefixes is None and ":" in host:
-            prefixes = self._by_prefix.get(host.lower().rpartition(":")[0])
-        if prefixes is None:
-            return None
-        path = target.partition("?")[0]
-        end = len(path)
-        while end > 0:
-            slash = path.rfind("/", 0, end)
-            if slash < 0:
-                return None
-            route = prefixes.get(path[: slash + 1])
-            if route is not None:
-                return route
-            end = slash
-        return None
-
-
 def version_number(version: str) -> int:
     """The order of versions; ValueError where it is not hexadecimal."""
     return int(version, 16)
--- a/lupinreach/mesh/messages.py
+++ b/lupinreach/mesh/messages.py
@@ -221,7 +221,7 @@
 @register
 @dataclass(slots=True)
 class NewsPull(Message):
-    """Asks a neighbour for its configuration news, where its version is above one's own."""
+    """Asks a neighbour for its configuration news, whose version is above one's own, or a registry for the whole."""
 
     NUMBER: ClassVar[int] = 19
 
@@ -239,6 +239,7 @@
     life: int = 0  # start of the process, Unix ms
     config_version: str = ""
     config_stamp: list[int] = field(default_factory=list)
+    takes_updates: bool = False  # differences of the configuration, beside whole ones
 
 
 @register
@@ -265,15 +266,17 @@
     NUMBER: ClassVar[int] = 32
     stamp: list[int] = field(default_factory=list)  # epoch, sequence
     config_version: str = ""
-    config: bytes | None = None  # to proxies packed, to registries as sent; None: as the receiver holds it
+    # To registries as sent by the operator; to proxies packed, whole or an update; None: as the receiver holds it.
+    config: bytes | None = None
     evacuations: dict[str, bool] = field(default_factory=dict)
     fresh: bool = True  # the sender is in contact with a primary; else it may be an old state
+    base: str = ""  # `config` is an update from this version; empty: it is whole
 
 
 @register
 @dataclass(slots=True)
 class NewsAcknowledged(Message):
-    """A proxy has put a change in force."""
+    """A receiver has dealt with the oldest `News` that was out to it, and holds this state now."""
 
     NUMBER: ClassVar[int] = 33
     stamp: list[int] = field(default_factory=list)
@@ -466,6 +469,7 @@
 
     NUMBER: ClassVar[int] = 70
     config_version: str = ""
+    acknowledges: bool = False  # it answers each `News` by `NewsAcknowledged`
 
 
 @register
--- a/lupinreach/mesh/proxy/gossip.py
+++ b/lupinreach/mesh/proxy/gossip.py
@@ -14,6 +14,7 @@
 
 ROUND_S = 4.0
 ROUND_TIMEOUT_S = 1.0
+PATIENCE_S = 0.5  # what a neighbour has, a registry usually tells within this: only then it is pulled
 
 
 class Gossip:
@@ -39,10 +40,8 @@
         def on_message(link: Link, message: Message) -> None:
             if isinstance(message, Shuffled):
                 self.view.end_round(partner, message.entries)
-                if self._is_behind(message):
-                    link.send(NewsPull())
-                else:
-                    done.set()
+                asking = spawn(self._pull_if_behind(link, message, done))
+                self._asking = asking
             elif isinstance(message, News):
                 self._news.apply(message)
                 done.set()
@@ -53,13 +52,21 @@
 
         dialer = Dialer(parse_address(partner), on_up, on_message, lambda link: None)
         try:
-            async with asyncio.timeout(ROUND_TIMEOUT_S):
+            async with asyncio.timeout(ROUND_TIMEOUT_S + PATIENCE_S):
                 await done.wait()
         except TimeoutError:
             pass
         finally:
             dialer.close()
 
+    async def _pull_if_behind(self, link: Link, told: Shuffled, done: asyncio.Event) -> None:
+        if self._is_behind(told):
+            await asyncio.sleep(PATIENCE_S)
+        if self._is_behind(told):
+            link.send(NewsPull())
+        else:
+            done.set()
+
     def _is_behind(self, told: Shuffled) -> bool:
         """If the neighbour holds anything newer."""
         return is_newer(told.config_version, self._news.version) or told.evacuation_stamp > list(
--- a/lupinreach/mesh/proxy/news.py
+++ b/lupinreach/mesh/proxy/news.py
@@ -5,10 +5,10 @@
 import asyncio
 from collections.abc import Callable
 
-import msgpack
-
-from lupinreach.mesh.configuration import Configuration, RouteTable, is_newer
+from lupinreach.mesh.configuration import is_newer
+from lupinreach.mesh.configuration_update import Applied, ConfigurationUpdate, pack_whole, unpack_whole
 from lupinreach.mesh.messages import News
+from lupinreach.mesh.route_table import RouteTable
 
 Stamp = tuple[int, int]
 STALE_PATIENCE_S = 1.0  # a proxy without a configuration waits so long for one that is surely the newest
@@ -19,7 +19,6 @@
 
     def __init__(self) -> None:
         self.table: RouteTable | None = None
-        self.packed = b""  # the configuration as it travels
         self.stamp: Stamp = (0, 0)
         self.evacuations: dict[str, bool] = {}
         self._stale: list[News] = []  # that senders without contact to a primary told, until it may be used
@@ -37,8 +36,8 @@
     def evacuated(self, zone: str) -> bool:
         return self.evacuations.get(zone, False)
 
-    def apply(self, news: News) -> bool:
-        """Put what is newer in force; true where anything changed.
+    def apply(self, news: News) -> Applied:
+        """Put what is newer in force.
 
         A sender that is cut off from the primary may hold an old configuration. It is progress for a proxy
         that holds an older one; a proxy that has just started waits a little for somebody in contact.
@@ -47,7 +46,7 @@
             if not self._stale:
                 asyncio.get_running_loop().call_later(STALE_PATIENCE_S, self.use_stale)
             self._stale.append(news)
-            return False
+            return Applied.NOT_NEWER
         self._stale.clear()
         return self._apply(news)
 
@@ -57,9 +56,10 @@
         for news in stale:
             self._apply(news)
 
-    def _apply(self, news: News) -> bool:
-        changed = self._apply_configuration(news)
+    def _apply(self, news: News) -> Applied:
+        applied = self._apply_configuration(news)
         stamp: Stamp = (news.stamp[0], news.stamp[1])
+        changed = applied is Applied.IN_FORCE
         if stamp > self.stamp:
             self.stamp = stamp
             changed = changed or self.evacuations != news.evacuations
@@ -67,16 +67,19 @@
         if changed:
             for listener in self._listeners:
                 listener()
-        return changed
+        return applied
 
-    def _apply_configuration(self, news: News) -> bool:
+    def _apply_configuration(self, news: News) -> Applied:
         if news.config is None or not is_newer(news.config_version, self.version):
-            return False
-        self.packed = news.config
-        self.applied += 1
-        self.table = RouteTable(Configuration.from_list(msgpack.unpackb(news.config)))
-        return True
+            return Applied.NOT_NEWER
+        if news.base:
+            applied, self.table = ConfigurationUpdate.unpack(news.config).apply(self.table)
+        else:
+            applied, self.table = Applied.IN_FORCE, unpack_whole(news.config)
+        self.applied += applied is Applied.IN_FORCE
+        return applied
 
     def as_news(self) -> News:
         """All that is held, as one message; a proxy can't know that it is the newest."""
-        return News(list(self.stamp), self.version, self.packed or None, self.evacuations, fresh=False)
+        whole = pack_whole(self.table) if self.table is not None else None
+        return News(list(self.stamp), self.version, whole, self.evacuations, fresh=False)
--- a/lupinreach/mesh/proxy/program.py
+++ b/lupinreach/mesh/proxy/program.py
@@ -192,7 +192,7 @@
     # Links to registries.
 
     def _hello(self) -> AgentHello:
-        return AgentHello(self._address, self._life, self.news.version, list(self.news.stamp))
+        return AgentHello(self._address, self._life, self.news.version, list(self.news.stamp), True)
 
     def _own_entry(self) -> AgentEntry:
         status = self.gate.status()
--- a/lupinreach/mesh/proxy/registry_client.py
+++ b/lupinreach/mesh/proxy/registry_client.py
@@ -5,9 +5,18 @@
 import asyncio
 from collections.abc import Callable
 
+from lupinreach.mesh.configuration_update import Applied
 from lupinreach.mesh.events import Event, EventLog
 from lupinreach.mesh.link import Dialer, Link, parse_address
-from lupinreach.mesh.messages import AgentEntry, AgentHello, Message, News, NewsAcknowledged, RegistryStatus
+from lupinreach.mesh.messages import (
+    AgentEntry,
+    AgentHello,
+    Message,
+    News,
+    NewsAcknowledged,
+    NewsPull,
+    RegistryStatus,
+)
 from lupinreach.mesh.proxy.news import NewsHolder
 from lupinreach.mesh.tasks import spawn
 
@@ -119,7 +128,9 @@
 
     def _message(self, held: _Held, message: Message) -> None:
         if isinstance(message, News):
-            self._news.apply(message)
+            if self._news.apply(message) is Applied.UNFIT:
+                self._log.write(Event.UPDATE_UNFIT, registry=held.address, version=message.config_version)
+                self._send(held, NewsPull())
             self._send(held, NewsAcknowledged(list(self._news.stamp), self._news.version))
         elif isinstance(message, AgentEntry):
             self._on_entry(message)
--- a/lupinreach/mesh/registry/agents.py
+++ b/lupinreach/mesh/registry/agents.py
@@ -17,18 +17,6 @@
     entry: AgentEntry
     alive_at: float  # loop time at which some registry was last connected to it
     link: Link | None = None  # to this registry
-    acknowledged: tuple[int, int] = (0, 0)  # stamp of the news that it has put in force
-    behind_since: float | None = None  # loop time at which it was sent what it has not acknowledged
-    told_late: bool = False
-
-    def lag_s(self, now: float) -> float:
-        """Seconds since it was sent something that it has not acknowledged; 0: it is up to date."""
-        return now - self.behind_since if self.behind_since is not None else 0.0
-
-    @property
-    def unsent(self) -> int:
-        """Bytes that wait on its link."""
-        return self.link.unsent if self.link is not None else 0
 
 
 class AgentTable:
--- a/lupinreach/mesh/registry/orders.py
+++ b/lupinreach/mesh/registry/orders.py
@@ -10,7 +10,15 @@
 
 from lupinreach.mesh.errors import ErrorKind
 from lupinreach.mesh.link import Dialer, Link
-from lupinreach.mesh.messages import Message, Order, OrderResult, StoreStatus, Subscribe
+from lupinreach.mesh.messages import (
+    Message,
+    News,
+    NewsAcknowledged,
+    Order,
+    OrderResult,
+    StoreStatus,
+    Subscribe,
+)
 from lupinreach.mesh.store.document import OrderKind
 
 PATIENCE_S = 0.9  # operators turn to another registry after a second of silence
@@ -39,7 +47,7 @@
 class StoreLinks:
     """Held links to all known stores, and the orders that are out on them."""
 
-    def __init__(self, port: int, version: Callable[[], str], on_news: Callable[[Message], None]) -> None:
+    def __init__(self, port: int, version: Callable[[], str], on_news: Callable[[News], None]) -> None:
         self._port = port
         self._stores: dict[str, _Store] = {}  # by host
         self._numbers = 0
@@ -56,7 +64,7 @@
         store.dialer = Dialer(
             (host, self._port),
             self._up,
-            lambda link, message: self._message(store, message),
+            lambda link, message: self._message(store, link, message),
             lambda link: self._down(store),
         )
 
@@ -65,12 +73,12 @@
         return list(self._stores)
 
     def _up(self, link: Link) -> None:
-        link.send(Subscribe(self._version()))
+        link.send(Subscribe(self._version(), acknowledges=True))
 
     def _down(self, store: _Store) -> None:
         store.serving = False
 
-    def _message(self, store: _Store, message: Message) -> None:
+    def _message(self, store: _Store, link: Link, message: Message) -> None:
         if isinstance(message, StoreStatus):
             store.epoch, store.serving = message.epoch, message.serving
             for _, host, _, _ in message.stores:
@@ -79,8 +87,9 @@
             future = self._out.pop(message.number, None)
             if future is not None and not future.done():
                 future.set_result(message)
-        else:
+        elif isinstance(message, News):
             self._on_news(message)
+            link.send(NewsAcknowledged(message.stamp, self._version()))
 
     def primary(self) -> Link | None:
         """The link to the store that serves under the highest epoch."""
--- a/lupinreach/mesh/registry/program.py
+++ b/lupinreach/mesh/registry/program.py
@@ -5,8 +5,7 @@
 import asyncio
 from typing import Any
 
-import msgpack
-from result import Err
+from result import Err, Ok
 
 from lupinreach.mesh.configuration import is_newer
 from lupinreach.mesh.configuration_check import parse_configuration
@@ -24,13 +23,15 @@
     Message,
     News,
     NewsAcknowledged,
+    NewsPull,
     RegistryHello,
     RegistryStatus,
     encode,
 )
 from lupinreach.mesh.metrics import Metric
-from lupinreach.mesh.registry.agents import AgentTable, Known
+from lupinreach.mesh.registry.agents import AgentTable
 from lupinreach.mesh.registry.beats import BeatForwarder
+from lupinreach.mesh.registry.news_feed import NewsFeed
 from lupinreach.mesh.registry.orders import OrderFailure, StoreLinks
 from lupinreach.mesh.server import HttpAnswer, HttpRequest, HttpServer, error_answer
 from lupinreach.mesh.settings import Settings
@@ -38,7 +39,6 @@
 from lupinreach.mesh.tasks import spawn
 
 HEARTBEAT_S = 0.5
-LATE_S = 1.0  # a change that a proxy has not acknowledged for so long is logged
 FLUSH_S = 0.03  # between two batches of entries to proxies
 ORDER_RETRY_MS = 200.0  # when an operator whose order was not confirmed may come back
 ALIVE_EVERY = 2  # heartbeats between two lists of connected proxies for the other registries
@@ -51,17 +51,12 @@
         self._settings = settings
         self._log = log
         self.agents = AgentTable()
-        self._news = News()
-        self._known_versions: dict[Link, str] = {}  # of the configuration, by proxy's link
         self._registries: dict[str, Dialer] = {}  # by host
         self._changed: dict[str, AgentEntry] = {}  # since the last batch, by address
-        self._news_sent = 0
-        self._news_bytes = 0
         self._joined: list[Link] = []  # proxies that want the whole table
         self._flushing: asyncio.TimerHandle | None = None
-        self._stores = StoreLinks(
-            settings.store_port, lambda: self._news.config_version, self._on_store_message
-        )
+        self._stores = StoreLinks(settings.store_port, lambda: self.feed.history.version, self._on_news)
+        self.feed = NewsFeed(self._stores.in_contact, log)
         calls = Dispatcher()
         calls.add("POST", "configuration", "replace", call=self._replace_configuration)
         calls.add("GET", "configuration", "describe", call=self._describe_configuration)
@@ -102,7 +97,7 @@
             ticks += 1
             for host in self._stores.hosts:
                 self._dial_registry(host)
-            self._tell_late(loop.time())
+            self.feed.tell_late(loop.time())
             self._heartbeat(with_registries=ticks % 8 == 1)
             if ticks % ALIVE_EVERY == 0:
                 self._tell_alive()
@@ -143,7 +138,9 @@
         elif isinstance(message, AgentEntry):
             self._on_entry(link, message, now)
         elif isinstance(message, NewsAcknowledged):
-            self._on_acknowledged(link, message)
+            self.feed.acknowledged(link, message)
+        elif isinstance(message, NewsPull):
+            self.feed.pulled(link)
         elif isinstance(message, Describe):
             link.send(Description(self.describe()))
         elif isinstance(message, AliveAgents):
@@ -152,16 +149,14 @@
 
     def _closed(self, link: Link) -> None:
         self.agents.disconnect(link, asyncio.get_running_loop().time())
-        self._known_versions.pop(link, None)
+        self.feed.leave(link)
 
     def _on_agent(self, link: Link, hello: AgentHello, now: float) -> None:
         link.owner = hello.address
-        self._known_versions[link] = hello.config_version
         self.agents.connect(hello.address, hello.life, link, now)
         self._log.write(Event.AGENT_JOINED, agent=hello.address)
         link.send(self._status(with_registries=True))
-        if self._news.stamp:
-            self._send_news(link)
+        self.feed.join(link, hello)
         self._joined.append(link)
         self._flush_soon()
 
@@ -192,27 +187,6 @@
             if known.link is not None:
                 known.link.send_encoded(whole if known.link in joined else news)
 
-    def _on_acknowledged(self, link: Link, message: NewsAcknowledged) -> None:
-        known = self.agents.find(link.owner) if link.owner is not None else None
-        if known is not None and len(message.stamp) == 2:
-            known.acknowledged = (message.stamp[0], message.stamp[1])
-            if message.stamp >= self._news.stamp:
-                self._caught_up(known)
-
-    def _caught_up(self, known: Known) -> None:
-        if known.told_late:
-            late_s = round(known.lag_s(asyncio.get_running_loop().time()), 2)
-            self._log.write(Event.NEWS_CAUGHT_UP, agent=known.entry.address, late_s=late_s)
-        known.behind_since = None
-        known.told_late = False
-
-    def _tell_late(self, now: float) -> None:
-        """Log the proxies that have not acknowledged what was sent to them, once each time."""
-        for known in self.agents.connected():
-            if known.lag_s(now) > LATE_S and not known.told_late:
-                known.told_late = True
-                self._log.write(Event.NEWS_LATE, agent=known.entry.address, unsent=known.unsent)
-
     def _status(self, with_registries: bool) -> RegistryStatus:
         port = self._settings.registry_port
         registries = [[f"{host}:{port}", ""] for host in self._stores.hosts] if with_registries else []
@@ -226,66 +200,47 @@
 
     def describe(self) -> dict[str, Any]:
         """What this registry holds, for operators."""
-        stamp = tuple(self._news.stamp)
-        connected = self.agents.connected()
         return {
             "role": "registry",
             "node": self._settings.node_name,
-            "config_version": self._news.config_version,
-            "news_stamp": self._news.stamp,
-            "evacuations": self._news.evacuations,
+            "config_version": self.feed.history.version,
+            "news_stamp": self.feed.stamp,
+            "evacuations": self.feed.evacuations,
             "primary_known": self._stores.primary() is not None,
             "proxies_known": len(self.agents),
-            "proxies_connected": len(connected),
-            "proxies_behind": [known.entry.address for known in connected if known.acknowledged < stamp],
+            "proxies_connected": len(self.agents.connected()),
+            "proxies_behind": [
+                receiver.address for receiver in self.feed.receivers if receiver.behind_since is not None
+            ],
         }
 
     def metrics(self) -> list[Metric]:
         """Figures of this registry."""
         now = asyncio.get_running_loop().time()
-        connected = self.agents.connected()
-        unsent = [known.unsent for known in connected] or [0]
-        lags = [known.lag_s(now) for known in connected] or [0.0]
+        receivers = self.feed.receivers
+        unsent = [receiver.link.unsent for receiver in receivers] or [0]
+        lags = [receiver.lag_s(now) for receiver in receivers] or [0.0]
         return [
-            Metric("registry_proxies_connected", len(connected), "proxies with a link to this registry"),
+            Metric("registry_proxies_connected", len(receivers), "proxies with a link to this registry"),
             Metric("registry_proxies_behind", sum(lag > 0 for lag in lags), "that lack an acknowledgement"),
             Metric("registry_news_lag_seconds", max(lags), "longest wait for an acknowledgement"),
             Metric("registry_unsent_bytes", sum(unsent), "that wait on links to proxies"),
             Metric("registry_unsent_most_bytes", max(unsent), "that wait on one link"),
-            Metric("registry_news_sent_total", self._news_sent, "changes sent to proxies"),
-            Metric("registry_news_sent_bytes_total", self._news_bytes, "their bytes"),
+            Metric("registry_news_sent_total", self.feed.sent, "changes sent to proxies"),
+            Metric("registry_news_sent_bytes_total", self.feed.sent_bytes, "their bytes"),
         ]
 
     # News.
 
-    def _on_store_message(self, message: Message) -> None:
-        if not isinstance(message, News) or message.stamp <= self._news.stamp:
+    def _on_news(self, news: News) -> None:
+        """A primary store tells a committed state."""
+        if news.stamp <= self.feed.stamp:
             return
-        if message.config is not None:
-            message.config = _packed(message.config)
-        else:
-            message.config = self._news.config
-            message.config_version = self._news.config_version
-        if is_newer(self._news.config_version, message.config_version):
-            message.config, message.config_version = self._news.config, self._news.config_version
-        self._news = message
-        for known in self.agents.connected():
-            if known.link is not None:
-                self._send_news(known.link)
-
-    def _send_news(self, link: Link) -> None:
-        news = self._news
-        held = self._known_versions.get(link, "")
-        config = news.config if news.config_version != held else None
-        self._known_versions[link] = news.config_version
-        fresh = self._stores.in_contact()
-        data = encode(News(news.stamp, news.config_version, config, news.evacuations, fresh))
-        link.send_encoded(data)
-        self._news_sent += 1
-        self._news_bytes += len(data)
-        known = self.agents.find(link.owner) if link.owner is not None else None
-        if known is not None and known.behind_since is None:
-            known.behind_since = asyncio.get_running_loop().time()
+        if news.config is not None and is_newer(news.config_version, self.feed.history.version):
+            parsed = parse_configuration(news.config)  # it was checked before the store took it
+            if isinstance(parsed, Ok):
+                self.feed.history.take(parsed.ok_value)
+        self.feed.publish(news.stamp, news.evacuations)
 
     # Calls.
 
@@ -328,12 +283,3 @@
     def _refused(self, failure: OrderFailure) -> HttpAnswer:
         self._log.write(Event.ORDER_REFUSED, why=failure.kind.name.lower(), detail=failure.detail or "-")
         return error_answer(failure.kind, failure.detail, retry_ms=ORDER_RETRY_MS)
-
-
-def _packed(config: bytes) -> bytes | None:
-    """An operator's configuration as it travels to proxies; it was checked before the store took it."""
-    parsed = parse_configuration(config)
-    if isinstance(parsed, Err):
-        return None
-    packed: bytes = msgpack.packb(parsed.ok_value.to_list())
-    return packed
--- a/lupinreach/mesh/store/program.py
+++ b/lupinreach/mesh/store/program.py
@@ -12,12 +12,15 @@
     Description,
     Message,
     News,
+    NewsAcknowledged,
     Order,
     StoreHello,
     StoreStatus,
     Subscribe,
+    encode,
 )
 from lupinreach.mesh.metrics import Metric
+from lupinreach.mesh.send_window import SendWindow
 from lupinreach.mesh.settings import Settings
 from lupinreach.mesh.store.disk import SqliteRecord
 from lupinreach.mesh.store.document import Document
@@ -36,7 +39,10 @@
     """A registry that wants news."""
 
     def __init__(self) -> None:
-        self.config_version = ""  # that it is known to hold
+        self.config_version = ""  # that it holds once it has all that was sent
+        self.stamp: list[int] = []  # of the news that was sent last
+        self.acknowledges = False
+        self.window = SendWindow()
 
 
 class StoreProgram:
@@ -139,6 +145,8 @@
             link.send(Description(self.describe()))
         elif isinstance(message, Subscribe):
             self._on_subscribe(link, message)
+        elif isinstance(message, NewsAcknowledged):
+            self._on_acknowledged(link)
         elif isinstance(message, Order):
             self.replica.submit(message, link.send)
         elif link.owner is not None:
@@ -186,6 +194,8 @@
             hosts = [*stores, [replica.identity, replica.me.host, replica.me.zone, replica.born_first]]
             for link in self._subscribers:
                 link.send(self._status(None, hosts if gossip else []))
+                if replica.serving:
+                    self._send_news(link)  # to those that subscribed while it did not serve
 
     def _tell_stores(self, stores: list[list[Any]]) -> None:
         view = self.replica.view
@@ -243,17 +253,38 @@
     def _on_subscribe(self, link: Link, message: Subscribe) -> None:
         subscriber = self._subscribers.setdefault(link, _Subscriber())
         subscriber.config_version = message.config_version
+        subscriber.acknowledges = message.acknowledges
         me = self.replica.me
         hosts = [*self._stores.values(), [me.identity, me.host, me.zone, self.replica.born_first]]
         link.send(self._status(None, hosts))
-        if self.replica.serving and self.replica.committed is not None:
-            self._send_news(link, self.replica.stamp, self.replica.committed)
-
-    def _send_news(self, link: Link, stamp: list[int], document: Document) -> None:
+        if self.replica.serving:
+            self._send_news(link)
+
+    def _on_acknowledged(self, link: Link) -> None:
+        subscriber = self._subscribers.get(link)
+        if subscriber is not None:
+            subscriber.window.acknowledged()
+            self._send_news(link)
+
+    def _send_news(self, link: Link) -> None:
+        """Send the newest committed state to a registry, unless one is on its way there: then it follows that.
+
+        Its stamp is that of the committed document: the replica's own may be of one that is still being written.
+        """
+        document = self.replica.committed
+        if document is None:
+            return
         subscriber = self._subscribers[link]
+        stamp = [self.replica.view.epoch, document.sequence]
+        if stamp == subscriber.stamp:
+            return
         config = document.config if document.version != subscriber.config_version else None
-        subscriber.config_version = document.version
-        link.send(News(stamp, document.version, config or None, document.evacuations))
+        data = encode(News(stamp, document.version, config or None, document.evacuations))
+        if subscriber.acknowledges and not subscriber.window.allows(len(data)):
+            return
+        subscriber.config_version, subscriber.stamp = document.version, stamp
+        subscriber.window.sent(len(data))
+        link.send_encoded(data)
 
     # The replica's port.
 
@@ -272,4 +303,4 @@
         )
         for link in self._subscribers:
             link.send(self._status(None, []))
-            self._send_news(link, stamp, document)
+            self._send_news(link)
