--- a/lupinreach/mesh/configuration_update.py
+++ b/lupinreach/mesh/configuration_update.py
@@ -118,29 +118,34 @@
         return self.table.version if self.table is not None else ""
 
     def take(self, configuration: Configuration) -> None:
-        """A newer version."""
-        before, table = self.table, RouteTable(configuration)
+        """A newer version; what did not change in it is shared with the one before."""
         self._count += 1
-        if before is not None:
-            self._compare(before, table)
-        self.table = table
+        table = RouteTable(configuration)
+        self.table = table if self.table is None else self._after(self.table, table)
         self._versions[table.version] = self._count
         self._packed.clear()
         if len(self._versions) > MOST_VERSIONS:
             self._forget_oldest()
 
-    def _compare(self, before: RouteTable, after: RouteTable) -> None:
+    def _after(self, before: RouteTable, after: RouteTable) -> RouteTable:
+        """The later table, made of the earlier one; notes what changed."""
+        changes: dict[str, dict[str, Route | None]] = {}
         for host in before.hosts.keys() | after.hosts.keys():
             old, new = before.hosts.get(host, {}), after.hosts.get(host, {})
             if old == new:
                 continue
             for prefix in old.keys() | new.keys():
                 if old.get(prefix) != new.get(prefix):
+                    changes.setdefault(host, {})[prefix] = new.get(prefix)
                     self._changed[(host, prefix)] = self._count
-        if list(before.services.values()) != list(after.services.values()):
+        services: list[Service] | None = list(after.services.values())
+        if services == list(before.services.values()):
+            services = None
+        else:
             self._services_changed = self._count
         if before.limits != after.limits:
             self._limits_changed = self._count
+        return before.with_changes(after.version, changes, services, after.limits)
 
     def _forget_oldest(self) -> None:
         self._versions.popitem(last=False)
