Proxies spread over registries, and hold links into two zones once zones are known

Seen in the incident: all 81 proxies held links to the two registries of lowest address, which sent 16 MB/s while three idled; the zones that registries told were empty, so the preference for two zones never held. Ties go by a draw over both addresses.

--- a/lupinreach/mesh/proxy/registry_client.py
+++ b/lupinreach/mesh/proxy/registry_client.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
+from zlib import crc32
 
 from lupinreach.mesh.configuration_update import Applied
 from lupinreach.mesh.events import Event, EventLog
@@ -69,6 +70,7 @@
             for held in list(self._held):
                 if self._is_lost(held, now):
                     self._drop(held, now)
+            self._leave_shared_zone(now)
             while len(self._held) < min(LINKS, len(self._known)):
                 self._open(now)
             await asyncio.sleep(CHECK_S)
@@ -82,12 +84,22 @@
         if link.silent_s() > SILENT_AFTER_S:
             return True
         stale = now - max(held.fresh_at, held.began) > STALE_AFTER_S
-        return stale and self._untried(now)
+        return stale and bool(self._free(now))
 
-    def _untried(self, now: float) -> bool:
-        """If there is another registry that was not given up a moment ago."""
+    def _free(self, now: float) -> list[str]:
+        """The other registries that were not given up a moment ago."""
         held = {one.address for one in self._held}
-        return any(address not in held and self._avoid.get(address, 0.0) <= now for address in self._known)
+        return [
+            address for address in self._known if address not in held and self._avoid.get(address, 0.0) <= now
+        ]
+
+    def _leave_shared_zone(self, now: float) -> None:
+        """Seeds are dialled before their zones are known: two of one zone would be lost together."""
+        zones = {held.zone for held in self._held}
+        if len(self._held) < LINKS or len(zones) > 1 or "" in zones:
+            return
+        if any(self._known[address] not in zones | {""} for address in self._free(now)):
+            self._drop(self._held[-1], now)
 
     def _drop(self, held: _Held, now: float) -> None:
         assert held.dialer is not None
@@ -101,10 +113,10 @@
         addresses = {held.address for held in self._held}
         free = [address for address in self._known if address not in addresses]
 
-        def order(address: str) -> tuple[bool, bool, bool, str]:
+        def order(address: str) -> tuple[bool, bool, bool, int]:
             zone = self._known[address]
             avoided = self._avoid.get(address, 0.0) > now
-            return avoided, bool(zone) and zone in zones, zone != self._zone, address
+            return avoided, bool(zone) and zone in zones, zone != self._zone, self._draw(address)
 
         address = min(free, key=order)
         held = _Held(address, self._known[address])
@@ -117,6 +129,10 @@
         )
         self._held.append(held)
 
+    def _draw(self, address: str) -> int:
+        """Spreads the proxies over registries that are alike to them."""
+        return crc32(f"{self._hello().address} {address}".encode())
+
     def _up(self, held: _Held, link: Link) -> None:
         held.began = asyncio.get_running_loop().time()
         link.send(self._hello())
--- a/lupinreach/mesh/registry/orders.py
+++ b/lupinreach/mesh/registry/orders.py
@@ -42,6 +42,7 @@
     dialer: Dialer | None = None
     epoch: int = -1
     serving: bool = False
+    zone: str = ""  # of its machine; empty until a store has told it
 
 
 class StoreLinks:
@@ -56,11 +57,12 @@
         self._version = version
         self._primary_at = asyncio.get_running_loop().time()  # loop time at which one was last known
 
-    def dial(self, host: str) -> None:
+    def dial(self, host: str, zone: str = "") -> None:
         """Hold a link to the store on a machine."""
         if host in self._stores:
+            self._stores[host].zone = zone or self._stores[host].zone
             return
-        store = self._stores[host] = _Store()
+        store = self._stores[host] = _Store(zone=zone)
         store.dialer = Dialer(
             (host, self._port),
             self._up,
@@ -68,6 +70,11 @@
             lambda link: self._down(store),
         )
 
+    @property
+    def zones(self) -> dict[str, str]:
+        """The zone of each machine that holds a store, by host; empty where it is not known yet."""
+        return {host: store.zone for host, store in self._stores.items()}
+
     @property
     def hosts(self) -> list[str]:
         return list(self._stores)
@@ -81,8 +88,8 @@
     def _message(self, store: _Store, link: Link, message: Message) -> None:
         if isinstance(message, StoreStatus):
             store.epoch, store.serving = message.epoch, message.serving
-            for _, host, _, _ in message.stores:
-                self.dial(host)
+            for _, host, zone, _ in message.stores:
+                self.dial(host, zone)
         elif isinstance(message, OrderResult):
             future = self._out.pop(message.number, None)
             if future is not None and not future.done():
--- a/lupinreach/mesh/registry/program.py
+++ b/lupinreach/mesh/registry/program.py
@@ -189,7 +189,8 @@
 
     def _status(self, with_registries: bool) -> RegistryStatus:
         port = self._settings.registry_port
-        registries = [[f"{host}:{port}", ""] for host in self._stores.hosts] if with_registries else []
+        zones = self._stores.zones if with_registries else {}
+        registries = [[f"{host}:{port}", zone] for host, zone in zones.items()]
         return RegistryStatus(self._stores.in_contact(), registries)
 
     def _heartbeat(self, with_registries: bool) -> None:
--- a/tests/mesh/scenario.py
+++ b/tests/mesh/scenario.py
@@ -267,6 +267,13 @@
         late = {version: round(lag, 2) for version, lag in lags.items() if lag > float(seconds)}
         return f"{len(late)} of {len(lags)} late, most {max(late.values())} s" if late else None
 
+    def do_expect_registry_zones(self, host: str, own: str, *others: str) -> str | None:
+        """A proxy holds a link into its own zone, and one into another."""
+        held = self.world.programs[(host, "proxy")]._registries._held
+        found = sorted(self.world.zones[one.address.partition(":")[0]] for one in held)
+        ok = len(found) == 2 and own in found and set(found) <= {own, *others} and len(set(found)) == 2
+        return None if ok else f"found {found}"
+
     def do_expect_kept(self, version: str) -> str | None:
         """The newest configuration that a primary acknowledges."""
         for (_, role), program in self.world.programs.items():
