Bodies of requests cross to another proxy when it asks for them, a window at a time

A body that was not sent to its end has surely not run. Older proxies, which don't say that they take offers, get bodies as before.

--- a/lupinreach/mesh/messages.py
+++ b/lupinreach/mesh/messages.py
@@ -123,6 +123,7 @@
     running: int = 0
     waiting: int = 0
     config_version: str = ""
+    takes_offers: bool = False  # of bodies that are sent when asked for
 
 
 @register
@@ -146,6 +147,7 @@
     headers: bytes = b""  # whole header lines
     body: bytes = b""
     sent_at: float = 0.0  # by the sender's steady clock, seconds
+    body_size: int = 0  # of a body that is sent once `BodyCredit` asks for it; 0: `body` is all
 
 
 @register
@@ -226,6 +228,26 @@
     NUMBER: ClassVar[int] = 19
 
 
+@register
+@dataclass(slots=True)
+class BodyCredit(Message):
+    """The sender of an offered body may send its bytes up to an offset."""
+
+    NUMBER: ClassVar[int] = 20
+    number: int = 0
+    up_to: int = 0
+
+
+@register
+@dataclass(slots=True)
+class BodyPart(Message):
+    """The next bytes of an offered body."""
+
+    NUMBER: ClassVar[int] = 21
+    number: int = 0
+    part: bytes = b""
+
+
 # Registry to proxy and back.
 
 
--- a/lupinreach/mesh/proxy/admission.py
+++ b/lupinreach/mesh/proxy/admission.py
@@ -72,10 +72,20 @@
         if not self._waiting and self._has_room(now):
             self._let_in(now)
             return
-        if wait_ms < WAIT_FLOOR_MS or self._expected_wait_s() * 1000 > wait_ms:
-            raise NotAdmitted(self._full_reason(now), self.retry_ms())
+        refused = self.would_refuse(wait_ms)
+        if refused is not None:
+            raise refused
         await self._queue(due, wait_ms)
 
+    def would_refuse(self, wait_ms: float) -> NotAdmitted | None:
+        """What a request that may wait for so long would be told at once, if anything."""
+        now = asyncio.get_running_loop().time()
+        if not self._waiting and self._has_room(now):
+            return None
+        if wait_ms < WAIT_FLOOR_MS or self._expected_wait_s() * 1000 > wait_ms:
+            return NotAdmitted(self._full_reason(now), self.retry_ms())
+        return None
+
     async def _queue(self, due: float, wait_ms: float) -> None:
         loop = asyncio.get_running_loop()
         future: asyncio.Future[None] = loop.create_future()
--- a/lupinreach/mesh/proxy/gate.py
+++ b/lupinreach/mesh/proxy/gate.py
@@ -102,6 +102,7 @@
             running=self.admission.running,
             waiting=self.admission.waiting,
             config_version=self._news.version,
+            takes_offers=True,
         )
 
     @staticmethod
@@ -141,6 +142,20 @@
 
     # A request.
 
+    def refuse_early(self, asked: Request, age_s: float) -> NotTaken | None:
+        """For a request whose body was not sent yet: the refusal that it would meet now, if any."""
+        reason = self._refusal(asked)
+        if reason is None and asked.remaining_ms - 1000 * age_s < MIN_RUN_MS:
+            reason = NotTakenReason.EXPIRED
+        if reason is not None:
+            return self._not_taken(asked, reason, 0.0)
+        full = self.admission.would_refuse(asked.wait_ms - 1000 * age_s)
+        return self._not_taken(asked, full.reason, full.retry_ms) if full is not None else None
+
+    def refuse_full(self, asked: Request, retry_ms: float) -> NotTaken:
+        """The link to this machine is too busy for its body."""
+        return self._not_taken(asked, NotTakenReason.FULL, retry_ms)
+
     async def serve(self, asked: Request, age_s: float = 0.0) -> Outcome:
         """Pass a request to the backend if it may go there, and wait for its answer.
 
--- a/lupinreach/mesh/proxy/inbound.py
+++ b/lupinreach/mesh/proxy/inbound.py
@@ -10,6 +10,7 @@
 from lupinreach.mesh.messages import (
     BackendStatus,
     BeatTaken,
+    BodyPart,
     Cancel,
     Describe,
     Description,
@@ -20,13 +21,17 @@
     Request,
     Shuffle,
 )
-from lupinreach.mesh.proxy.gate import Gate
+from lupinreach.mesh.proxy.body_credit import BodyReceiver
+from lupinreach.mesh.proxy.gate import Gate, Outcome
 from lupinreach.mesh.proxy.gossip import Gossip
 from lupinreach.mesh.proxy.news import NewsHolder
 from lupinreach.mesh.proxy.request_age import LinkDelay, SeenRequests
 from lupinreach.mesh.tasks import spawn
 
 
+BODY_WAIT_SHARE = 0.5  # of the time until it is due: a body that would wait longer goes elsewhere
+
+
 class Inbound:
     """Accepts links and serves the requests that come over them."""
 
@@ -37,6 +42,7 @@
         gossip: Gossip,
         describe: Callable[[], dict[str, Any]],
         on_beat: Callable[[ForwardedBeat], bool],
+        bandwidth_mbps: float,
     ) -> None:
         self._on_beat = on_beat
         self._gate = gate
@@ -45,6 +51,7 @@
         self._describe = describe
         self._links: dict[Link, dict[int, asyncio.Task[None]]] = {}
         self._delays: dict[Link, LinkDelay] = {}
+        self._bodies = BodyReceiver(bandwidth_mbps)
         self._seen = SeenRequests()
         self._most_age_s = 0.0  # of the requests since it was last asked for
         self._server: asyncio.Server | None = None
@@ -66,6 +73,8 @@
     def _message(self, link: Link, message: Message) -> None:
         if isinstance(message, Request):
             self._on_request(link, message)
+        elif isinstance(message, BodyPart):
+            self._bodies.on_part(link, message)
         elif isinstance(message, Cancel):
             task_out = self._links.get(link, {}).get(message.number)
             if task_out is not None:
@@ -104,10 +113,33 @@
 
     async def _serve(self, link: Link, asked: Request, age_s: float) -> None:
         try:
-            link.send(await self._gate.serve(asked, age_s))
+            link.send(await self._outcome(link, asked, age_s))
         finally:
             self._links.get(link, {}).pop(asked.number, None)
 
+    async def _outcome(self, link: Link, asked: Request, age_s: float) -> Outcome:
+        if not asked.body_size:
+            return await self._gate.serve(asked, age_s)
+        refusal = self._gate.refuse_early(asked, age_s)
+        if refusal is not None:
+            return refusal
+        expected_ms = 1000 * self._bodies.expected_wait_s()
+        if expected_ms > BODY_WAIT_SHARE * asked.rank - 1000 * age_s:
+            return self._gate.refuse_full(asked, expected_ms)
+        loop = asyncio.get_running_loop()
+        offered_at = loop.time()
+        until = offered_at + asked.remaining_ms / 1000 - age_s
+        try:
+            async with asyncio.timeout_at(until):
+                asked.body = await self._bodies.receive(link, asked, offered_at - age_s + asked.rank / 1000)
+        except TimeoutError:
+            return self._gate.refuse_early(asked, until - offered_at + age_s) or self._gate.refuse_full(
+                asked, 0.0
+            )
+        took_s = loop.time() - offered_at
+        asked.wait_ms += int(1000 * took_s)  # the wait for the body is none for the backend
+        return await self._gate.serve(asked, age_s + took_s)
+
     def _closed(self, link: Link) -> None:
         self._delays.pop(link, None)
         for task in self._links.pop(link, {}).values():
--- a/lupinreach/mesh/proxy/peers.py
+++ b/lupinreach/mesh/proxy/peers.py
@@ -13,6 +13,7 @@
     AgentEntry,
     Answer,
     BackendStatus,
+    BodyCredit,
     Cancel,
     Failed,
     Message,
@@ -21,6 +22,7 @@
     Ping,
     Request,
 )
+from lupinreach.mesh.proxy.body_credit import OFFER_FROM, BodySender
 from lupinreach.mesh.proxy.gate import Gate, Outcome
 from lupinreach.mesh.tasks import spawn
 
@@ -131,6 +133,7 @@
         self._own_version = own_version
         self._numbers = numbers
         self._out: dict[int, tuple[asyncio.Future[Outcome], MayFailOver]] = {}
+        self._bodies = BodySender()
         self._pinged_at = 0.0  # loop time of the first ping since anything was heard; 0: none
         self._dialer = Dialer(parse_address(address), self._up, self._message, self._down)
 
@@ -171,7 +174,8 @@
         out, self._out = self._out, {}
         for number, (future, _) in out.items():
             if not future.done():
-                future.set_result(Failed(number, int(AttemptFailure.LINK_LOST), True))
+                ran = not self._bodies.unfinished(number)
+                future.set_result(Failed(number, int(AttemptFailure.LINK_LOST), ran))
 
     def _message(self, link: Link, message: Message) -> None:
         if isinstance(message, Answer | NotTaken | Failed):
@@ -180,6 +184,8 @@
             found = self._out.pop(message.number, None)
             if found is not None and not found[0].done():
                 found[0].set_result(message)
+        elif isinstance(message, BodyCredit):
+            self._bodies.on_credit(link, message)
         elif isinstance(message, BackendStatus):
             self.status = message
             self.status_at = asyncio.get_running_loop().time()
@@ -193,6 +199,8 @@
         asked.sent_at = loop.time()
         future: asyncio.Future[Outcome] = loop.create_future()
         self._out[number] = (future, may_fail_over)
+        if len(asked.body) > OFFER_FROM and self.status.takes_offers:
+            self._bodies.offer(asked)
         self.in_flight += 1
         link.send(asked)
         timer = loop.call_later(asked.remaining_ms / 1000 + ANSWER_SLACK_S, self._time_out, number)
@@ -204,6 +212,7 @@
             raise
         finally:
             timer.cancel()
+            self._bodies.forget(number)
             self.in_flight -= 1
 
     def _time_out(self, number: int) -> None:
@@ -214,7 +223,7 @@
         found = self._out.pop(number, None)
         if found is None or found[0].done():
             return
-        found[0].set_result(Failed(number, int(failure), True))
+        found[0].set_result(Failed(number, int(failure), not self._bodies.unfinished(number)))
         if self._dialer.link is not None:
             self._dialer.link.send(Cancel(number))
 
--- a/lupinreach/mesh/proxy/program.py
+++ b/lupinreach/mesh/proxy/program.py
@@ -85,7 +85,14 @@
         )
         self.gossip = Gossip(self._address, self.news)
         self.peers.on_new = self.gossip.view.offer
-        self.inbound = Inbound(self.gate, self.news, self.gossip, self.describe, self._on_forwarded)
+        self.inbound = Inbound(
+            self.gate,
+            self.news,
+            self.gossip,
+            self.describe,
+            self._on_forwarded,
+            settings.limits.bandwidth_mbps,
+        )
         self._server = HttpServer(
             self.outbound.handle,
             self.outbound.may_overlap,
--- a/lupinreach/mesh/settings.py
+++ b/lupinreach/mesh/settings.py
@@ -22,6 +22,7 @@
 
     memory_mb: float = 200
     max_file_descriptors: int = 1024
+    bandwidth_mbps: float = 1000  # of the machine's link
 
 
 @dataclass(slots=True)
@@ -134,6 +135,7 @@
     return Limits(
         fields.number("memory_mb", held.memory_mb),
         fields.integer("max_file_descriptors", held.max_file_descriptors),
+        fields.number("bandwidth_mbps", held.bandwidth_mbps),
     )
 
 
--- a/tests/mesh/world.py
+++ b/tests/mesh/world.py
@@ -17,7 +17,7 @@
 from lupinreach.mesh.proxy.program import ProxyProgram
 from lupinreach.mesh.registry.program import RegistryProgram
 from lupinreach.mesh.server import HttpAnswer, HttpRequest, HttpServer
-from lupinreach.mesh.settings import Bounds, FaultTolerance, Settings
+from lupinreach.mesh.settings import Bounds, FaultTolerance, Limits, Settings
 from lupinreach.mesh.store.disk import DiskFailed
 from lupinreach.mesh.store.program import StoreProgram
 
@@ -254,6 +254,7 @@
             counted_in_quorum=core,
             data_directory=str(self.folder / host) if core else None,
             fault_tolerance=self.tolerance,
+            limits=Limits(bandwidth_mbps=self.loop.rates.get(host, 125e6) * 8 / 1e6),
             bounds=Bounds(),
             app_address=None if core else f"{host}:{APP}",
             target_service=None if core else self.backends[host].service,
