--- /dev/null
+++ b/lupinreach/mesh/messages/encoding.py
@@ -0,0 +1,59 @@
+"""Typed messages between the processes of the mesh: their base, and their msgpack encoding.
+
+On the wire a message is a msgpack array: its number, then its fields in order. A receiver ignores surplus
+trailing fields and fills absent ones with defaults, so that two adjacent versions understand each other.
+Numbers are never reused.
+"""
+
+from __future__ import annotations
+
+from dataclasses import fields
+from typing import Any, ClassVar
+
+import msgpack
+
+
+class UnknownMessage(Exception):
+    """The number belongs to no message of this version; the receiver skips it."""
+
+
+class Message:
+    """Base of all messages. Subclasses are dataclasses with a `NUMBER` of their own."""
+
+    NUMBER: ClassVar[int] = 0
+
+    __slots__ = ()
+
+
+_TYPES: dict[int, tuple[type[Any], int]] = {}
+_FIELDS: dict[type[Any], tuple[str, ...]] = {}
+
+
+def register(cls: type[Any]) -> type[Any]:
+    """Class decorator: make a message known to `decode`."""
+    if cls.NUMBER in _TYPES:
+        raise ValueError(f"message number {cls.NUMBER} is used twice")
+    names = tuple(f.name for f in fields(cls))
+    _TYPES[cls.NUMBER] = (cls, len(names))
+    _FIELDS[cls] = names
+    return cls
+
+
+def encode(message: Message) -> bytes:
+    """The message as bytes, without framing (msgpack values delimit themselves)."""
+    cls = type(message)
+    values = [cls.NUMBER]
+    values.extend([getattr(message, name) for name in _FIELDS[cls]])
+    packed: bytes = msgpack.packb(values)
+    return packed
+
+
+def decode(values: Any) -> Any:
+    """The message that an array of values stands for; UnknownMessage where this version has none."""
+    if not isinstance(values, list):
+        raise TypeError("a message is an array")
+    found = _TYPES.get(values[0]) if values else None
+    if found is None:
+        raise UnknownMessage(values[0] if values else None)
+    cls, count = found
+    return cls(*values[1 : count + 1])
--- a/lupinreach/mesh/proxy/inbound.py
+++ b/lupinreach/mesh/proxy/inbound.py
@@ -28,7 +28,6 @@
 from lupinreach.mesh.proxy.request_age import LinkDelay, SeenRequests
 from lupinreach.mesh.tasks import spawn
 
-
 BODY_WAIT_SHARE = 0.5  # of the time until it is due: a body that would wait longer goes elsewhere
 
 
