--- /dev/null
+++ b/lupinreach/mesh/registry/entry_feed.py
@@ -0,0 +1,81 @@
+"""Entries of proxies for the connected proxies, in batches; on a slow link the newest of each proxy only."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+
+from lupinreach.mesh.link import Link
+from lupinreach.mesh.messages import AgentEntry, encode
+from lupinreach.mesh.registry.agents import AgentTable
+
+FLUSH_S = 0.03  # between two batches
+MOST_UNSENT = 16 << 10  # bytes that wait on a link: beyond that it gets no batch until they are sent
+
+
+@dataclass(slots=True)
+class _Lacking:
+    """What a proxy was not sent yet."""
+
+    whole: bool = False  # the whole table
+    entries: dict[str, AgentEntry] = field(default_factory=dict)  # changed since, by address
+
+
+class EntryFeed:
+    """Collects changes of the table and sends them on."""
+
+    def __init__(self, agents: AgentTable) -> None:
+        self._agents = agents
+        self._changed: dict[str, AgentEntry] = {}  # since the last batch
+        self._lacking: dict[Link, _Lacking] = {}  # by links that joined, or that have no room
+        self._flushing: asyncio.TimerHandle | None = None
+
+    def join(self, link: Link) -> None:
+        """A proxy wants the whole table."""
+        self._lacking[link] = _Lacking(whole=True)
+        self._flush_soon()
+
+    def leave(self, link: Link) -> None:
+        """A link has ended."""
+        self._lacking.pop(link, None)
+
+    def changed(self, entry: AgentEntry) -> None:
+        """An entry is new, or another than before."""
+        self._changed[entry.address] = entry
+        self._flush_soon()
+
+    def _flush_soon(self) -> None:
+        if self._flushing is None:
+            self._flushing = asyncio.get_running_loop().call_later(FLUSH_S, self._flush)
+
+    def _flush(self) -> None:
+        """Each batch is encoded once for all that get the same."""
+        self._flushing = None
+        changed, self._changed = self._changed, {}
+        batch = _encoded(changed)
+        whole = b""
+        if any(lacking.whole for lacking in self._lacking.values()):
+            told = {entry.address: entry for entry in self._agents.entries() if entry.sequence >= 0}
+            whole = _encoded(told)
+        connected = [known.link for known in self._agents.connected() if known.link is not None]
+        for link in connected if changed else list(self._lacking):
+            self._send(link, changed, batch, whole)
+        if self._lacking:
+            self._flush_soon()
+
+    def _send(self, link: Link, changed: dict[str, AgentEntry], batch: bytes, whole: bytes) -> None:
+        lacking = self._lacking.get(link)
+        if link.unsent > MOST_UNSENT:
+            lacking = self._lacking.setdefault(link, _Lacking())
+            lacking.entries |= changed
+            return
+        if lacking is None:
+            link.send_encoded(batch)
+            return
+        del self._lacking[link]
+        rest = lacking.entries | changed
+        link.send_encoded(whole + _encoded(rest) if lacking.whole else _encoded(rest))
+
+
+def _encoded(entries: dict[str, AgentEntry]) -> bytes:
+    return b"".join([encode(entry) for entry in entries.values()])
--- a/lupinreach/mesh/registry/program.py
+++ b/lupinreach/mesh/registry/program.py
@@ -31,6 +31,7 @@
 from lupinreach.mesh.metrics import Metric
 from lupinreach.mesh.registry.agents import AgentTable
 from lupinreach.mesh.registry.beats import BeatForwarder
+from lupinreach.mesh.registry.entry_feed import EntryFeed
 from lupinreach.mesh.registry.news_feed import NewsFeed
 from lupinreach.mesh.registry.orders import OrderFailure, StoreLinks
 from lupinreach.mesh.server import HttpAnswer, HttpRequest, HttpServer, error_answer
@@ -39,7 +40,6 @@
 from lupinreach.mesh.tasks import spawn
 
 HEARTBEAT_S = 0.5
-FLUSH_S = 0.03  # between two batches of entries to proxies
 ORDER_RETRY_MS = 200.0  # when an operator whose order was not confirmed may come back
 ALIVE_EVERY = 2  # heartbeats between two lists of connected proxies for the other registries
 
@@ -52,9 +52,7 @@
         self._log = log
         self.agents = AgentTable()
         self._registries: dict[str, Dialer] = {}  # by host
-        self._changed: dict[str, AgentEntry] = {}  # since the last batch, by address
-        self._joined: list[Link] = []  # proxies that want the whole table
-        self._flushing: asyncio.TimerHandle | None = None
+        self._entries = EntryFeed(self.agents)
         self._stores = StoreLinks(settings.store_port, lambda: self.feed.history.version, self._on_news)
         self.feed = NewsFeed(self._stores.in_contact, log)
         calls = Dispatcher()
@@ -103,8 +101,7 @@
                 self._tell_alive()
             for entry in self.agents.expire(loop.time()):
                 self._log.write(Event.AGENT_REMOVED, agent=entry.address)
-                self._changed[entry.address] = entry
-                self._flush_soon()
+                self._entries.changed(entry)
 
     # Other registries.
 
@@ -150,6 +147,7 @@
     def _closed(self, link: Link) -> None:
         self.agents.disconnect(link, asyncio.get_running_loop().time())
         self.feed.leave(link)
+        self._entries.leave(link)
 
     def _on_agent(self, link: Link, hello: AgentHello, now: float) -> None:
         link.owner = hello.address
@@ -157,36 +155,15 @@
         self._log.write(Event.AGENT_JOINED, agent=hello.address)
         link.send(self._status(with_registries=True))
         self.feed.join(link, hello)
-        self._joined.append(link)
-        self._flush_soon()
+        self._entries.join(link)
 
     def _on_entry(self, link: Link, entry: AgentEntry, now: float) -> None:
         if not self.agents.apply(entry, now):
             return
-        self._changed[entry.address] = entry
-        self._flush_soon()
+        self._entries.changed(entry)
         if link.owner is not None:
             self._to_registries(entry)
 
-    def _flush_soon(self) -> None:
-        if self._flushing is None:
-            self._flushing = asyncio.get_running_loop().call_later(FLUSH_S, self._flush)
-
-    def _flush(self) -> None:
-        """Send what changed to all proxies, and the whole table to those that joined: each encoded once."""
-        self._flushing = None
-        joined, self._joined = set(self._joined), []
-        changed, self._changed = self._changed, {}
-        news = b"".join([encode(entry) for entry in changed.values()])
-        whole = (
-            b"".join([encode(entry) for entry in self.agents.entries() if entry.sequence >= 0])
-            if joined
-            else b""
-        )
-        for known in self.agents.connected():
-            if known.link is not None:
-                known.link.send_encoded(whole if known.link in joined else news)
-
     def _status(self, with_registries: bool) -> RegistryStatus:
         port = self._settings.registry_port
         zones = self._stores.zones if with_registries else {}
