Unused credit goes to others; an offer to a silent proxy goes elsewhere

A frozen sender would have held the window of a slow link until its request's deadline. An offered body that was not sent to its end has not run, so the request may leave a silent proxy. A process that ends waits for bodies on their way to it.

--- a/lupinreach/mesh/proxy/body_credit.py
+++ b/lupinreach/mesh/proxy/body_credit.py
@@ -20,6 +20,7 @@
 LEAST_WINDOW = 32 << 10
 PARTS_PER_WINDOW = 3
 BITS_PER_MEGABIT = 1_000_000
+STALLED_S = 0.4  # a sender that does not use its credit for so long no longer holds the window up
 
 
 @dataclass(slots=True)
@@ -31,9 +32,16 @@
     size: int
     done: asyncio.Future[bytes]
     granted: int = 0
+    counted: int = 0  # of what was granted and not received: bytes that the window counts
+    stall: asyncio.TimerHandle | None = None
     parts: list[bytes] = field(default_factory=list)
     received: int = 0
 
+    @property
+    def stalled(self) -> bool:
+        """If its sender has credit that it does not use."""
+        return self.granted > self.received and not self.counted
+
 
 class BodyReceiver:
     """Grants credit for offered bodies, the earliest due first, within the window of this machine's link."""
@@ -50,8 +58,8 @@
 
     @property
     def waiting_bytes(self) -> int:
-        """Offered and not received."""
-        return sum([body.size - body.received for body in self._bodies.values()])
+        """Offered and not received, but for what senders leave undone."""
+        return sum([body.size - body.received for body in self._bodies.values() if not body.stalled])
 
     def expected_wait_s(self) -> float:
         """Seconds until a body that is offered now could come, as an estimate."""
@@ -67,9 +75,8 @@
             return await body.done
         finally:
             del self._bodies[(link, offer.number)]
-            self._coming -= body.granted - body.received
             body.granted = body.size  # it gets no more credit
-            self._grant()
+            self._release(body)
 
     def on_part(self, link: Link, message: BodyPart) -> None:
         """A part has come; those of bodies that were given up are dropped."""
@@ -78,11 +85,26 @@
             return
         body.parts.append(message.part)
         body.received += len(message.part)
-        self._coming -= len(message.part)
+        self._count(body, body.counted - min(body.counted, len(message.part)))
         if body.received == body.size:
             body.done.set_result(b"".join(body.parts))
         self._grant()
 
+    def _count(self, body: _Body, counted: int) -> None:
+        """Set what the window counts of a body, and watch that it comes."""
+        self._coming += counted - body.counted
+        body.counted = counted
+        if body.stall is not None:
+            body.stall.cancel()
+            body.stall = None
+        if counted:
+            body.stall = asyncio.get_running_loop().call_later(STALLED_S, self._release, body)
+
+    def _release(self, body: _Body) -> None:
+        """Its credit is not used: others may have the window."""
+        self._count(body, 0)
+        self._grant()
+
     def _grant(self) -> None:
         while self._queue and self._coming < self._window:
             body = self._queue[0][2]
@@ -91,7 +113,7 @@
                 heapq.heappop(self._queue)
                 continue
             body.granted += more
-            self._coming += more
+            self._count(body, body.counted + more)
             body.link.send(BodyCredit(body.number, body.granted))
 
 
--- a/lupinreach/mesh/proxy/inbound.py
+++ b/lupinreach/mesh/proxy/inbound.py
@@ -123,11 +123,12 @@
         if refusal is not None:
             return refusal
         expected_ms = 1000 * self._bodies.expected_wait_s()
-        if expected_ms > BODY_WAIT_SHARE * asked.rank - 1000 * age_s:
+        if expected_ms > max(asked.wait_ms, BODY_WAIT_SHARE * asked.rank) - 1000 * age_s:
             return self._gate.refuse_full(asked, expected_ms)
         loop = asyncio.get_running_loop()
         offered_at = loop.time()
         until = offered_at + asked.remaining_ms / 1000 - age_s
+        self._gate.in_flight += 1  # a process that ends waits for it
         try:
             async with asyncio.timeout_at(until):
                 asked.body = await self._bodies.receive(link, asked, offered_at - age_s + asked.rank / 1000)
@@ -135,6 +136,8 @@
             return self._gate.refuse_early(asked, until - offered_at + age_s) or self._gate.refuse_full(
                 asked, 0.0
             )
+        finally:
+            self._gate.in_flight -= 1
         took_s = loop.time() - offered_at
         asked.wait_ms += int(1000 * took_s)  # the wait for the body is none for the backend
         return await self._gate.serve(asked, age_s + took_s)
--- a/lupinreach/mesh/proxy/peers.py
+++ b/lupinreach/mesh/proxy/peers.py
@@ -247,7 +247,7 @@
 
     def _fail_over(self) -> None:
         for number, (future, may_fail_over) in list(self._out.items()):
-            if not future.done() and may_fail_over():
+            if not future.done() and (self._bodies.unfinished(number) or may_fail_over()):
                 self._give_up(number, AttemptFailure.SILENT)
 
 
