--- a/lupinreach/mesh/proxy/registry_client.py
+++ b/lupinreach/mesh/proxy/registry_client.py
@@ -25,6 +25,7 @@
 SILENT_AFTER_S = 1.7  # a registry that says nothing for so long is exchanged for another
 STALE_AFTER_S = 1.5  # and so is one that hears no store for so long, where another is known
 CHECK_S = 0.25
+ZONE_MOVE_S = 30.0  # between two moves of a link into another zone, whose registries may all be down
 MOST_FAILURES = 3  # attempts to connect before another registry is tried
 
 
@@ -61,6 +62,7 @@
         self._known: dict[str, str] = dict.fromkeys(seeds, "")  # address: zone, empty while unknown
         self._held: list[_Held] = []
         self._avoid: dict[str, float] = {}  # address: loop time until which others go first
+        self._next_zone_move = 0.0  # loop time
         self._task = spawn(self._run())
 
     async def _run(self) -> None:
@@ -96,9 +98,10 @@
     def _leave_shared_zone(self, now: float) -> None:
         """Seeds are dialled before their zones are known: two of one zone would be lost together."""
         zones = {held.zone for held in self._held}
-        if len(self._held) < LINKS or len(zones) > 1 or "" in zones:
+        if len(self._held) < LINKS or len(zones) > 1 or "" in zones or now < self._next_zone_move:
             return
         if any(self._known[address] not in zones | {""} for address in self._free(now)):
+            self._next_zone_move = now + ZONE_MOVE_S
             self._drop(self._held[-1], now)
 
     def _drop(self, held: _Held, now: float) -> None:
