--- /dev/null
+++ b/tests/mesh/test_subscribe.py
@@ -0,0 +1,53 @@
+"""A registry that subscribes while a write is under way."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+
+from mesh.world import World
+
+
+def _restart_registry(world: World, host: str) -> None:
+    """End the registry's process alone, and start another."""
+    owner = world.owners.pop((host, "registry"))
+    world.loop.kill(owner)
+    world.loop.listeners = {at: found for at, found in world.loop.listeners.items() if found[1] != owner}
+    for transport in world.loop.transports:
+        if transport.owner == owner and transport.open:
+            transport.open = False
+            world.loop.carry(transport, transport.peer._ended)
+    world._owner += 1
+    world.loop.hosts[world._owner] = host
+    world.owners[(host, "registry")] = world._owner
+    with world.loop.owned_by(world._owner):
+        world.loop.create_task(world._launch(host, "registry", world.settings(host)))
+
+
+def test_it_gets_the_document_of_that_write_too(tmp_path: Path) -> None:
+    world = World(tmp_path)
+    try:
+        for host, zone in (("c1", "za"), ("c2", "zb"), ("c3", "zc")):
+            world.add_core(host, zone)
+        world.add_sidecar("s1", "za", "alpha")
+        for host in list(world.zones):
+            world.start(host)
+        world.first = False
+        world.run_until(3.0)
+        assert world.loop.run_until_complete(world.order("c1", "00000001")) == 200
+        primary = world.serving()[0]
+        others = [host for host in world.cores if host != primary]
+        for host in others:
+            world.freeze(host, 0.6)
+        order = world.loop.create_task(world.order(primary, "00000002"))
+        world.run_until(world.now + 0.05)
+        _restart_registry(world, primary)
+        world.run_until(world.now + 0.3)
+        registry = world.programs[(primary, "registry")]
+        assert registry.feed.history.version == "00000001"  # the write is still under way
+        world.run_until(world.now + 1.5)
+        assert registry.feed.history.version == "00000002"
+        assert world.programs[("s1", "proxy")].news.version == "00000002"
+        world.loop.run_until_complete(asyncio.wait([order]))
+    finally:
+        world.end()
