--- a/lupinreach/mesh/proxy/body_credit.py
+++ b/lupinreach/mesh/proxy/body_credit.py
@@ -144,6 +144,6 @@
         """If a part of an offered body was not sent: its request can't have run."""
         return number in self._left
 
-    def forget(self, number: int) -> None:
-        """The attempt is over."""
-        self._left.pop(number, None)
+    def abandon(self, number: int) -> bool:
+        """The attempt is over, and no more is sent of its body; true where a part of it was not sent."""
+        return self._left.pop(number, None) is not None
--- a/lupinreach/mesh/proxy/peers.py
+++ b/lupinreach/mesh/proxy/peers.py
@@ -174,7 +174,7 @@
         out, self._out = self._out, {}
         for number, (future, _) in out.items():
             if not future.done():
-                ran = not self._bodies.unfinished(number)
+                ran = not self._bodies.abandon(number)
                 future.set_result(Failed(number, int(AttemptFailure.LINK_LOST), ran))
 
     def _message(self, link: Link, message: Message) -> None:
@@ -212,7 +212,7 @@
             raise
         finally:
             timer.cancel()
-            self._bodies.forget(number)
+            self._bodies.abandon(number)
             self.in_flight -= 1
 
     def _time_out(self, number: int) -> None:
@@ -223,7 +223,7 @@
         found = self._out.pop(number, None)
         if found is None or found[0].done():
             return
-        found[0].set_result(Failed(number, int(failure), not self._bodies.unfinished(number)))
+        found[0].set_result(Failed(number, int(failure), not self._bodies.abandon(number)))
         if self._dialer.link is not None:
             self._dialer.link.send(Cancel(number))
 
