--- a/tests/mesh/test_metrics.py
+++ b/tests/mesh/test_metrics.py
@@ -28,12 +28,7 @@
 def test_programs_tell_their_figures(tmp_path: Path) -> None:
     world = World(tmp_path)
     try:
-        for host, zone in (("c1", "za"), ("c2", "zb"), ("c3", "zc")):
-            world.add_core(host, zone)
-        world.add_sidecar("s1", "za", "alpha")
-        for host in list(world.zones):
-            world.start(host)
-        world.run_until(3.0)
+        world.start_small()
         world.loop.run_until_complete(world.order("c1", "0000000a"))
         world.run_until(4.0)
         told = {}
--- a/tests/mesh/test_subscribe.py
+++ b/tests/mesh/test_subscribe.py
@@ -27,13 +27,7 @@
 def test_it_gets_the_document_of_that_write_too(tmp_path: Path) -> None:
     world = World(tmp_path)
     try:
-        for host, zone in (("c1", "za"), ("c2", "zb"), ("c3", "zc")):
-            world.add_core(host, zone)
-        world.add_sidecar("s1", "za", "alpha")
-        for host in list(world.zones):
-            world.start(host)
-        world.first = False
-        world.run_until(3.0)
+        world.start_small()
         assert world.loop.run_until_complete(world.order("c1", "00000001")) == 200
         primary = world.serving()[0]
         others = [host for host in world.cores if host != primary]
--- a/tests/mesh/world.py
+++ b/tests/mesh/world.py
@@ -234,6 +234,16 @@
         self._instances += 1
         self.backends[host] = Backend(host, service, zone, f"i-{self._instances}")
 
+    def start_small(self) -> None:
+        """Three core machines in three zones and one proxy, until a primary serves."""
+        for host, zone in (("c1", "za"), ("c2", "zb"), ("c3", "zc")):
+            self.add_core(host, zone)
+        self.add_sidecar("s1", "za", "alpha")
+        for host in list(self.zones):
+            self.start(host)
+        self.first = False
+        self.run_until(3.0)
+
     def settings(self, host: str) -> Settings:
         core = host in self.cores
         return Settings(
