Sight: gates count what they take and refuse by kind; E213 where a kind is starved

Requests carry their route's priority and aim, and if they are calls of runs. Nothing decides by it yet. Figures may bear labels.

--- a/lupinreach/mesh/messages/peers.py
+++ b/lupinreach/mesh/messages/peers.py
@@ -58,6 +58,9 @@
     body: bytes = b""
     sent_at: float = 0.0  # by the sender's steady clock, seconds
     body_size: int = 0  # of a body that is sent once `BodyCredit` asks for it; 0: `body` is all
+    priority: int = 0  # of its route, 0 is highest
+    aim_ms: int = 0  # of its route; 0: not told
+    is_call: bool = False  # made by a run at the backend beside the sender
 
 
 @register
--- a/lupinreach/mesh/metrics.py
+++ b/lupinreach/mesh/metrics.py
@@ -24,6 +24,7 @@
     name: str
     value: float
     help: str
+    labels: str = ""  # `key="value"`, separated by commas; figures of one name stand together
 
 
 @dataclass(frozen=True, slots=True)
@@ -53,11 +54,16 @@
 
 def render(metrics: Iterable[Metric]) -> bytes:
     """The figures as text, each with its meaning."""
-    lines = []
+    lines: list[str] = []
+    told = ""
     for metric in metrics:
         name = f"{PREFIX}_{metric.name}"
         kind = "counter" if name.endswith("_total") else "gauge"
-        lines += [f"# HELP {name} {metric.help}", f"# TYPE {name} {kind}", f"{name} {metric.value:g}"]
+        if name != told:
+            lines += [f"# HELP {name} {metric.help}", f"# TYPE {name} {kind}"]
+        labels = f"{{{metric.labels}}}" if metric.labels else ""
+        lines.append(f"{name}{labels} {metric.value:g}")
+        told = name
     return "\n".join([*lines, ""]).encode()
 
 
--- a/lupinreach/mesh/proxy/gate.py
+++ b/lupinreach/mesh/proxy/gate.py
@@ -17,8 +17,10 @@
 from lupinreach.mesh.link import parse_address
 from lupinreach.mesh.messages import Answer, BackendStatus, Failed, NotTaken, Request
 from lupinreach.mesh.proxy.admission import Admission, NotAdmitted
+from lupinreach.mesh.proxy.gate_counts import GateCounts
 from lupinreach.mesh.proxy.local_backend import BackendState, Heartbeat, LocalBackend
 from lupinreach.mesh.proxy.news import NewsHolder
+from lupinreach.mesh.proxy.request_kind import RequestKind
 from lupinreach.mesh.reader import WholeMessage
 
 DEADLINE = b"lupinreach-request-deadline"
@@ -36,6 +38,7 @@
     def __init__(self, backend: LocalBackend, app_address: str, zone: str, news: NewsHolder) -> None:
         self.backend = backend
         self.admission = Admission()
+        self.counts = GateCounts()
         self.stopping = False
         self.in_flight = 0
         self._running: dict[bytes, bool] = {}  # by request id: if the run is a repeat
@@ -189,6 +192,7 @@
             if (until - self._now()) * 1000 < MIN_RUN_MS:
                 return self._not_taken(asked, NotTakenReason.EXPIRED, 0.0)
             began = self._now()
+            self.counts.taken(RequestKind.of(asked))
             outcome = await self._attempt(asked, until)
             if isinstance(outcome, Answer):
                 served = self._now() - began
@@ -263,6 +267,7 @@
 
     def _not_taken(self, asked: Request, reason: NotTakenReason, retry_ms: float) -> NotTaken:
         admission = self.admission
+        self.counts.refused(RequestKind.of(asked), reason)
         return NotTaken(asked.number, int(reason), int(retry_ms), admission.running, admission.waiting)
 
     def _failed(self, asked: Request, failure: AttemptFailure, ran: bool) -> Failed:
--- a/lupinreach/mesh/proxy/program.py
+++ b/lupinreach/mesh/proxy/program.py
@@ -39,6 +39,7 @@
 STOP_CHECK_S = 0.05
 LAST_WRITES_S = 0.1  # for the last answers to leave the process
 HOUSEKEEPING_S = 1.0
+COUNTS_CHECKS = 2  # rounds of housekeeping between two looks at what the gate refused
 PROBE_AFTER_S = 0.05  # from the first configuration to the health probe, unless a heartbeat came
 
 
@@ -231,8 +232,12 @@
             self._registries.announce()
 
     async def _housekeeping(self) -> None:
+        rounds = 0
         while True:
             await asyncio.sleep(HOUSEKEEPING_S)
+            rounds += 1
+            if rounds % COUNTS_CHECKS == 0:
+                self.gate.counts.check(self._log)
             self.policy.forget_past(self.peers.linked.values())
             self.budget.set_proxies(self.peers.proxies)
             self.gate.refresh()
@@ -283,6 +288,7 @@
             Metric("proxy_backend_running", admission.running, "requests at the backend beside this proxy"),
             Metric("proxy_backend_waiting", admission.waiting, "requests that wait for it"),
             Metric("proxy_retries_denied_total", self.budget.denied, "repeats that the budget did not grant"),
+            *self.gate.counts.metrics(),
         ]
 
     def settings_changed(self, settings: Settings) -> None:
--- a/tests/mesh/scenario.py
+++ b/tests/mesh/scenario.py
@@ -172,6 +172,16 @@
             name = request_id if "times" not in given else f"{request_id}{index}"
             self._spawn(self.world.ask(host, path, name, deadline, method, size))
 
+    def do_stream(self, host: str, path: str, prefix: str, per_s: str, seconds: str) -> None:
+        """Requests at an even pace, `prefix0`, `prefix1`, ..."""
+
+        async def send() -> None:
+            for index in range(int(float(per_s) * float(seconds))):
+                self._spawn(self.world.ask(host, path, f"{prefix}{index}"))
+                await asyncio.sleep(1 / float(per_s))
+
+        self._spawn(send())
+
     # Backends.
 
     def do_backend(self, host: str, key: str, value: str) -> None:
@@ -306,6 +316,11 @@
         )
         return None if found >= int(least) else f"found {found}"
 
+    def do_expect_event(self, name: str, host: str, least: str) -> str | None:
+        """A program of a host has logged an event so many times at least."""
+        found = sum(e.name.lower() == name and of.startswith(f"{host}/") for _, of, e, _ in self.world.story)
+        return None if found >= int(least) else f"found {found}"
+
     def do_expect_answered(self, prefix: str) -> str | None:
         """Nobody was left without an answer."""
         lost = [
--- a/tests/mesh/test_metrics.py
+++ b/tests/mesh/test_metrics.py
@@ -8,7 +8,11 @@
 import pytest
 from result import Err, Ok
 
-from lupinreach.mesh.metrics import MetricsPlace, read_arguments, serve_metrics
+from lupinreach.mesh.errors import NotTakenReason
+from lupinreach.mesh.events import Event
+from lupinreach.mesh.metrics import MetricsPlace, read_arguments, render, serve_metrics
+from lupinreach.mesh.proxy.gate_counts import GateCounts
+from lupinreach.mesh.proxy.request_kind import RequestKind
 from mesh.world import World
 
 
@@ -46,3 +50,31 @@
         assert sum("\nlupinreach_store_serving 1\n" in text for text in told.values()) == 1
     finally:
         world.end()
+
+
+class _Written:
+    """Keeps the events that are logged."""
+
+    def __init__(self) -> None:
+        self.events: list[tuple[Event, dict[str, object]]] = []
+
+    def write(self, event: Event, **facts: object) -> None:
+        self.events.append((event, facts))
+
+
+def test_a_kind_that_a_gate_hardly_takes_is_told() -> None:
+    counts, log = GateCounts(), _Written()
+    usual, starved = RequestKind(2, 400), RequestKind(0, 1000)
+    for _ in range(60):
+        counts.taken(usual)
+        counts.refused(usual, NotTakenReason.FULL)
+    for _ in range(6):
+        counts.refused(starved, NotTakenReason.FULL)
+    counts.check(log)  # type: ignore[arg-type]
+    facts = {"kind": "p0-1000ms", "taken": 0, "asked": 6, "of_all": 0.48}
+    assert log.events == [(Event.KIND_STARVED, facts)]
+    counts.check(log)  # type: ignore[arg-type]
+    assert len(log.events) == 1  # nothing came since
+    text = render(counts.metrics()).decode()
+    assert 'lupinreach_proxy_gate_refused_total{kind="p0-1000ms",reason="full"} 6\n' in text
+    assert text.count("# HELP lupinreach_proxy_gate_taken_total") == 1
--- a/tests/mesh/world.py
+++ b/tests/mesh/world.py
@@ -424,7 +424,7 @@
         return status
 
     async def order(self, host: str, version: str, service: str = "alpha", **wrong: Any) -> int:
-        """An operator's configuration: `/safe/` and `/unsafe/` of one service."""
+        """An operator's configuration: `/safe/` and `/unsafe/` of one service; `/added/` with an aim if asked for."""
         timeout = wrong.get("timeout", 2000)
         target = wrong.get("unknown", service)
         name = wrong.get("hostname", "h.example")
@@ -437,6 +437,11 @@
             f'"target_latency_ms":400,"priority":1,"target_service":"{target}","max_attempts":2}}'
             for kind in ("safe", "unsafe")
         )
+        if "added" in wrong:
+            rules += (
+                f',{{"name":"added","path_prefix":"/added/","route_type":"safe","timeout_ms":{timeout},'
+                f'"target_latency_ms":{wrong["added"]},"priority":0,"target_service":"{target}","max_attempts":2}}'
+            )
         services = ",".join(
             f'{{"name":"{known}","cold_per_s":5}}'
             for known in sorted({b.service for b in self.backends.values()} | {"alpha"})
