A body whose sender does not use its credit gets no more of it until it does

Cause: a stalled body stayed first in the queue for credit, and got another third of the window each 0.4 s until all of it was granted: 300 KB held others up for 3 s.

--- a/lupinreach/mesh/proxy/body_credit.py
+++ b/lupinreach/mesh/proxy/body_credit.py
@@ -30,7 +30,9 @@
     link: Link
     number: int
     size: int
+    due: float  # loop time by which it should be here
     done: asyncio.Future[bytes]
+    queued: bool = False  # it waits for credit
     granted: int = 0
     counted: int = 0  # of what was granted and not received: bytes that the window counts
     stall: asyncio.TimerHandle | None = None
@@ -50,9 +52,7 @@
         self._bytes_per_s = bandwidth_mbps * BITS_PER_MEGABIT / 8
         self._window = max(LEAST_WINDOW, int(self._bytes_per_s * QUEUE_S))
         self._bodies: dict[tuple[Link, int], _Body] = {}
-        self._queue: list[
-            tuple[float, int, _Body]
-        ] = []  # those with bytes that were not granted, by due time
+        self._queue: list[tuple[float, int, _Body]] = []  # those that want credit, by due time
         self._order = count()
         self._coming = 0  # bytes granted and not received
 
@@ -67,9 +67,9 @@
 
     async def receive(self, link: Link, offer: Request, due: float) -> bytes:
         """The offered body, whole; cancel this to give it up."""
-        body = _Body(link, offer.number, offer.body_size, asyncio.get_running_loop().create_future())
+        body = _Body(link, offer.number, offer.body_size, due, asyncio.get_running_loop().create_future())
         self._bodies[(link, offer.number)] = body
-        heapq.heappush(self._queue, (due, next(self._order), body))
+        self._enqueue(body)
         self._grant()
         try:
             return await body.done
@@ -88,8 +88,16 @@
         self._count(body, body.counted - min(body.counted, len(message.part)))
         if body.received == body.size:
             body.done.set_result(b"".join(body.parts))
+        elif not body.stalled:
+            self._enqueue(body)  # its sender is at work again
         self._grant()
 
+    def _enqueue(self, body: _Body) -> None:
+        """Let a body wait for credit, unless it does already or needs none."""
+        if not body.queued and body.granted < body.size:
+            body.queued = True
+            heapq.heappush(self._queue, (body.due, next(self._order), body))
+
     def _count(self, body: _Body, counted: int) -> None:
         """Set what the window counts of a body, and watch that it comes."""
         self._coming += counted - body.counted
@@ -109,8 +117,9 @@
         while self._queue and self._coming < self._window:
             body = self._queue[0][2]
             more = min(body.size - body.granted, max(OFFER_FROM, self._window // PARTS_PER_WINDOW))
-            if more <= 0:
-                heapq.heappop(self._queue)
+            if more <= 0 or body.stalled:
+                heapq.heappop(self._queue)  # a stalled one comes back with its next part
+                body.queued = False
                 continue
             body.granted += more
             self._count(body, body.counted + more)
