A full backend's queue gives each kind of request its share; none starves

Cause: what waited at a gate went by the end of its aim but waited for 0.22 of its aim at most, so that a kind whose aim was a quarter longer than another's was overtaken until its wait ended, for as long as the queue stood; and one of a shorter aim was refused at the door, since the whole queue counted as before it. Tried on paper: first come, first served by kind of priority (a heavy urgent kind starves all others), an order by half of the wait (starves none that are let in, but refuses the short ones at the door all the same).

--- a/lupinreach/mesh/proxy/admission.py
+++ b/lupinreach/mesh/proxy/admission.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-import heapq
 from collections import deque
-from itertools import count
 
 from lupinreach.mesh.errors import NotTakenReason
+from lupinreach.mesh.proxy.fair_queue import FairQueue
+from lupinreach.mesh.proxy.request_kind import RequestKind
 
 COLD_WINDOW_S = 1.0
 WAIT_FLOOR_MS = 5
@@ -44,7 +44,7 @@
 
 
 class Admission:
-    """Orders what waits for the backend by urgency and lets in what the backend can bear."""
+    """Lets in what the backend can bear; the rest waits in a queue that is fair to all kinds of requests."""
 
     def __init__(self) -> None:
         self.running = 0
@@ -52,46 +52,43 @@
         self.cold_per_s = 0.0  # bound while cold, 0: none
         self.cold_until = 0.0
         self._arrivals = SlidingWindow(COLD_WINDOW_S)
-        self._heap: list[tuple[float, int, asyncio.Future[None]]] = []
-        self._order = count()
-        self._waiting = 0
+        self._queue = FairQueue()
         self._timer: asyncio.TimerHandle | None = None
         self.mean_service_s = 0.0  # smoothed; 0: none seen
 
     @property
     def waiting(self) -> int:
-        return self._waiting
+        return self._queue.waiting
 
     def retry_ms(self) -> float:
         """When there may be room again, as an estimate."""
-        return 1000 * self.mean_service_s * (self._waiting + 1) / max(1, self.capacity)
+        return 1000 * self.mean_service_s * (self.waiting + 1) / max(1, self.capacity)
 
-    async def enter(self, due: float, wait_ms: float) -> None:
-        """Wait for a slot, the earliest `due` first (loop time); NotAdmitted once `wait_ms` have passed."""
+    async def enter(self, kind: RequestKind, due: float, wait_ms: float) -> None:
+        """Wait for a slot, among its kind the earliest `due` first (loop time); NotAdmitted after `wait_ms`."""
         now = asyncio.get_running_loop().time()
-        if not self._waiting and self._has_room(now):
+        if not self.waiting and self._has_room(now):
             self._let_in(now)
             return
-        refused = self.would_refuse(wait_ms)
+        refused = self.would_refuse(kind, wait_ms)
         if refused is not None:
             raise refused
-        await self._queue(due, wait_ms)
+        await self._wait(kind, due, wait_ms)
 
-    def would_refuse(self, wait_ms: float) -> NotAdmitted | None:
+    def would_refuse(self, kind: RequestKind, wait_ms: float) -> NotAdmitted | None:
         """What a request that may wait for so long would be told at once, if anything."""
         now = asyncio.get_running_loop().time()
-        if not self._waiting and self._has_room(now):
+        if not self.waiting and self._has_room(now):
             return None
-        if wait_ms < WAIT_FLOOR_MS or self._expected_wait_s() * 1000 > wait_ms:
+        if wait_ms < WAIT_FLOOR_MS or self._expected_wait_s(kind) * 1000 > wait_ms:
             return NotAdmitted(self._full_reason(now), self.retry_ms())
         return None
 
-    async def _queue(self, due: float, wait_ms: float) -> None:
+    async def _wait(self, kind: RequestKind, due: float, wait_ms: float) -> None:
         loop = asyncio.get_running_loop()
         future: asyncio.Future[None] = loop.create_future()
-        heapq.heappush(self._heap, (due, next(self._order), future))
-        self._waiting += 1
-        timer = loop.call_later(wait_ms / 1000, self._expire, future)
+        self._queue.push(kind, due, future)
+        timer = loop.call_later(wait_ms / 1000, self._expire, kind, future)
         self._pump()
         try:
             await future
@@ -102,19 +99,19 @@
         finally:
             timer.cancel()
             if future.cancelled():
-                self._waiting -= 1
+                self._queue.left(kind)
 
-    def _expire(self, future: asyncio.Future[None]) -> None:
+    def _expire(self, kind: RequestKind, future: asyncio.Future[None]) -> None:
         if not future.done():
-            self._waiting -= 1
+            self._queue.left(kind)
             now = asyncio.get_running_loop().time()
             future.set_exception(NotAdmitted(self._full_reason(now), self.retry_ms()))
 
     def _full_reason(self, now: float) -> NotTakenReason:
         return NotTakenReason.COLD if now < self.cold_until else NotTakenReason.FULL
 
-    def _expected_wait_s(self) -> float:
-        return self.mean_service_s * (self._waiting + 0.5) / max(1, self.capacity)
+    def _expected_wait_s(self, kind: RequestKind) -> float:
+        return self.mean_service_s * (self._queue.turns_before(kind) + 0.5) / max(1, self.capacity)
 
     def _cold_wait_s(self, now: float) -> float:
         if now >= self.cold_until or not self.cold_per_s:
@@ -139,15 +136,10 @@
 
     def _pump(self) -> None:
         now = asyncio.get_running_loop().time()
-        while self._heap:
-            future = self._heap[0][2]
-            if future.done():
-                heapq.heappop(self._heap)
-                continue
-            if not self._has_room(now):
+        while self.waiting and self._has_room(now):
+            future = self._queue.pop()
+            if future is None:
                 break
-            heapq.heappop(self._heap)
-            self._waiting -= 1
             self._let_in(now)
             future.set_result(None)
         self._wake_when_cold_allows(now)
@@ -157,13 +149,10 @@
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
-        if self._heap and wait_s and self.running < self.capacity:
+        if self.waiting and wait_s and self.running < self.capacity:
             self._timer = asyncio.get_running_loop().call_later(wait_s, self._pump)
 
     def refuse_all(self, reason: NotTakenReason) -> None:
         """Turn away all that waits."""
-        for _, _, future in self._heap:
-            if not future.done():
-                self._waiting -= 1
-                future.set_exception(NotAdmitted(reason))
-        self._heap.clear()
+        for future in self._queue.drain():
+            future.set_exception(NotAdmitted(reason))
--- a/lupinreach/mesh/proxy/gate.py
+++ b/lupinreach/mesh/proxy/gate.py
@@ -152,7 +152,7 @@
             reason = NotTakenReason.EXPIRED
         if reason is not None:
             return self._not_taken(asked, reason, 0.0)
-        full = self.admission.would_refuse(asked.wait_ms - 1000 * age_s)
+        full = self.admission.would_refuse(RequestKind.of(asked), asked.wait_ms - 1000 * age_s)
         return self._not_taken(asked, full.reason, full.retry_ms) if full is not None else None
 
     def refuse_full(self, asked: Request, retry_ms: float) -> NotTaken:
@@ -174,7 +174,8 @@
         wait_ms = min(asked.wait_ms, asked.remaining_ms) - 1000 * age_s
         self.in_flight += 1
         try:
-            await self.admission.enter(began + asked.rank / 1000, max(0.0, wait_ms))
+            due = began + asked.rank / 1000
+            await self.admission.enter(RequestKind.of(asked), due, max(0.0, wait_ms))
         except NotAdmitted as refused:
             return self._not_taken(asked, refused.reason, refused.retry_ms)
         finally:
