Shares of a full backend go by its time at work, not by requests

Cause: counted by requests, calls of 30 ms had three turns to one charge of 160 ms, less than they need where a service is full; runs that called waited for them and held slots of their own service.

--- a/lupinreach/mesh/proxy/admission.py
+++ b/lupinreach/mesh/proxy/admission.py
@@ -8,10 +8,10 @@
 from lupinreach.mesh.errors import NotTakenReason
 from lupinreach.mesh.proxy.fair_queue import FairQueue
 from lupinreach.mesh.proxy.request_kind import RequestKind
+from lupinreach.mesh.proxy.service_times import ServiceTimes
 
 COLD_WINDOW_S = 1.0
 WAIT_FLOOR_MS = 5
-SERVICE_NEWEST = 0.1  # weight of the newest sample in the mean service time
 
 
 class NotAdmitted(Exception):
@@ -52,14 +52,19 @@
         self.cold_per_s = 0.0  # bound while cold, 0: none
         self.cold_until = 0.0
         self._arrivals = SlidingWindow(COLD_WINDOW_S)
-        self._queue = FairQueue()
+        self._service_times = ServiceTimes()
+        self._queue = FairQueue(self._service_times.relative)
         self._timer: asyncio.TimerHandle | None = None
-        self.mean_service_s = 0.0  # smoothed; 0: none seen
 
     @property
     def waiting(self) -> int:
         return self._queue.waiting
 
+    @property
+    def mean_service_s(self) -> float:
+        """Smoothed; 0: none seen."""
+        return self._service_times.mean_s
+
     def retry_ms(self) -> float:
         """When there may be room again, as an estimate."""
         return 1000 * self.mean_service_s * (self.waiting + 1) / max(1, self.capacity)
@@ -94,7 +99,7 @@
             await future
         except asyncio.CancelledError:
             if future.done() and not future.cancelled() and future.exception() is None:
-                self.leave(None)  # it was let in at the moment when its client went away
+                self.leave(kind, None)  # it was let in at the moment when its client went away
             raise
         finally:
             timer.cancel()
@@ -126,12 +131,11 @@
         self._arrivals.wait_s(now, 1)
         self._arrivals.add(now)
 
-    def leave(self, service_s: float | None) -> None:
+    def leave(self, kind: RequestKind, service_s: float | None) -> None:
         """A request that was let in has ended; with its service time where it was served."""
         self.running -= 1
         if service_s is not None:
-            known = self.mean_service_s or service_s
-            self.mean_service_s = known + SERVICE_NEWEST * (service_s - known)
+            self._service_times.add(kind, service_s)
         self._pump()
 
     def _pump(self) -> None:
--- a/lupinreach/mesh/proxy/fair_queue.py
+++ b/lupinreach/mesh/proxy/fair_queue.py
@@ -1,15 +1,16 @@
 """Queue of what waits for one backend: the most urgent first, but no kind of request falls far behind its share.
 
 Urgency alone starves: while more comes than the backend takes, whatever is less urgent than the newcomers is overtaken
-until its wait ends. So each kind keeps a count of its turns (start-time fair queueing); one that is behind the others
-by `MOST_AHEAD` turns goes first, whatever is more urgent. While several kinds wait, each gets its share of the turns
-at least, and what one does not use goes to the others.
+until its wait ends. So each kind keeps a count of its turns (start-time fair queueing), a turn being the work of one mean
+request; one that is behind the others by `MOST_AHEAD` turns goes first, whatever is more urgent. While several kinds wait,
+each gets its share of the backend's time at least, and what one does not use goes to the others.
 """
 
 from __future__ import annotations
 
 import asyncio
 import heapq
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from itertools import count
 
@@ -25,6 +26,7 @@
 class _Lane:
     """What waits of one kind."""
 
+    kind: RequestKind
     weight: float
     turns: float  # taken so far, by weight, on the scale of all lanes
     heap: list[tuple[float, int, Entry]] = field(default_factory=list)  # by due time
@@ -42,9 +44,13 @@
 
 
 class FairQueue:
-    """Entries are futures: one that is done, for whatever reason, no longer waits."""
+    """Entries are futures: one that is done, for whatever reason, no longer waits.
 
-    def __init__(self) -> None:
+    `cost` tells the work of a request of a kind, in that of the mean request.
+    """
+
+    def __init__(self, cost: Callable[[RequestKind], float] = lambda kind: 1.0) -> None:
+        self._cost = cost
         self._lanes: dict[RequestKind, _Lane] = {}
         self._order = count()
         self.waiting = 0
@@ -54,7 +60,7 @@
         if not self.waiting:
             self._lanes.clear()
         floor = min((lane.turns for lane in self._lanes.values() if lane.waiting), default=0.0)
-        lane = self._lanes.setdefault(kind, _Lane(_weight(kind), floor))
+        lane = self._lanes.setdefault(kind, _Lane(kind, _weight(kind), floor))
         if not lane.waiting:
             lane.turns = max(lane.turns, floor)  # what it did not use is not saved up
         heapq.heappush(lane.heap, (due, next(self._order), entry))
@@ -75,7 +81,7 @@
         behind = min(heads, key=lambda found: (found[0].turns, found[1][:2]))
         lane, head = behind if urgent[0].turns - behind[0].turns >= MOST_AHEAD else urgent
         heapq.heappop(lane.heap)
-        lane.turns += 1 / lane.weight
+        lane.turns += self._cost(lane.kind) / lane.weight
         lane.waiting -= 1
         self.waiting -= 1
         return head[2]
--- a/lupinreach/mesh/proxy/gate.py
+++ b/lupinreach/mesh/proxy/gate.py
@@ -201,7 +201,7 @@
             return outcome
         finally:
             self.in_flight -= 1
-            self.admission.leave(served)
+            self.admission.leave(RequestKind.of(asked), served)
 
     async def _attempt(self, asked: Request, until: float) -> Outcome:
         instance_id = self.backend.instance_id
--- a/tests/mesh/test_fair_queue.py
+++ b/tests/mesh/test_fair_queue.py
@@ -26,12 +26,14 @@
     asyncio.run(run())
 
 
-def taken_while_full(demand: dict[RequestKind, int], rounds: int) -> Counter[RequestKind]:
+def taken_while_full(
+    demand: dict[RequestKind, int], rounds: int, costs: dict[RequestKind, float] | None = None
+) -> Counter[RequestKind]:
     """Turns of each kind while it has so many entries waiting at any time; the first named is the most urgent."""
     taken: Counter[RequestKind] = Counter()
 
     def work(loop: asyncio.AbstractEventLoop) -> None:
-        queue, kinds = FairQueue(), {}
+        queue, kinds = FairQueue(lambda kind: (costs or {}).get(kind, 1.0)), {}
         urgency = {kind: float(place) for place, kind in enumerate(demand)}
 
         def push(kind: RequestKind, at: float) -> None:
@@ -58,6 +60,11 @@
     assert all(95 <= count <= 105 for count in taken.values())
 
 
+def test_shares_are_of_the_time_at_work() -> None:
+    taken = taken_while_full({SHORT: 10, LONG: 10}, 500, {SHORT: 0.5, LONG: 2.0})
+    assert 395 <= taken[SHORT] <= 405
+
+
 def test_calls_have_three_turns_to_one_of_any_other_kind() -> None:
     taken = taken_while_full({CALL: 10, SHORT: 10}, 400)
     assert 295 <= taken[CALL] <= 305
@@ -97,7 +104,7 @@
 
     async def run() -> None:
         chance, admission = random.Random(seed), Admission()
-        admission.capacity, admission.mean_service_s = 2, 0.001
+        admission.capacity = 2
         ends: Counter[str] = Counter()
 
         async def ask(kind: RequestKind) -> None:
@@ -113,7 +120,7 @@
             try:
                 await asyncio.sleep(0.001)
             finally:
-                admission.leave(0.001)
+                admission.leave(kind, 0.001)
 
         tasks: list[asyncio.Task[Any]] = []
         for _ in range(120):
