--- a/lupinreach/mesh/proxy/peers.py
+++ b/lupinreach/mesh/proxy/peers.py
@@ -5,7 +5,6 @@
 import asyncio
 import random
 from collections.abc import Callable
-from zlib import crc32
 
 from lupinreach.mesh.errors import AttemptFailure
 from lupinreach.mesh.link import Dialer, Link, parse_address
@@ -24,6 +23,7 @@
 )
 from lupinreach.mesh.proxy.body_credit import OFFER_FROM, BodySender
 from lupinreach.mesh.proxy.gate import Gate, Outcome
+from lupinreach.mesh.rendezvous import rendezvous_rank
 from lupinreach.mesh.tasks import spawn
 
 PING_AFTER_S = 0.35  # a link with attempts out that has been silent for so long is asked for a sign of life
@@ -337,14 +337,14 @@
     def _chosen(self, service: str, entries: list[AgentEntry]) -> list[str]:
         if len(entries) <= MOST_LINKS or service in self._wide:
             return [entry.address for entry in entries]
-        ordered = sorted(entries, key=lambda entry: (not entry.available, self._draw(entry.address)))
+        ordered = sorted(
+            entries,
+            key=lambda entry: (not entry.available, rendezvous_rank(self._own_address, entry.address)),
+        )
         near = [entry.address for entry in ordered if entry.zone == self._zone][:MOST_NEAR_LINKS]
         far = [entry.address for entry in ordered if entry.address not in near]
         return near + far[: MOST_LINKS - len(near)]
 
-    def _draw(self, address: str) -> int:
-        return crc32(f"{self._own_address} {address}".encode())
-
     def _link(self, entry: AgentEntry) -> None:
         peer = RemotePeer(entry.address, entry.zone, self._own_address, self._own_version, self._numbers)
         peer.status = BackendStatus(entry.service, entry.instance_id, False)
--- a/lupinreach/mesh/proxy/program.py
+++ b/lupinreach/mesh/proxy/program.py
@@ -119,7 +119,14 @@
         self.news.on_change(self._on_news)
         seeds = [f"{host}:{settings.registry_port}" for host in settings.seed_hosts]
         self._registries = RegistryClient(
-            seeds, settings.zone, self._hello, self._own_entry, self.news, self._on_entry, self._log
+            self._address,
+            seeds,
+            settings.zone,
+            self._hello,
+            self._own_entry,
+            self.news,
+            self._on_entry,
+            self._log,
         )
         self._housekeeper = spawn(self._housekeeping())
 
--- a/lupinreach/mesh/proxy/registry_client.py
+++ b/lupinreach/mesh/proxy/registry_client.py
@@ -4,7 +4,6 @@
 
 import asyncio
 from collections.abc import Callable
-from zlib import crc32
 
 from lupinreach.mesh.configuration_update import Applied
 from lupinreach.mesh.events import Event, EventLog
@@ -19,6 +18,7 @@
     RegistryStatus,
 )
 from lupinreach.mesh.proxy.news import NewsHolder
+from lupinreach.mesh.rendezvous import rendezvous_rank
 from lupinreach.mesh.tasks import spawn
 
 LINKS = 2
@@ -45,6 +45,7 @@
 
     def __init__(
         self,
+        address: str,
         seeds: list[str],
         zone: str,
         hello: Callable[[], AgentHello],
@@ -53,6 +54,7 @@
         on_entry: Callable[[AgentEntry], None],
         log: EventLog,
     ) -> None:
+        self._address = address  # of this proxy
         self._zone = zone
         self._hello = hello
         self._own_entry = own_entry
@@ -119,7 +121,12 @@
         def order(address: str) -> tuple[bool, bool, bool, int]:
             zone = self._known[address]
             avoided = self._avoid.get(address, 0.0) > now
-            return avoided, bool(zone) and zone in zones, zone != self._zone, self._draw(address)
+            return (
+                avoided,
+                bool(zone) and zone in zones,
+                zone != self._zone,
+                rendezvous_rank(self._address, address),
+            )
 
         address = min(free, key=order)
         held = _Held(address, self._known[address])
@@ -132,10 +139,6 @@
         )
         self._held.append(held)
 
-    def _draw(self, address: str) -> int:
-        """Spreads the proxies over registries that are alike to them."""
-        return crc32(f"{self._hello().address} {address}".encode())
-
     def _up(self, held: _Held, link: Link) -> None:
         held.began = asyncio.get_running_loop().time()
         link.send(self._hello())
--- a/lupinreach/mesh/registry/entry_feed.py
+++ b/lupinreach/mesh/registry/entry_feed.py
@@ -29,6 +29,7 @@
         self._changed: dict[str, AgentEntry] = {}  # since the last batch
         self._lacking: dict[Link, _Lacking] = {}  # by links that joined, or that have no room
         self._flushing: asyncio.TimerHandle | None = None
+        self._whole = b""  # encoded for this flush; empty: no link asked for it yet
 
     def join(self, link: Link) -> None:
         """A proxy wants the whole table."""
@@ -49,21 +50,25 @@
             self._flushing = asyncio.get_running_loop().call_later(FLUSH_S, self._flush)
 
     def _flush(self) -> None:
-        """Each batch is encoded once for all that get the same."""
+        """Each batch is encoded once for all that get the same, the whole table only for a link that has room."""
         self._flushing = None
         changed, self._changed = self._changed, {}
         batch = _encoded(changed)
-        whole = b""
-        if any(lacking.whole for lacking in self._lacking.values()):
-            told = {entry.address: entry for entry in self._agents.entries() if entry.sequence >= 0}
-            whole = _encoded(told)
+        self._whole = b""
         connected = [known.link for known in self._agents.connected() if known.link is not None]
         for link in connected if changed else list(self._lacking):
-            self._send(link, changed, batch, whole)
+            self._send(link, changed, batch)
         if self._lacking:
             self._flush_soon()
 
-    def _send(self, link: Link, changed: dict[str, AgentEntry], batch: bytes, whole: bytes) -> None:
+    def _packed_whole(self) -> bytes:
+        """The whole table, encoded once a flush."""
+        if not self._whole:
+            told = {entry.address: entry for entry in self._agents.entries() if entry.sequence >= 0}
+            self._whole = _encoded(told)
+        return self._whole
+
+    def _send(self, link: Link, changed: dict[str, AgentEntry], batch: bytes) -> None:
         lacking = self._lacking.get(link)
         if link.unsent > MOST_UNSENT:
             lacking = self._lacking.setdefault(link, _Lacking())
@@ -74,7 +79,7 @@
             return
         del self._lacking[link]
         rest = lacking.entries | changed
-        link.send_encoded(whole + _encoded(rest) if lacking.whole else _encoded(rest))
+        link.send_encoded(self._packed_whole() + _encoded(rest) if lacking.whole else _encoded(rest))
 
 
 def _encoded(entries: dict[str, AgentEntry]) -> bytes:
--- a/lupinreach/mesh/registry/news_feed.py
+++ b/lupinreach/mesh/registry/news_feed.py
@@ -4,13 +4,13 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from lupinreach.mesh.configuration_update import ConfigurationHistory
 from lupinreach.mesh.events import Event, EventLog
 from lupinreach.mesh.link import Link
 from lupinreach.mesh.messages import AgentHello, News, NewsAcknowledged, encode
-from lupinreach.mesh.send_window import SendWindow
+from lupinreach.mesh.send_window import NewsProgress
 
 LATE_S = 1.0  # a change that a proxy has not acknowledged for so long is logged
 
@@ -22,10 +22,8 @@
     link: Link
     address: str
     takes_updates: bool
-    version: str  # of the configuration that it holds once all that was sent is in force
-    stamp: list[int] = field(default_factory=list)  # of the news that was sent last
+    progress: NewsProgress
     needs_whole: bool = False  # it could not use an update
-    window: SendWindow = field(default_factory=SendWindow)
     behind_since: float | None = None  # loop time from which on it has lacked the newest
     told_late: bool = False
 
@@ -63,7 +61,8 @@
 
     def join(self, link: Link, hello: AgentHello) -> None:
         """A proxy has opened a link, and says what it holds."""
-        receiver = Receiver(link, hello.address, hello.takes_updates, hello.config_version)
+        progress = NewsProgress(hello.config_version)
+        receiver = Receiver(link, hello.address, hello.takes_updates, progress)
         self._receivers[link] = receiver
         if self.stamp:
             receiver.behind_since = asyncio.get_running_loop().time()
@@ -78,10 +77,11 @@
         receiver = self._receivers.get(link)
         if receiver is None:
             return
-        receiver.window.acknowledged()
-        if receiver.window.empty:
-            receiver.version = message.config_version
-            if receiver.stamp == self.stamp:
+        progress = receiver.progress
+        progress.window.acknowledged()
+        if progress.window.empty:
+            progress.config_version = message.config_version
+            if progress.stamp == self.stamp:
                 self._caught_up(receiver)
         self._offer(receiver)
 
@@ -89,24 +89,25 @@
         """A proxy could not use an update: it gets the whole."""
         receiver = self._receivers.get(link)
         if receiver is not None:
-            receiver.needs_whole, receiver.stamp = True, []
+            receiver.needs_whole, receiver.progress.stamp = True, []
             self._offer(receiver)
 
     def _offer(self, receiver: Receiver) -> None:
         """Send what a proxy lacks, if its link has room for it."""
-        if receiver.stamp >= self.stamp:
+        progress = receiver.progress
+        if progress.stamp >= self.stamp:
             return
         news = News(self.stamp, self.history.version, None, self.evacuations, self._in_contact())
-        if receiver.version != self.history.version and self.history.table is not None:
+        if progress.config_version != self.history.version and self.history.table is not None:
             takes_update = receiver.takes_updates and not receiver.needs_whole
-            base = self.history.base_for(receiver.version) if takes_update else ""
+            base = self.history.base_for(progress.config_version) if takes_update else ""
             news.base, news.config = self.history.packed_from(base)
         data = encode(news)
-        if not receiver.window.allows(len(data)):
+        if not progress.allows(len(data)):
             return
         receiver.link.send_encoded(data)
-        receiver.window.sent(len(data))
-        receiver.version, receiver.stamp, receiver.needs_whole = self.history.version, self.stamp, False
+        progress.sent(len(data), self.history.version, self.stamp)
+        receiver.needs_whole = False
         self.sent += 1
         self.sent_bytes += len(data)
 
--- a/lupinreach/mesh/send_window.py
+++ b/lupinreach/mesh/send_window.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections import deque
+from dataclasses import dataclass, field
 
 WINDOW_BYTES = 16 << 10  # unacknowledged at most; one message of any size is always allowed
 
@@ -35,3 +36,23 @@
         """The oldest one has arrived."""
         if self._sizes:
             self._bytes -= self._sizes.popleft()
+
+
+@dataclass(slots=True)
+class NewsProgress:
+    """What one receiver of news will hold once all that was sent to it has arrived."""
+
+    config_version: str = ""
+    stamp: list[int] = field(default_factory=list)  # of the news that was sent last
+    window: SendWindow = field(default_factory=SendWindow)
+    acknowledges: bool = True  # receivers of the version before last do not, and have no window
+
+    def allows(self, size: int) -> bool:
+        """If news of so many bytes may be sent now."""
+        return not self.acknowledges or self.window.allows(size)
+
+    def sent(self, size: int, config_version: str, stamp: list[int]) -> None:
+        """News was sent."""
+        self.config_version, self.stamp = config_version, stamp
+        if self.acknowledges:
+            self.window.sent(size)
--- a/lupinreach/mesh/store/program.py
+++ b/lupinreach/mesh/store/program.py
@@ -20,7 +20,7 @@
     encode,
 )
 from lupinreach.mesh.metrics import Metric
-from lupinreach.mesh.send_window import SendWindow
+from lupinreach.mesh.send_window import NewsProgress
 from lupinreach.mesh.settings import Settings
 from lupinreach.mesh.store.disk import SqliteRecord
 from lupinreach.mesh.store.document import Document
@@ -35,16 +35,6 @@
 HAND_OVER_SHARE = 0.4  # of the grace period: the longest wait for others to take over
 
 
-class _Subscriber:
-    """A registry that wants news."""
-
-    def __init__(self) -> None:
-        self.config_version = ""  # that it holds once it has all that was sent
-        self.stamp: list[int] = []  # of the news that was sent last
-        self.acknowledges = False
-        self.window = SendWindow()
-
-
 class StoreProgram:
     """One store."""
 
@@ -70,7 +60,7 @@
         self._accepted: dict[str, Link] = {}  # and those that were dialled from there
         self._epochs: dict[str, int] = {}  # of the views that other stores know
         self._stores: dict[str, list[Any]] = {}  # by identity: as in StoreStatus
-        self._subscribers: dict[Link, _Subscriber] = {}
+        self._subscribers: dict[Link, NewsProgress] = {}  # registries that want news
         self._ticks = 0
         self._published = 0
 
@@ -251,7 +241,7 @@
     # Registries.
 
     def _on_subscribe(self, link: Link, message: Subscribe) -> None:
-        subscriber = self._subscribers.setdefault(link, _Subscriber())
+        subscriber = self._subscribers.setdefault(link, NewsProgress())
         subscriber.config_version = message.config_version
         subscriber.acknowledges = message.acknowledges
         me = self.replica.me
@@ -280,10 +270,9 @@
             return
         config = document.config if document.version != subscriber.config_version else None
         data = encode(News(stamp, document.version, config or None, document.evacuations))
-        if subscriber.acknowledges and not subscriber.window.allows(len(data)):
+        if not subscriber.allows(len(data)):
             return
-        subscriber.config_version, subscriber.stamp = document.version, stamp
-        subscriber.window.sent(len(data))
+        subscriber.sent(len(data), document.version, stamp)
         link.send_encoded(data)
 
     # The replica's port.
--- a/tests/mesh/test_entry_feed.py
+++ b/tests/mesh/test_entry_feed.py
@@ -11,6 +11,7 @@
 from lupinreach.mesh.messages import AgentEntry, decode
 from lupinreach.mesh.registry.agents import AgentTable
 from lupinreach.mesh.registry.entry_feed import MOST_UNSENT, EntryFeed
+from lupinreach.mesh.send_window import NewsProgress
 
 
 class _Link:
@@ -62,3 +63,45 @@
     finally:
         loop.end()
         loop.close()
+
+
+class _CountedTable(AgentTable):
+    """Counts how often the whole table is asked for."""
+
+    reads = 0
+
+    def entries(self) -> list[AgentEntry]:
+        self.reads += 1
+        return super().entries()
+
+
+async def _join_without_room() -> None:
+    agents = _CountedTable()
+    feed = EntryFeed(agents)
+    link: Any = _Link()
+    agents.apply(_entry(0, 1), 0.0)
+    agents.connect("s0:1", 1, link, 0.0)
+    link.unsent = MOST_UNSENT + 1
+    feed.join(link)
+    await asyncio.sleep(3.0)
+    assert agents.reads == 0 and link.got == []
+    link.unsent = 0
+    await asyncio.sleep(0.1)
+    assert agents.reads == 1 and [entry.address for entry in link.got] == ["s0:1"]
+
+
+def test_the_table_is_not_packed_for_a_link_without_room() -> None:
+    loop = VirtualLoop()
+    try:
+        loop.run_until_complete(_join_without_room())
+    finally:
+        loop.end()
+        loop.close()
+
+
+def test_nothing_is_counted_for_a_receiver_that_never_acknowledges() -> None:
+    progress = NewsProgress(acknowledges=False)
+    for sequence in range(1000):
+        assert progress.allows(60_000)
+        progress.sent(60_000, "00000001", [1, sequence])
+    assert progress.window.empty and progress.stamp == [1, 999]
