--- a/tests/mesh/test_configuration_update.py
+++ b/tests/mesh/test_configuration_update.py
@@ -195,6 +195,6 @@
             feed.publish([1, number], {})
         assert len(wire.queued) == 1
         feed.acknowledged(wire, NewsAcknowledged([1, 1], "00000001"))
-        assert len(wire.queued) == 2 and feed.receivers[0].version == f"{49:08x}"
+        assert len(wire.queued) == 2 and feed.receivers[0].progress.config_version == f"{49:08x}"
 
     asyncio.run(play())
