--- a/tests/mesh/soak.py
+++ b/tests/mesh/soak.py
@@ -10,6 +10,7 @@
 import random
 import sys
 import tempfile
+from collections import Counter
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -68,7 +69,7 @@
     tries: list[Try] = field(default_factory=list)
     changes: list[Change] = field(default_factory=list)
     troubled: dict[str, list[tuple[float, float]]] = field(default_factory=dict)  # by host: from, to
-    planned: dict[str, list[float]] = field(default_factory=dict)  # by host: SIGTERM or SIGHUP
+    ran_before: list[str] = field(default_factory=list)  # by backends that were replaced
     tasks: list[asyncio.Task[Any]] = field(default_factory=list)
     busy: set[str] = field(default_factory=set)  # hosts with a signal, a kill or a freeze under way
 
@@ -198,7 +199,6 @@
         if host is None:
             return
         self.busy.add(host)
-        self.planned.setdefault(host, []).append(self.world.now)
         program, owner = self.world.programs[(host, "proxy")], self.world.owners[(host, "proxy")]
         with self.world.loop.owned_by(owner):
             stopping = self.world.loop.create_task(program.stop())
@@ -215,12 +215,11 @@
 
     async def _do_hup(self) -> None:
         host = self.chance.choice(sorted(self.world.backends))
-        self.planned.setdefault(host, []).append(self.world.now)
         program = self.world.programs.get((host, "proxy"))
         if program is not None:
             program.settings_changed(self.world.settings(host))
 
-    async def _unplanned(self, host: str, seconds: float) -> None:
+    def _unplanned(self, host: str, seconds: float) -> None:
         began = self.world.now
         self.troubled.setdefault(host, []).append((began, began + seconds))
 
@@ -241,7 +240,7 @@
     async def _kill(self, host: str) -> None:
         self.busy.add(host)
         down_s = self.chance.choice([0.1, 1.0, 3.0])
-        await self._unplanned(host, down_s)
+        self._unplanned(host, down_s)
         self.world.kill(host)
         await asyncio.sleep(down_s)
         self._start_proxy(host)
@@ -262,7 +261,7 @@
     async def _freeze(self, host: str) -> None:
         self.busy.add(host)
         seconds = self.chance.choice([0.3, 1.0, 2.5])
-        await self._unplanned(host, seconds)
+        self._unplanned(host, seconds)
         self.world.freeze(host, seconds)
         await asyncio.sleep(seconds + (4.0 if host in self.world.cores else 0.0))
         self.busy.discard(host)
@@ -270,7 +269,7 @@
     async def _do_reset(self) -> None:
         """Half of a host's connections are reset."""
         host = self.chance.choice(sorted(self.world.zones))
-        await self._unplanned(host, 0.0)
+        self._unplanned(host, 0.0)
         for transport in list(self.world.loop.transports):
             if transport.open and transport.host == host and self.chance.random() < 0.5:
                 transport.abort()
@@ -292,20 +291,27 @@
 
     async def _do_replace_backend(self) -> None:
         host = self.chance.choice(sorted(self.world.backends))
-        self.world.new_instance(host)
+        self._new_instance(host)
         if (host, "backend") in self.world.owners:
             self.world.stop_backend(host)
         self.world.start_backend(host)
 
+    def _new_instance(self, host: str) -> None:
+        """Another backend takes the place of one, whose runs still count."""
+        old = self.world.backends[host]
+        self.ran_before += old.ran
+        self.world.new_instance(host)
+        self.world.backends[host].work_ms = old.work_ms
+
     async def _do_crash_backend(self) -> None:
         host = self.chance.choice(sorted(self.world.backends))
         if (host, "backend") not in self.world.owners:
             return
         self.world.stop_backend(host)
-        await self._unplanned(host, 2.0)
+        self._unplanned(host, 2.0)
         await asyncio.sleep(2.0)
         if (host, "backend") not in self.world.owners:
-            self.world.new_instance(host)
+            self._new_instance(host)
             self.world.start_backend(host)
 
     # Judgement.
@@ -319,13 +325,12 @@
         return all(self._calm(host, since, until) for host in self.world.zones)
 
     def _judge(self) -> None:
-        runs: dict[str, int] = {}
+        runs = Counter(self.ran_before)
         for backend in self.world.backends.values():
-            for request_id in backend.ran:
-                runs[request_id] = runs.get(request_id, 0) + 1
+            runs.update(backend.ran)
         for made in self.tries:
             if made.ended:
-                self._judge_try(made, runs.get(made.request_id, 0))
+                self._judge_try(made, runs[made.request_id])
         self._judge_versions()
         last = [
             made for made in self.tries if made.sent > BEGINS_S + TROUBLED_S + CALM_S - 3.0 and made.ended
