--- /dev/null
+++ b/tests/mesh/test_soak.py
@@ -0,0 +1,17 @@
+"""A short soak: a few seeds of `soak.py`, each the same every time."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+
+from mesh.soak import Soak
+
+
+@pytest.mark.parametrize(("seed", "proxies"), [(1, 6), (2, 6), (3, 6), (4, 6), (5, 9), (6, 12)])
+def test_soak(seed: int, proxies: int, tmp_path: Path) -> None:
+    soak = Soak(seed, tmp_path, proxies)
+    assert soak.play() == []
+    assert sum(made.status == 200 for made in soak.tries) > len(soak.tries) / 2
+    assert sum(bool(change.acked) for change in soak.changes) >= 5
