--- a/review/harness.py
+++ b/review/harness.py
@@ -27,6 +27,7 @@
 HELD, BROKEN, NOT_RUN = 0, 1, 2  # exit codes of a case
 INBOUND, OUTBOUND, READINESS, CONTROL, APP = 8300, 8304, 8302, 8306, 8301  # ports on each machine
 INTERNAL_PORTS = [7620, 7635]
+METRICS = (9464, 9465, 9466)
 HEARTBEAT_S = 1.3
 SILENCE_S = 1.0  # an operator or backend turns to the next agent after this time without an answer
 CONTACT_S = 3.0
@@ -170,7 +171,7 @@
         prefix = f"127.{random.randint(64, 126)}.{random.randint(1, 250)}"
         try:
             for host in (f"{prefix}.1", f"{prefix}.11"):
-                for port in (CONTROL, OUTBOUND, INBOUND, APP, *INTERNAL_PORTS):
+                for port in (CONTROL, OUTBOUND, INBOUND, READINESS, APP, *METRICS, *INTERNAL_PORTS):
                     with socket.socket() as probe:
                         probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
                         probe.bind((host, port))
@@ -537,7 +538,7 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
     try:
         code = asyncio.run(_limited(case, record, trouble))
-    except (CaseNotRun, TimeoutError) as failed:
+    except Exception as failed:  # also a fault of the case itself: it must not pass for a broken rule
         record.write(f"the case could not run: {failed!r}")
         code = NOT_RUN
     record.write(f"exit code {code}")
