--- a/lupinreach/mesh/proxy/registry_client.py
+++ b/lupinreach/mesh/proxy/registry_client.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
+from enum import Enum
 
 from lupinreach.mesh.configuration_update import Applied
 from lupinreach.mesh.events import Event, EventLog
@@ -31,6 +32,15 @@
 MAX_CONNECT_FAILURES = 3  # failed connects after which another registry is tried
 
 
+class LossReason(Enum):
+    """Why a proxy leaves a registry."""
+
+    SILENT = "silent"
+    UNREACHABLE = "unreachable"
+    STALE = "stale"
+    ZONE = "zone"
+
+
 class _RegistryLink:
     """A link to one registry and its state."""
 
@@ -80,27 +90,27 @@
         while True:
             now = loop.time()
             for registry_link in list(self._links):
-                if self._is_lost(registry_link, now):
-                    self._close(registry_link, now)
+                reason = self._loss_reason(registry_link, now)
+                if reason is not None:
+                    self._close(registry_link, now, reason)
             self._spread_over_zones(now)
             while len(self._links) < min(LINK_COUNT, len(self._zones_by_address)):
                 self._open(now)
             await asyncio.sleep(CHECK_INTERVAL_S)
 
-    def _is_lost(self, registry_link: _RegistryLink, now: float) -> bool:
+    def _loss_reason(self, registry_link: _RegistryLink, now: float) -> LossReason | None:
+        """Why another registry is to be used in place of this one; None if it is fit for use."""
         assert registry_link.dialer is not None
         link = registry_link.dialer.link
         has_alternatives = len(self._zones_by_address) > len(self._links)
         if link is None:
-            return (
-                has_alternatives
-                and registry_link.dialer.failures >= MAX_CONNECT_FAILURES
-                or now - registry_link.started_at > 3 * SILENCE_TIMEOUT_S
-            )
+            unreachable = has_alternatives and registry_link.dialer.failures >= MAX_CONNECT_FAILURES
+            unreachable = unreachable or now - registry_link.started_at > 3 * SILENCE_TIMEOUT_S
+            return LossReason.UNREACHABLE if unreachable else None
         if link.silent_s() > SILENCE_TIMEOUT_S:
-            return True
+            return LossReason.SILENT
         stale = now - max(registry_link.fresh_at, registry_link.started_at) > STALE_TIMEOUT_S
-        return stale and bool(self._alternatives(now))
+        return LossReason.STALE if stale and self._alternatives(now) else None
 
     def _alternatives(self, now: float) -> list[str]:
         """Return the registries without a link from this proxy that were not dropped recently."""
@@ -121,14 +131,14 @@
             return
         if any(self._zones_by_address[address] not in zones | {""} for address in self._alternatives(now)):
             self._next_zone_move = now + ZONE_MOVE_INTERVAL_S
-            self._close(self._links[-1], now)
+            self._close(self._links[-1], now, LossReason.ZONE)
 
-    def _close(self, registry_link: _RegistryLink, now: float) -> None:
+    def _close(self, registry_link: _RegistryLink, now: float, reason: LossReason) -> None:
         assert registry_link.dialer is not None
         self._links.remove(registry_link)
         self._avoid_until[registry_link.address] = now + 2 * SILENCE_TIMEOUT_S
         registry_link.dialer.close()
-        self._log.write(Event.REGISTRY_CHANGED, registry=registry_link.address)
+        self._log.write(Event.REGISTRY_CHANGED, registry=registry_link.address, why=reason.value)
 
     def _open(self, now: float) -> None:
         zones = {registry_link.zone for registry_link in self._links}
--- a/lupinreach/mesh/registry/orders.py
+++ b/lupinreach/mesh/registry/orders.py
@@ -9,6 +9,7 @@
 from result import Err
 
 from lupinreach.mesh.errors import ErrorKind
+from lupinreach.mesh.events import Event, EventLog
 from lupinreach.mesh.link import Dialer, Link
 from lupinreach.mesh.messages import (
     Message,
@@ -29,35 +30,54 @@
 class _KnownStore:
     """A store as this registry sees it."""
 
+    host: str
     dialer: Dialer | None = None
     epoch: int = -1
     serving: bool = False
     zone: str = ""  # of its machine; empty until a store has reported it
 
+    @property
+    def link(self) -> Link | None:
+        """The link to it, None while it is down."""
+        return self.dialer.link if self.dialer is not None else None
+
+    @property
+    def heard(self) -> bool:
+        """Whether something was received from it lately."""
+        return self.link is not None and self.link.silent_s() <= SILENT_AFTER_S
+
 
 class StoreLinks:
     """Links to all known stores, and the orders in flight on them."""
 
-    def __init__(self, port: int, version: Callable[[], str], on_news: Callable[[StateUpdate], None]) -> None:
+    def __init__(
+        self,
+        port: int,
+        version: Callable[[], str],
+        on_news: Callable[[StateUpdate], None],
+        log: EventLog,
+    ) -> None:
         self._port = port
+        self._log = log
         self._stores: dict[str, _KnownStore] = {}  # by host
         self._last_number = 0
         self._in_flight: dict[int, asyncio.Future[OrderResult]] = {}
         self._on_news = on_news
         self._version = version
         self._primary_seen_at = asyncio.get_running_loop().time()  # loop time of last contact with a primary
+        self._logged_primary: _KnownStore | None = None  # the primary that the log names as known
 
     def dial(self, host: str, zone: str = "") -> None:
         """Keep a link to the store on a machine; for a known machine, update its zone."""
         if host in self._stores:
             self._stores[host].zone = zone or self._stores[host].zone
             return
-        store = self._stores[host] = _KnownStore(zone=zone)
+        store = self._stores[host] = _KnownStore(host, zone=zone)
         store.dialer = Dialer(
             (host, self._port),
-            self._on_link_up,
+            lambda link: self._on_link_up(store, link),
             lambda link, message: self._on_message(store, link, message),
-            lambda link: self._on_link_down(store),
+            lambda link: self._on_link_down(store, link),
         )
 
     @property
@@ -70,10 +90,12 @@
         """Hosts of all known store machines."""
         return list(self._stores)
 
-    def _on_link_up(self, link: Link) -> None:
+    def _on_link_up(self, store: _KnownStore, link: Link) -> None:
+        self._log.write(Event.STORE_LINK_UP, store=store.host)
         link.send(Subscribe(self._version(), acknowledges=True))
 
-    def _on_link_down(self, store: _KnownStore) -> None:
+    def _on_link_down(self, store: _KnownStore, link: Link) -> None:
+        self._log.write(Event.STORE_LINK_DOWN, store=store.host, silent_s=round(link.silent_s(), 2))
         store.serving = False
 
     def _on_message(self, store: _KnownStore, link: Link, message: Message) -> None:
@@ -89,16 +111,37 @@
             self._on_news(message)
             link.send(StateUpdateAcknowledged(message.stamp, self._version()))
 
+    def _primary_store(self) -> _KnownStore | None:
+        """The serving store with the highest epoch among those that are heard, if there is one."""
+        serving = [store for store in self._stores.values() if store.serving and store.heard]
+        return max(serving, key=lambda store: store.epoch, default=None)
+
     def primary(self) -> Link | None:
         """The link to the serving store with the highest epoch, if there is one."""
-        best: _KnownStore | None = None
-        for store in self._stores.values():
-            link = store.dialer.link if store.dialer is not None else None
-            if not store.serving or link is None or link.silent_s() > SILENT_AFTER_S:
-                continue
-            if best is None or store.epoch > best.epoch:
-                best = store
-        return best.dialer.link if best is not None and best.dialer is not None else None
+        store = self._primary_store()
+        return store.link if store is not None else None
+
+    @property
+    def linked_count(self) -> int:
+        """Number of stores to which a link is up."""
+        return sum(store.link is not None for store in self._stores.values())
+
+    @property
+    def heard_count(self) -> int:
+        """Number of stores from which something was received lately."""
+        return sum(store.heard for store in self._stores.values())
+
+    def log_primary_changes(self) -> None:
+        """Log once that a primary is known, and once that it is lost; to be called regularly."""
+        store, logged = self._primary_store(), self._logged_primary
+        if store is logged:
+            return
+        self._logged_primary = store
+        if store is not None:
+            self._log.write(Event.PRIMARY_KNOWN, store=store.host, epoch=store.epoch)
+        elif logged is not None:
+            counts = {"linked": self.linked_count, "heard": self.heard_count}
+            self._log.write(Event.PRIMARY_LOST, store=logged.host, serving=logged.serving, **counts)
 
     def in_contact(self) -> bool:
         """Whether a serving primary is connected. Call it regularly: it also records the time of contact."""
--- a/lupinreach/mesh/registry/program.py
+++ b/lupinreach/mesh/registry/program.py
@@ -58,7 +58,7 @@
         self._registries: dict[str, Dialer] = {}  # by host
         self._entries = EntryFeed(self.agents)
         self._departures = DepartureTable()
-        self._stores = StoreLinks(settings.store_port, lambda: self.feed.history.version, self._on_news)
+        self._stores = StoreLinks(settings.store_port, lambda: self.feed.history.version, self._on_news, log)
         self.feed = NewsFeed(self._stores.in_contact, log)
         calls = Dispatcher()
         calls.add("POST", "configuration", "replace", call=self._replace_configuration)
@@ -104,6 +104,7 @@
             ticks += 1
             for host in self._stores.hosts:
                 self._dial_registry(host)
+            self._stores.log_primary_changes()
             self.feed.log_late_receivers(loop.time())
             self._heartbeat(with_registries=ticks % 8 == 1)
             if ticks % ALIVE_AGENTS_HEARTBEATS == 0:
@@ -234,6 +235,11 @@
             Metric("registry_news_lag_seconds", max(lags), "longest wait for an acknowledgement"),
             Metric("registry_unsent_bytes", sum(unsent), "that wait on links to proxies"),
             Metric("registry_unsent_most_bytes", max(unsent), "that wait on one link"),
+            Metric(
+                "registry_primary_known", self._stores.primary() is not None, "1: orders can be sent to it"
+            ),
+            Metric("registry_stores_linked", self._stores.linked_count, "stores to which a link is up"),
+            Metric("registry_stores_heard", self._stores.heard_count, "stores that sent something lately"),
             Metric("registry_news_sent_total", self.feed.sent, "changes sent to proxies"),
             Metric("registry_news_sent_bytes_total", self.feed.sent_bytes, "their bytes"),
         ]
