Simulated links retransmit and time out; a cut leaves half-open links (known red)

Cause: simulated links dropped what a cut held up and never ended, so no test could meet a link of which one end is gone. The simulated network moved out of world.py.

--- a/tests/mesh/test_stopping.py
+++ b/tests/mesh/test_stopping.py
@@ -9,7 +9,8 @@
 
 from lupinreach.mesh.messages import PeerHello, encode
 from lupinreach.mesh.server import HttpRequest, HttpResponse, HttpServer
-from mesh.world import INBOUND, OUTBOUND, MemoryTransport, World
+from mesh.network import MemoryTransport
+from mesh.world import INBOUND, OUTBOUND, World
 
 CALL = b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
 ANSWER_BYTES = 32 << 20  # more than the kernel buffers on both sides of a loopback connection
--- a/tests/mesh/test_subscribe.py
+++ b/tests/mesh/test_subscribe.py
@@ -17,10 +17,7 @@
     owner = world.owners.pop((host, "registry"))
     world.loop.kill(owner)
     world.loop.listeners = {at: found for at, found in world.loop.listeners.items() if found[1] != owner}
-    for transport in world.loop.transports:
-        if transport.owner == owner and transport.open:
-            transport.open = False
-            world.loop.deliver(transport, transport.peer._on_peer_closed)
+    world.loop.close_connections(owner)
     world._owner += 1
     world.loop.hosts[world._owner] = host
     world.owners[(host, "registry")] = world._owner
--- a/tests/mesh/world.py
+++ b/tests/mesh/world.py
@@ -1,16 +1,15 @@
-"""A mesh in one process on simulated time: unmodified programs, in-memory connections, simulated backends."""
+"""A mesh in one process on simulated time: unmodified programs, connections of `network.py`, simulated backends."""
 
 from __future__ import annotations
 
 import asyncio
 import random
 import shutil
-from collections.abc import Callable
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
 
-from lupinreach.bed.ways.loop import OWNER, VirtualLoop
+from lupinreach.bed.ways.loop import OWNER
 from lupinreach.http1.message import request
 from lupinreach.mesh.backend_client import AttemptError, BackendConnection
 from lupinreach.mesh.events import Event
@@ -20,149 +19,13 @@
 from lupinreach.mesh.settings import Bounds, FaultTolerance, Limits, Settings
 from lupinreach.mesh.store.disk import DiskWriteError
 from lupinreach.mesh.store.program import StoreProgram
+from mesh.network import MeshLoop
 
-ONE_WAY_DELAY_S = 0.001  # between hosts
 OUTBOUND, INBOUND, READINESS, CONTROL, APP = 8304, 8300, 8302, 8306, 8301  # ports
 INTERNAL_PORT_RANGE = [7620, 7635]
 PROGRAM_CLASSES: dict[str, Any] = {"store": StoreProgram, "registry": RegistryProgram, "proxy": ProxyProgram}
 
 
-class MemoryTransport(asyncio.Transport):
-    """One end of an in-memory connection; `owner` is the simulated process that holds it."""
-
-    def __init__(self, loop: MeshLoop, host: str, owner: int, protocol: Any) -> None:
-        super().__init__()
-        self.loop, self.host, self.owner, self.protocol = loop, host, owner, protocol
-        self.peer: MemoryTransport
-        self.open = True
-        self.last_arrival = (
-            0.0  # loop time at which the last chunk sent arrives; later ones don't overtake it
-        )
-        self._paused_data: list[bytes] | None = None
-
-    def get_extra_info(self, name: str, default: Any = None) -> Any:
-        return default
-
-    def get_write_buffer_size(self) -> int:
-        return 0
-
-    def is_closing(self) -> bool:
-        return not self.open
-
-    def write(self, data: bytes | bytearray | memoryview) -> None:
-        if self.open:
-            self.loop.deliver(self, self.peer._receive, bytes(data))
-
-    def _receive(self, data: bytes) -> None:
-        if not self.open:
-            return
-        if self._paused_data is not None:
-            self._paused_data.append(data)
-        else:
-            self.protocol.data_received(data)
-
-    def pause_reading(self) -> None:
-        self._paused_data = self._paused_data or []
-
-    def resume_reading(self) -> None:
-        paused_data, self._paused_data = self._paused_data or [], None
-        for data in paused_data:
-            self._receive(data)
-
-    def close(self) -> None:
-        self.abort()
-
-    def abort(self) -> None:
-        if self.open:
-            self.open = False
-            self.loop.deliver(self, self.peer._on_peer_closed)
-            self.loop.run_as(self.owner, self.protocol.connection_lost, None)
-
-    def _on_peer_closed(self) -> None:
-        if self.open:
-            self.open = False
-            self.protocol.connection_lost(ConnectionResetError())
-
-
-class MemoryServer:
-    """A listener of a simulated host."""
-
-    def __init__(self, loop: MeshLoop, address: tuple[str, int]) -> None:
-        self._loop, self._address = loop, address
-
-    def close(self) -> None:
-        self._loop.listeners.pop(self._address, None)
-
-
-class MeshLoop(VirtualLoop):
-    """Event loop with connections between named hosts: delay, limited rates, partitions, hosts that are down."""
-
-    def __init__(self) -> None:
-        super().__init__()
-        self.listeners: dict[tuple[str, int], tuple[Callable[[], Any], int]] = {}
-        self.hosts: dict[int, str] = {}  # by owner
-        self.cuts: set[frozenset[str]] = set()  # pairs of hosts without any traffic
-        self.one_way: set[tuple[str, str]] = set()  # (source, target) without traffic in this direction
-        self.down: set[str] = set()
-        self.transports: list[MemoryTransport] = []
-        self.rates: dict[str, float] = {}  # bytes per second into a host; absent: no limit
-        self.extra_delays: dict[tuple[str, str], float] = {}  # seconds, by (source, target)
-        self._busy_until: dict[str, float] = {}  # loop time at which the link into a host is idle
-
-    def run_as(self, owner: int, work: Callable[..., Any], *args: Any) -> None:
-        """Schedule a callback that runs as a simulated process."""
-        with self.owned_by(owner):
-            self.call_soon(work, *args)
-
-    def passes(self, source: str, target: str) -> bool:
-        """True if data sent from one host reaches another."""
-        blocked = frozenset((source, target)) in self.cuts or (source, target) in self.one_way
-        return not blocked and not {source, target} & self.down
-
-    def deliver(self, end: MemoryTransport, work: Callable[..., Any], *args: Any) -> None:
-        """Schedule a callback at the peer of a transport after the delay of the link, if data reaches it."""
-        if self.passes(end.host, end.peer.host):
-            end.last_arrival = max(end.last_arrival, self.time() + self._delay_s(end, args))
-            with self.owned_by(end.peer.owner):
-                self.call_at(end.last_arrival, work, *args)
-
-    def _delay_s(self, end: MemoryTransport, chunks: tuple[Any, ...]) -> float:
-        if end.host == end.peer.host:
-            return 0.0
-        extra_s = self.extra_delays.get((end.host, end.peer.host), 0.0)
-        return ONE_WAY_DELAY_S + extra_s + self._queueing_s(end.peer.host, chunks)
-
-    def _queueing_s(self, host: str, chunks: tuple[Any, ...]) -> float:
-        """Return how long the link into a host takes for the queued bytes and these chunks."""
-        rate_bytes_per_s = self.rates.get(host)
-        if rate_bytes_per_s is None:
-            return 0.0
-        size_bytes = sum(len(chunk) for chunk in chunks if isinstance(chunk, bytes))
-        carried_at = max(self.time(), self._busy_until.get(host, 0.0)) + size_bytes / rate_bytes_per_s
-        self._busy_until[host] = carried_at
-        return carried_at - self.time()
-
-    async def create_server(self, factory: Any, host: Any = None, port: Any = None, **_: Any) -> Any:  # type: ignore[override]
-        self.listeners[(host, port)] = (factory, OWNER.get())
-        return MemoryServer(self, (host, port))
-
-    async def create_connection(self, factory: Any, host: Any = None, port: Any = None, **_: Any) -> Any:  # type: ignore[override]
-        source, owner = self.hosts.get(OWNER.get(), "outside"), OWNER.get()
-        await asyncio.sleep(ONE_WAY_DELAY_S)
-        if not self.passes(source, host) or not self.passes(host, source):
-            await asyncio.sleep(60.0)
-        listener = self.listeners.get((host, port))
-        if listener is None or listener[1] in self._killed:
-            raise ConnectionRefusedError
-        client_end = MemoryTransport(self, source, owner, factory())
-        server_end = MemoryTransport(self, host, listener[1], listener[0]())
-        client_end.peer, server_end.peer = server_end, client_end
-        self.transports += [client_end, server_end]
-        client_end.protocol.connection_made(client_end)
-        self.run_as(listener[1], server_end.protocol.connection_made, server_end)
-        return client_end, client_end.protocol
-
-
 class EventRecorder:
     """Event log of one process that records the events in the world."""
 
@@ -325,10 +188,7 @@
             if owner is None:
                 continue
             self.loop.kill(owner)
-            for transport in self.loop.transports:
-                if transport.owner == owner and transport.open:
-                    transport.open = False
-                    self.loop.deliver(transport, transport.peer._on_peer_closed)
+            self.loop.close_connections(owner)
             program = self.programs.pop((host, role))
             if role == "store":
                 program._record.close()
