Diallers between core machines ping, and replace a link that is not answered

What callers saw: after a cut of the core, changes refused (E301) or in force too late, for as long as the processes ran (CONFIG). Cause: a registry sends nothing to a store that is not primary. In a cut the store's end times out, its reset is lost, and the registry's end only receives: half open for good. Once that store takes over, the registry hears nothing.

Evidence: E323 with linked=5 heard=2, no E321 (docs/incidents/half-open-links.md). Why this works: a ping every 0.3 s shows both directions; without an answer for 1 s the link is closed and dialled again (0.5 s to connect, 0.25 s between attempts). Links between stores and between registries have the same dialler now.

--- a/lupinreach/mesh/link.py
+++ b/lupinreach/mesh/link.py
@@ -6,6 +6,7 @@
 import random
 import socket
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Any
 
 import msgpack
@@ -16,16 +17,32 @@
 MAX_MESSAGE_BYTES = 96 << 20
 MAX_SEND_BUFFER_BYTES = 80 << 20  # a link whose peer leaves more than this unread is aborted
 USER_TIMEOUT_MS = 3000  # TCP_USER_TIMEOUT: unacknowledged data ends the connection
-CONNECT_TIMEOUT_S = 1.0
 INITIAL_RECONNECT_DELAY_S = 0.1  # doubled after each failed attempt
-MAX_RECONNECT_DELAY_S = 1.0
 MIN_LINK_LIFETIME_S = 1.0  # a link that closes sooner counts as a failed attempt
+STALL_THRESHOLD_S = 0.5  # a heartbeat that is late by more than this says that this process stood still
 
 Address = tuple[str, int]
 MessageCallback = Callable[["Link", Any], None]
 ClosedCallback = Callable[["Link"], None]
 
 
+@dataclass(frozen=True, slots=True)
+class LinkPolicy:
+    """How fast a dialler notices that a peer is gone, and how fast it connects again; times in seconds."""
+
+    connect_timeout_s: float = 1.0
+    max_reconnect_delay_s: float = 1.0
+    ping_interval_s: float = 0.0  # 0: the dialler sends no pings
+    answer_timeout_s: float = 0.0  # a link without a `Pong` for this long is closed and dialled again
+
+
+DEFAULT_LINK_POLICY = LinkPolicy()
+# Between core machines, where a partition must be noticed, and its end, well before the changes that follow are due.
+CORE_LINK_POLICY = LinkPolicy(
+    connect_timeout_s=0.5, max_reconnect_delay_s=0.25, ping_interval_s=0.3, answer_timeout_s=1.0
+)
+
+
 def parse_address(text: str) -> Address:
     """Parse `host:port`; raises ValueError for anything else."""
     host, separator, port = text.rpartition(":")
@@ -44,6 +61,7 @@
         self._unpacker = msgpack.Unpacker(max_buffer_size=MAX_MESSAGE_BYTES, raw=False)
         self._loop = asyncio.get_running_loop()
         self.last_heard = self._loop.time()
+        self.answered_at = self._loop.time()  # loop time of the last `Pong`; until then, of the connect
         self.open = False
         self.owner: Any = None  # set by the user of the link, for example to the peer's identity
 
@@ -52,7 +70,7 @@
         self._transport = transport
         tune(transport.get_extra_info("socket"))
         self.open = True
-        self.last_heard = self._loop.time()
+        self.last_heard = self.answered_at = self._loop.time()
 
     def data_received(self, data: bytes) -> None:
         self.last_heard = self._loop.time()
@@ -77,6 +95,9 @@
         if isinstance(message, Ping):
             self.send(Pong(message.nonce))
             return
+        if isinstance(message, Pong):
+            self.answered_at = self._loop.time()
+            return
         try:
             self._on_message(self, message)
         except Exception as error:
@@ -109,6 +130,10 @@
         """Seconds since data was last received."""
         return self._loop.time() - self.last_heard
 
+    def unanswered_s(self) -> float:
+        """Seconds since the peer last answered a `Ping`, which shows that both directions work."""
+        return self._loop.time() - self.answered_at
+
     def abort(self) -> None:
         """Close the connection at once and discard unsent data."""
         if self._transport is not None:
@@ -124,7 +149,11 @@
 
 
 class Dialer:
-    """Maintains one link to an address, reconnecting with exponential backoff until closed."""
+    """Maintains one link to an address, reconnecting with exponential backoff until closed.
+
+    A peer that is cut off closes nothing, and an end that only receives never learns that the other one is gone. So
+    where the policy says so, the dialler pings the peer and replaces a link on which it does not answer.
+    """
 
     def __init__(
         self,
@@ -132,6 +161,7 @@
         on_up: Callable[[Link], None],
         on_message: MessageCallback,
         on_down: ClosedCallback,
+        policy: LinkPolicy = DEFAULT_LINK_POLICY,
     ) -> None:
         self.address = address
         self.link: Link | None = None
@@ -139,6 +169,7 @@
         self._on_up = on_up
         self._on_message = on_message
         self._on_down = on_down
+        self._policy = policy
         self._closing = False
         self._reconnect_delay_s = INITIAL_RECONNECT_DELAY_S
         self._connected_at = 0.0
@@ -149,7 +180,7 @@
         while not self._closing:
             link = Link(self._on_message, self._on_link_closed)
             try:
-                async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                async with asyncio.timeout(self._policy.connect_timeout_s):
                     await loop.create_connection(lambda link=link: link, *self.address)
             except (OSError, TimeoutError):
                 self.failures += 1
@@ -159,17 +190,32 @@
             self.link = link
             self._connected_at = loop.time()
             self._on_up(link)
+            if self._policy.ping_interval_s:
+                await self._watch(link)
             return
 
+    async def _watch(self, link: Link) -> None:
+        """Ping the peer until the link closes; close it if the peer does not answer in time."""
+        loop = asyncio.get_running_loop()
+        while link.open:
+            link.send(Ping())
+            pinged_at = loop.time()
+            await asyncio.sleep(self._policy.ping_interval_s)
+            if loop.time() - pinged_at > self._policy.ping_interval_s + STALL_THRESHOLD_S:
+                link.answered_at = loop.time()  # nothing could be received while this process stood still
+            elif link.unanswered_s() > self._policy.answer_timeout_s:
+                link.abort()
+
     async def _wait_before_reconnect(self) -> None:
         await asyncio.sleep(self._reconnect_delay_s * random.uniform(0.5, 1.0))
-        self._reconnect_delay_s = min(MAX_RECONNECT_DELAY_S, 2 * self._reconnect_delay_s)
+        self._reconnect_delay_s = min(self._policy.max_reconnect_delay_s, 2 * self._reconnect_delay_s)
 
     def _on_link_closed(self, link: Link) -> None:
         if link is not self.link:
             return
         self.link = None
         self._on_down(link)
+        self._task.cancel()
         if not self._closing:
             self._task = spawn(self._reconnect())
 
--- a/lupinreach/mesh/registry/orders.py
+++ b/lupinreach/mesh/registry/orders.py
@@ -10,7 +10,7 @@
 
 from lupinreach.mesh.errors import ErrorKind
 from lupinreach.mesh.events import Event, EventLog
-from lupinreach.mesh.link import Dialer, Link
+from lupinreach.mesh.link import CORE_LINK_POLICY, Dialer, Link
 from lupinreach.mesh.messages import (
     Message,
     OrderResult,
@@ -23,7 +23,7 @@
 
 CUT_OFF_AFTER_S = 2.5  # longer than a takeover; without a primary for this long orders are rejected at once
 RETRY_INTERVAL_S = 0.05
-SILENT_AFTER_S = 1.5  # a store whose link has been silent for this long is not used as primary
+SILENT_AFTER_S = 0.8  # a store that has not answered a ping for this long is not used as primary
 
 
 @dataclass(slots=True)
@@ -43,8 +43,8 @@
 
     @property
     def heard(self) -> bool:
-        """Whether something was received from it lately."""
-        return self.link is not None and self.link.silent_s() <= SILENT_AFTER_S
+        """Whether it answered a ping lately."""
+        return self.link is not None and self.link.unanswered_s() <= SILENT_AFTER_S
 
 
 class StoreLinks:
@@ -78,6 +78,7 @@
             lambda link: self._on_link_up(store, link),
             lambda link, message: self._on_message(store, link, message),
             lambda link: self._on_link_down(store, link),
+            CORE_LINK_POLICY,
         )
 
     @property
@@ -128,7 +129,7 @@
 
     @property
     def heard_count(self) -> int:
-        """Number of stores from which something was received lately."""
+        """Number of stores that answered a ping lately."""
         return sum(store.heard for store in self._stores.values())
 
     def log_primary_changes(self) -> None:
--- a/lupinreach/mesh/registry/program.py
+++ b/lupinreach/mesh/registry/program.py
@@ -14,7 +14,7 @@
 from lupinreach.mesh.errors import ErrorKind
 from lupinreach.mesh.events import Event, EventLog
 from lupinreach.mesh.instance_calls import JSON_CONTENT_TYPE_HEADER, add_instance_calls
-from lupinreach.mesh.link import Dialer, Link, listen
+from lupinreach.mesh.link import CORE_LINK_POLICY, Dialer, Link, listen
 from lupinreach.mesh.messages import (
     AgentEntry,
     AgentHello,
@@ -121,7 +121,7 @@
             return
         address = (host, self._settings.registry_port)
         self._registries[host] = Dialer(
-            address, self._on_registry_link_up, self._on_message, lambda link: None
+            address, self._on_registry_link_up, self._on_message, lambda link: None, CORE_LINK_POLICY
         )
 
     def _on_registry_link_up(self, link: Link) -> None:
@@ -239,7 +239,7 @@
                 "registry_primary_known", self._stores.primary() is not None, "1: orders can be sent to it"
             ),
             Metric("registry_stores_linked", self._stores.linked_count, "stores to which a link is up"),
-            Metric("registry_stores_heard", self._stores.heard_count, "stores that sent something lately"),
+            Metric("registry_stores_heard", self._stores.heard_count, "stores that answered lately"),
             Metric("registry_news_sent_total", self.feed.sent, "changes sent to proxies"),
             Metric("registry_news_sent_bytes_total", self.feed.sent_bytes, "their bytes"),
         ]
--- a/lupinreach/mesh/store/program.py
+++ b/lupinreach/mesh/store/program.py
@@ -7,7 +7,7 @@
 
 from lupinreach.mesh.evacuations import active_zones
 from lupinreach.mesh.events import Event, EventLog
-from lupinreach.mesh.link import Dialer, Link, listen
+from lupinreach.mesh.link import CORE_LINK_POLICY, Dialer, Link, listen
 from lupinreach.mesh.messages import (
     Describe,
     Description,
@@ -106,7 +106,9 @@
         if host == self._settings.ip_address or host in self._dialers:
             return
         address = (host, self._settings.store_port)
-        self._dialers[host] = Dialer(address, self._on_link_up, self._on_message, self._on_link_down)
+        self._dialers[host] = Dialer(
+            address, self._on_link_up, self._on_message, self._on_link_down, CORE_LINK_POLICY
+        )
 
     def _hello(self) -> StoreHello:
         me = self.replica.me
--- a/tests/mesh/scenario.py
+++ b/tests/mesh/scenario.py
@@ -100,6 +100,12 @@
     def do_cut_one_way(self, source: str, target: str) -> None:
         self.world.loop.one_way.add((source, target))
 
+    def do_isolate(self, *hosts: str) -> None:
+        """Cut core machines off from the other core machines; all others reach both sides."""
+        for host in hosts:
+            for other in set(self.world.cores) - set(hosts):
+                self.world.loop.cuts.add(frozenset((host, other)))
+
     def do_disk_full(self, host: str) -> None:
         self.world.full_disks.add(host)
 
@@ -321,6 +327,13 @@
         ok = len(found) == 2 and own in found and set(found) <= {own, *others} and len(set(found)) == 2
         return None if ok else f"found {found}"
 
+    def do_expect_primary_known(self, *hosts: str) -> str | None:
+        """The registries of these hosts have a primary to send orders to."""
+        without = [
+            host for host in hosts if self.world.programs[(host, "registry")]._stores.primary() is None
+        ]
+        return f"none at {without}" if without else None
+
     def do_expect_kept(self, version: str) -> str | None:
         """The newest committed configuration of the primary has that version."""
         for (_, role), program in self.world.programs.items():
