--- a/lupinreach/mesh/messages/registry.py
+++ b/lupinreach/mesh/messages/registry.py
@@ -71,6 +71,9 @@
     NUMBER: ClassVar[int] = 34
     fresh: bool = False  # the registry is in contact with a primary store
     registries: list[list[str]] = field(default_factory=list)  # [link address, zone] of all registries
+    isolated: bool = (
+        False  # none of the stores that it reaches is in a majority: a primary can't be among them
+    )
 
 
 @register
--- a/lupinreach/mesh/messages/stores.py
+++ b/lupinreach/mesh/messages/stores.py
@@ -34,6 +34,7 @@
     stores: list[list[Any]] = field(default_factory=list)  # [identity, address, zone, born_first]
     healthy: bool = True  # the sender's disk accepts writes
     leaving: bool = False  # the sender's process is shutting down
+    in_majority: bool = True  # the sender and a majority of the voters reach each other
 
 
 @register
--- a/lupinreach/mesh/registry/orders.py
+++ b/lupinreach/mesh/registry/orders.py
@@ -34,6 +34,7 @@
     dialer: Dialer | None = None
     epoch: int = -1
     serving: bool = False
+    in_majority: bool = True
     zone: str = ""  # of its machine; empty until a store has reported it
 
     @property
@@ -102,6 +103,7 @@
     def _on_message(self, store: _KnownStore, link: Link, message: Message) -> None:
         if isinstance(message, StoreStatus):
             store.epoch, store.serving = message.epoch, message.serving
+            store.in_majority = message.in_majority
             for _, host, zone, _ in message.stores:
                 self.dial(host, zone)
         elif isinstance(message, OrderResult):
@@ -144,6 +146,11 @@
             counts = {"linked": self.linked_count, "heard": self.heard_count}
             self._log.write(Event.PRIMARY_LOST, store=logged.host, serving=logged.serving, **counts)
 
+    @property
+    def isolated(self) -> bool:
+        """Whether none of the stores that are heard is in a majority, so that a primary can't be among them."""
+        return not any(store.heard and store.in_majority for store in self._stores.values())
+
     def in_contact(self) -> bool:
         """Whether a serving primary is connected. Call it regularly: it also records the time of contact."""
         known = self.primary() is not None
@@ -154,10 +161,10 @@
     async def execute(self, order: OperatorOrder) -> OrderOutcome:
         """Send an order to the primary and wait for its result, again and again until its deadline.
 
-        A registry without a primary for longer than `CUT_OFF_AFTER_S` rejects the order at once.
+        A registry that is isolated, or without a primary for longer than `CUT_OFF_AFTER_S`, rejects it at once.
         """
         loop = asyncio.get_running_loop()
-        if not self.in_contact() and loop.time() - self._primary_seen_at > CUT_OFF_AFTER_S:
+        if not self.in_contact() and (self.isolated or loop.time() - self._primary_seen_at > CUT_OFF_AFTER_S):
             return Err(OrderFailure(ErrorKind.NO_PRIMARY))
         while not order.expired(loop.time()):
             link = self.primary()
--- a/lupinreach/mesh/registry/program.py
+++ b/lupinreach/mesh/registry/program.py
@@ -43,7 +43,8 @@
 from lupinreach.mesh.store.document import OrderKind
 from lupinreach.mesh.tasks import spawn
 
-HEARTBEAT_INTERVAL_S = 0.5
+TICK_INTERVAL_S = 0.1
+HEARTBEAT_TICKS = 5  # ticks between two heartbeats; one goes out at once when what it says has changed
 ORDER_RETRY_AFTER_MS = 200.0  # sent to operators whose order was not confirmed: when to retry
 ALIVE_AGENTS_HEARTBEATS = 2  # heartbeats between two lists of connected proxies to the other registries
 
@@ -58,6 +59,7 @@
         self._registries: dict[str, Dialer] = {}  # by host
         self._entries = EntryFeed(self.agents)
         self._departures = DepartureTable()
+        self._told_status = RegistryStatus()  # the last one that the proxies were sent
         self._stores = StoreLinks(settings.store_port, lambda: self.feed.history.version, self._on_news, log)
         self.feed = NewsFeed(self._stores.in_contact, log)
         calls = Dispatcher()
@@ -97,22 +99,28 @@
         self._links.close()
 
     async def _run(self) -> None:
-        loop = asyncio.get_running_loop()
         ticks = 0
         while True:
-            await asyncio.sleep(HEARTBEAT_INTERVAL_S)
+            await asyncio.sleep(TICK_INTERVAL_S)
             ticks += 1
-            for host in self._stores.hosts:
-                self._dial_registry(host)
             self._stores.log_primary_changes()
-            self.feed.log_late_receivers(loop.time())
-            self._heartbeat(with_registries=ticks % 8 == 1)
-            if ticks % ALIVE_AGENTS_HEARTBEATS == 0:
-                self._send_alive_agents()
-            for entry in self.agents.expire(loop.time()):
-                self._log.write(Event.AGENT_REMOVED, agent=entry.address)
-                self._entries.changed(entry)
-            self._departures.expire(loop.time())
+            if ticks % HEARTBEAT_TICKS == 0:
+                self._on_heartbeat_due(ticks // HEARTBEAT_TICKS)
+            elif self._status_has_changed():
+                self._send_status(with_registries=False)
+
+    def _on_heartbeat_due(self, heartbeats: int) -> None:
+        now = asyncio.get_running_loop().time()
+        for host in self._stores.hosts:
+            self._dial_registry(host)
+        self.feed.log_late_receivers(now)
+        self._send_status(with_registries=heartbeats % 8 == 1)
+        if heartbeats % ALIVE_AGENTS_HEARTBEATS == 0:
+            self._send_alive_agents()
+        for entry in self.agents.expire(now):
+            self._log.write(Event.AGENT_REMOVED, agent=entry.address)
+            self._entries.changed(entry)
+        self._departures.expire(now)
 
     # Other registries.
 
@@ -199,10 +207,15 @@
         port = self._settings.registry_port
         zones = self._stores.zones if with_registries else {}
         registries = [[f"{host}:{port}", zone] for host, zone in zones.items()]
-        return RegistryStatus(self._stores.in_contact(), registries)
+        return RegistryStatus(self._stores.in_contact(), registries, self._stores.isolated)
+
+    def _status_has_changed(self) -> bool:
+        told = self._told_status
+        return (told.fresh, told.isolated) != (self._stores.in_contact(), self._stores.isolated)
 
-    def _heartbeat(self, with_registries: bool) -> None:
-        data = encode(self._status(with_registries))
+    def _send_status(self, with_registries: bool) -> None:
+        self._told_status = self._status(with_registries)
+        data = encode(self._told_status)
         for known in self.agents.connected():
             if known.link is not None:
                 known.link.send_encoded(data)
--- a/lupinreach/mesh/store/program.py
+++ b/lupinreach/mesh/store/program.py
@@ -33,6 +33,7 @@
 STATUS_TICKS = 2  # ticks between two heartbeats to other stores
 SUBSCRIBER_STATUS_TICKS = 5  # ticks between two heartbeats to registries
 GOSSIP_TICKS = 20  # ticks between two heartbeats that list the linked stores
+LINK_SILENT_AFTER_S = 0.8  # a store that has not answered a ping for this long does not count as reached
 HAND_OVER_GRACE_FRACTION = 0.4  # share of the grace period to wait at most for other stores to take over
 
 
@@ -62,6 +63,7 @@
         self._known_epochs: dict[str, int] = {}  # by identity: the epoch that a store last reported
         self._known_stores: dict[str, list[Any]] = {}  # by identity, as in StoreStatus.stores
         self._subscribers: dict[Link, UpdateProgress] = {}  # registries by their link
+        self._told_state = (False, True)  # `serving` and `in_majority` as the subscribers were told
         self._ticks = 0
         self._published = 0
 
@@ -185,12 +187,36 @@
         )
         if self._ticks % STATUS_TICKS == 0:
             self._send_status_to_stores(stores)
-        if self._ticks % SUBSCRIBER_STATUS_TICKS == 0:
+        if self._ticks % SUBSCRIBER_STATUS_TICKS == 0 or self._state_to_tell() != self._told_state:
             hosts = [*stores, [replica.identity, replica.me.host, replica.me.zone, replica.born_first]]
-            for link in self._subscribers:
-                link.send(self._status(None, hosts if gossip else []))
-                if replica.serving:
-                    self._send_news(link)  # for registries that subscribed while this store was not serving
+            self._send_status_to_subscribers(hosts if gossip else [])
+
+    def _state_to_tell(self) -> tuple[bool, bool]:
+        """What registries have to know at once: whether this store is `serving`, and `in_majority`."""
+        return self.replica.serving, self._is_in_majority()
+
+    def _is_in_majority(self) -> bool:
+        """Whether this store and a majority of the voters reach each other in both directions."""
+        replica = self.replica
+        if replica.view.epoch == 0:
+            return True  # the first view is not decided yet
+        reached = sum(
+            identity == replica.identity or self._reaches(identity)
+            for identity in replica.members.voters(replica.view)
+        )
+        return reached >= replica.view.majority
+
+    def _reaches(self, identity: str) -> bool:
+        link = self._links.get(identity)
+        return link is not None and link.unanswered_s() <= LINK_SILENT_AFTER_S
+
+    def _send_status_to_subscribers(self, stores: list[list[Any]]) -> None:
+        self._told_state = self._state_to_tell()
+        status = encode(self._status(None, stores))
+        for link in self._subscribers:
+            link.send_encoded(status)
+            if self.replica.serving:
+                self._send_news(link)  # for registries that subscribed while this store was not serving
 
     def _send_status_to_stores(self, stores: list[list[Any]]) -> None:
         view = self.replica.view
@@ -209,6 +235,7 @@
             stores,
             replica.healthy,
             replica.leaving,
+            self._is_in_majority(),
         )
 
     def describe(self) -> dict[str, Any]:
