Keepalive on held links: an end that only receives notices that the other is gone

Cause: the accepted ends of links between core machines, and idle links between proxies, send nothing, so that a cut or a loss of power leaves them open for good: a descriptor and a state for each. The kernel probes them after 10 s without anything received (answers within 3 s, TCP_USER_TIMEOUT); a process spends no time on it.

Failed try: the simulated kernel's timers could be shorter than the clock's resolution and never end; they last 1 ms or more now.

--- a/lupinreach/mesh/link.py
+++ b/lupinreach/mesh/link.py
@@ -17,6 +17,8 @@
 MAX_MESSAGE_BYTES = 96 << 20
 MAX_SEND_BUFFER_BYTES = 80 << 20  # a link whose peer leaves more than this unread is aborted
 USER_TIMEOUT_MS = 3000  # TCP_USER_TIMEOUT: unacknowledged data ends the connection
+KEEPALIVE_IDLE_S = 10  # an end that has received nothing for this long lets its kernel probe the peer
+KEEPALIVE_INTERVAL_S = 1  # between two probes; unanswered ones end the connection after `USER_TIMEOUT_MS`
 INITIAL_RECONNECT_DELAY_S = 0.1  # doubled after each failed attempt
 MIN_LINK_LIFETIME_S = 1.0  # a link that closes sooner counts as a failed attempt
 STALL_THRESHOLD_S = 0.5  # a heartbeat that is late by more than this says that this process stood still
@@ -68,7 +70,9 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
-        tune(transport.get_extra_info("socket"))
+        sock = transport.get_extra_info("socket")
+        tune(sock)
+        enable_keepalive(sock)
         self.open = True
         self.last_heard = self.answered_at = self._loop.time()
 
@@ -148,6 +152,15 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
 
 
+def enable_keepalive(sock: socket.socket | None) -> None:
+    """Let the kernel find out that the peer of an idle connection is gone: an end that only receives sees nothing of it."""
+    if sock is None:
+        return
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
+
+
 class Dialer:
     """Maintains one link to an address, reconnecting with exponential backoff until closed.
 
--- a/tests/mesh/network.py
+++ b/tests/mesh/network.py
@@ -20,6 +20,7 @@
 INITIAL_SYN_RETRANSMISSION_S = 1.0
 DEFAULT_USER_TIMEOUT_S = 900.0  # of a socket without `TCP_USER_TIMEOUT`
 CONNECT_LIMIT_S = 60.0
+TIMER_RESOLUTION_S = 0.001  # no timer of the kernel is shorter
 KERNEL = 0  # owner of callbacks that no process runs
 
 
@@ -92,7 +93,7 @@
 
     def _schedule(self, delay_s: float, work: Callable[..., None], *args: Any) -> None:
         with self.loop.owned_by(KERNEL):
-            self.loop.call_later(delay_s, work, *args)
+            self.loop.call_later(max(TIMER_RESOLUTION_S, delay_s), work, *args)
 
     # Sending.
 
@@ -124,7 +125,7 @@
         if self.loop.time() >= timeout_at:
             self._time_out()
             return
-        next_s = min(2 * interval_s, max(0.001, timeout_at - self.loop.time()))
+        next_s = min(2 * interval_s, timeout_at - self.loop.time())
         self._schedule(next_s, self._retransmit, 2 * interval_s)
 
     def _time_out(self) -> None:
