A registry's entry that contradicts a link's report has the link pinged

What callers would see: a backend that came back while its proxy was cut off from another gets no requests from there until something else is sent on the link. Cause: while a link is up it alone tells the backend's state, and tells it once; the far end of an idle link may be gone. An entry that says otherwise puts the link in doubt; it is pinged, and replaced if that gets no answer.

test_backend_that_returns_during_a_partition_is_used_again failed before (still unavailable 2 s after the partition).

--- a/lupinreach/mesh/proxy/peers.py
+++ b/lupinreach/mesh/proxy/peers.py
@@ -141,6 +141,7 @@
         self._attempts: dict[int, tuple[asyncio.Future[Outcome], MayFailOver]] = {}
         self._bodies = BodySender()
         self._pinged_at = 0.0  # loop time of the first ping since anything was received; 0: none
+        self._doubted_at = 0.0  # loop time since which the link has to prove that it works; 0: it has
         self._dialer = Dialer(parse_address(address), self._on_link_up, self._on_message, self._on_link_down)
 
     @property
@@ -169,7 +170,7 @@
 
     def _on_link_up(self, link: Link) -> None:
         self.silent = False
-        self._pinged_at = 0.0
+        self._pinged_at = self._doubted_at = 0.0
         now = asyncio.get_running_loop().time()
         link.send(PeerHello(self._own_address, self._own_version(), now))
 
@@ -241,12 +242,26 @@
         if self._dialer.link is not None:
             self._dialer.link.send(Cancel(number))
 
+    def on_entry(self, entry: AgentEntry) -> None:
+        """A registry reports a new state of the backend.
+
+        While the link is up, also if it is silent, it tells the state, and tells it only once. If the registry tells
+        another one, the link may be one whose far end is gone; it is pinged.
+        """
+        self.zone = entry.zone
+        if self.link is None:
+            self.status = BackendStatus(entry.service, entry.instance_id, False)
+        elif (entry.instance_id, entry.available) != (self.status.instance_id, self.status.available):
+            self._doubted_at = asyncio.get_running_loop().time()
+
     def check(self) -> None:
         """Ping a silent link; let its attempts fail over if nothing is received in time."""
         link = self._dialer.link
-        if link is None or not (self._attempts or self.silent):
+        if link is None or not (self._attempts or self.silent or self._doubted_at):
             return
         now = asyncio.get_running_loop().time()
+        if link.last_heard > self._doubted_at:
+            self._doubted_at = 0.0
         if link.last_heard > self._pinged_at:
             self._pinged_at = 0.0
             self.silent = False
@@ -322,11 +337,8 @@
         if known is None:
             self.on_proxy_added(entry.address)
         peer = self.linked.get(entry.address)
-        if peer is not None:
-            peer.zone = entry.zone
-            # While the link is up, also if it is silent, it tells the state, and tells it only once.
-            if isinstance(peer, RemotePeer) and peer.link is None:
-                peer.status = BackendStatus(entry.service, entry.instance_id, False)
+        if isinstance(peer, RemotePeer):
+            peer.on_entry(entry)
         self._update_links()
 
     def _remove_entry(self, entry: AgentEntry, known: AgentEntry | None) -> None:
--- a/tests/mesh/test_half_open.py
+++ b/tests/mesh/test_half_open.py
@@ -88,3 +88,30 @@
         assert _half_open(world) == []
     finally:
         world.end()
+
+
+# Guards against a proxy that believes what a link reported before its other end was gone.
+def test_backend_that_returns_during_a_partition_is_used_again(tmp_path: Path) -> None:
+    world = World(tmp_path)
+    try:
+        _start(world)
+        world.run_until(world.now + 1.0)
+        peers = world.programs[("s1", "proxy")].peers
+        peer = peers.linked["s2:8300"]
+        assert peer.status.available
+        world.stop_backend("s2")  # the proxies learn that it is away
+        world.backends["s2"].state = "draining"
+        world.loop.run_until_complete(world.send_heartbeat("s2"))
+        world.run_until(world.now + 0.5)
+        assert not peer.status.available
+        _cut(("s1", "s2"))(world)
+        world.run_until(world.now + 1.0)
+        world.new_instance("s2")
+        world.start_backend("s2")
+        world.run_until(world.now + PARTITION_S)
+        _heal(world)
+        world.run_until(world.now + CORE_LIMIT_S)
+        assert peers.linked["s2:8300"].status.available
+        assert peers.linked["s2:8300"].status.instance_id == world.backends["s2"].instance
+    finally:
+        world.end()
