An order whose link to the primary is reset is sent again at once

Cause: a result that was lost with its link was waited for until the order's deadline (0.9 s), though the link was dialled again within milliseconds; the operator then had to come again. Orders in flight end with their link and are sent again while their caller still waits; versions and sequences make that safe (docs/control.md, 6).

test_order_is_sent_again_when_its_link_to_the_primary_is_reset failed before (not answered after 0.5 s).

--- a/lupinreach/mesh/registry/orders.py
+++ b/lupinreach/mesh/registry/orders.py
@@ -48,6 +48,18 @@
         return self.link is not None and self.link.unanswered_s() <= SILENT_AFTER_S
 
 
+@dataclass(slots=True)
+class _OrderInFlight:
+    """An order that was sent to a store and has no result yet."""
+
+    link: Link
+    result: asyncio.Future[OrderResult | None]  # None: the link closed before it came
+
+    def resolve(self, result: OrderResult | None) -> None:
+        if not self.result.done():
+            self.result.set_result(result)
+
+
 class StoreLinks:
     """Links to all known stores, and the orders in flight on them."""
 
@@ -62,7 +74,7 @@
         self._log = log
         self._stores: dict[str, _KnownStore] = {}  # by host
         self._last_number = 0
-        self._in_flight: dict[int, asyncio.Future[OrderResult]] = {}
+        self._in_flight: dict[int, _OrderInFlight] = {}
         self._on_news = on_news
         self._version = version
         self._primary_seen_at = asyncio.get_running_loop().time()  # loop time of last contact with a primary
@@ -99,6 +111,9 @@
     def _on_link_down(self, store: _KnownStore, link: Link) -> None:
         self._log.write(Event.STORE_LINK_DOWN, store=store.host, silent_s=round(link.silent_s(), 2))
         store.serving = False
+        for order in self._in_flight.values():
+            if order.link is link:
+                order.resolve(None)
 
     def _on_message(self, store: _KnownStore, link: Link, message: Message) -> None:
         if isinstance(message, StoreStatus):
@@ -107,9 +122,9 @@
             for _, host, zone, _ in message.stores:
                 self.dial(host, zone)
         elif isinstance(message, OrderResult):
-            future = self._in_flight.pop(message.number, None)
-            if future is not None and not future.done():
-                future.set_result(message)
+            order = self._in_flight.get(message.number)
+            if order is not None:
+                order.resolve(message)
         elif isinstance(message, StateUpdate):
             self._on_news(message)
             link.send(StateUpdateAcknowledged(message.stamp, self._version()))
@@ -181,16 +196,16 @@
         return Err(order.failure)
 
     async def _send_order(self, link: Link, order: OperatorOrder) -> OrderResult | None:
-        """Send an order once; returns its result, or None if none came before the deadline."""
+        """Send an order once; returns its result, or None if none came before the deadline or the end of the link."""
         self._last_number += 1
         number = self._last_number
-        future: asyncio.Future[OrderResult] = asyncio.get_running_loop().create_future()
-        self._in_flight[number] = future
+        in_flight = _OrderInFlight(link, asyncio.get_running_loop().create_future())
+        self._in_flight[number] = in_flight
         link.send(order.message(number))
         try:
             async with asyncio.timeout_at(order.deadline):
-                return await future
+                return await in_flight.result
         except TimeoutError:
             return None
         finally:
-            self._in_flight.pop(number, None)
+            del self._in_flight[number]
--- a/tests/mesh/test_half_open.py
+++ b/tests/mesh/test_half_open.py
@@ -115,3 +115,20 @@
         assert peers.linked["s2:8300"].status.instance_id == world.backends["s2"].instance
     finally:
         world.end()
+
+
+# Guards against orders that wait to their deadline for a result that was lost with the link.
+def test_order_is_sent_again_when_its_link_to_the_primary_is_reset(tmp_path: Path) -> None:
+    world = World(tmp_path)
+    try:
+        _start(world)
+        stores = world.programs[("c2", "registry")]._stores
+        order = world.loop.create_task(world.replace_configuration("c2", "00000002"))
+        while not stores._in_flight:
+            world.run_until(world.now + 0.0005)
+        with world.loop.owned_by(world.owners[("c2", "registry")]):
+            stores.primary().abort()
+        world.run_until(world.now + 0.5)
+        assert order.done() and order.result() == 200
+    finally:
+        world.end()
