--- a/tests/mesh/soak.py
+++ b/tests/mesh/soak.py
@@ -1,7 +1,8 @@
 """Soak test on simulated time: clients on persistent connections, signals, restarts and changes, also overlapping.
 
 A soak is reproducible from its seed. Clients keep using a connection until its process ends. The responses that they
-get are checked against what the backends executed. `python -m mesh.soak FIRST COUNT [PROXIES] [overload]` runs many soaks.
+get are checked against what the backends executed. `python -m mesh.soak FIRST COUNT [PROXIES] [overload] [partitions]`
+runs many soaks.
 """
 
 from __future__ import annotations
@@ -35,6 +36,7 @@
 PLANNED = ("term", "hup")
 UNPLANNED = ("kill", "freeze", "reset", "core_kill", "core_freeze")
 CHANGES = ("order", "order", "order", "evacuate")
+PARTITIONS = ("core_cut", "cut", "core_kill", "reset")
 FAULTS = ("replace_backend", "crash_backend")
 SERVICE_TIMES_MS = (20, 100, 300)
 SURGE_PER_S = 300.0  # requests on the first routes, more than are served
@@ -43,6 +45,7 @@
 COLD_MS = 3000.0
 MAX_STANDARD_DEVIATIONS = 3.0  # of a count of served requests, by chance alone
 MAX_PRINTED_VIOLATIONS = 6  # of each soak
+PARTITION_LENGTHS_S = (0.4, 1.5, 2.8, 3.5, 6.0)  # shorter and longer than links wait for an acknowledgement
 MIN_ADDED_REQUESTS = 20  # fewer requests on added routes say nothing about how often they are served
 
 
@@ -78,6 +81,7 @@
     service_times_ms: tuple[float, ...] = SERVICE_TIMES_MS
     freeze_lengths_s: tuple[float, ...] = (0.3, 1.0, 2.5)
     overload: bool = False  # surges of requests on the first routes; replaced backends are cold
+    partitions: bool = False  # machines are cut off from the core, and core machines from each other
     violations: list[str] = field(default_factory=list)
     records: list[RequestRecord] = field(default_factory=list)
     surge_records: list[RequestRecord] = field(default_factory=list)
@@ -230,6 +234,8 @@
             await asyncio.sleep(self.rng.choice([0.0, 0.1, 0.3, 0.6, 1.2]))
 
     def _event_kinds(self) -> list[str]:
+        if self.partitions:
+            return [*PARTITIONS * 2, *PLANNED, *CHANGES * 3]
         if self.seed % 2:
             return [*PLANNED * 3, *CHANGES]
         return [*PLANNED * 3, *UNPLANNED, *CHANGES, *FAULTS]
@@ -315,6 +321,39 @@
         await asyncio.sleep(seconds + (4.0 if host in self.world.cores else 0.0))
         self.busy.discard(host)
 
+    async def _do_core_cut(self) -> None:
+        """Cut a core machine off from the others; all other machines reach both sides."""
+        host = self._pick_free_core()
+        if host is None:
+            return
+        others = [other for other in self.world.cores if other != host]
+        await self._cut_for_a_while(host, others)
+        await asyncio.sleep(4.0)  # until its store has caught up
+        self.busy.discard(host)
+
+    async def _do_cut(self) -> None:
+        """Cut a machine off from the core."""
+        host = self._pick_free_host(sorted(self.world.backends))
+        if host is not None:
+            await self._cut_for_a_while(host, self.world.cores)
+            self.busy.discard(host)
+
+    async def _cut_for_a_while(self, host: str, others: list[str]) -> None:
+        """Cut links in both directions, or in one."""
+        self.busy.add(host)
+        seconds = self.rng.choice(PARTITION_LENGTHS_S)
+        self._record_disturbance(host, seconds)
+        loop = self.world.loop
+        direction = self.rng.choice(["both", "both", "out", "in"])
+        cuts = {frozenset((host, other)) for other in others} if direction == "both" else set()
+        blocked = {(host, other) if direction == "out" else (other, host) for other in others}
+        blocked = set() if direction == "both" else blocked
+        loop.cuts |= cuts
+        loop.one_way |= blocked
+        await asyncio.sleep(seconds)
+        loop.cuts -= cuts
+        loop.one_way -= blocked
+
     async def _do_reset(self) -> None:
         """Reset about half of the connections of a host."""
         host = self.rng.choice(sorted(self.world.zones))
@@ -385,6 +424,9 @@
                 self._check_record(record, runs[record.request_id])
         self._check_added_routes()
         self._check_versions()
+        if self.partitions:
+            self._check_lags()
+            self._check_contact()
         quiet_records = [
             record
             for record in self.records
@@ -473,6 +515,65 @@
         oldest = self.changes.index(max(acknowledged, key=lambda one: version_number(one.version)))
         return all(record.path in one.paths for one in self.changes[oldest:])
 
+    def _check_lags(self) -> None:
+        """Each committed version is in force at each proxy in time, counted from the end of the trouble."""
+        applied: dict[str, list[tuple[float, int]]] = {}
+        commits: dict[int, float] = {}
+        for at, name, event, facts in self.world.recorded_events:
+            if event is Event.CONFIGURATION_APPLIED:
+                applied.setdefault(name, []).append((at, version_number(facts["version"])))
+            elif event is Event.ORDER_COMMITTED and facts["version"] != "none":
+                commits.setdefault(version_number(facts["version"]), at)
+        for host in self.world.backends:
+            for version, committed_at in commits.items():
+                in_force_at = self._first_at_least(applied.get(f"{host}/proxy", []), version)
+                due_at = self._due_at(host, committed_at)
+                if in_force_at > due_at:
+                    self.violations.append(
+                        f"CONFIG: {host}: {version:x} committed {committed_at:.2f} s, in force {in_force_at:.2f} s,"
+                        f" due {due_at:.2f} s"
+                    )
+
+    def _first_at_least(self, applied: list[tuple[float, int]], version: int) -> float:
+        return min((at for at, held in applied if held >= version), default=self.world.now)
+
+    def _due_at(self, host: str, committed_at: float) -> float:
+        """When a version must be in force at a proxy: late enough after each disturbance of it or of the core.
+
+        A partition of the core must be noticed while it lasts, so that only its start and its end count.
+        """
+        due_at = committed_at + CONFIG_APPLY_LIMIT_S
+        for start, end in self._restarts(host) + self.disturbances.get(host, []):
+            if start - CONFIG_APPLY_LIMIT_S < committed_at < end + RECOVERY_MARGIN_S:
+                due_at = max(due_at, end + RECOVERY_MARGIN_S)
+        moments = [
+            moment for core in self.world.cores for span in self.disturbances.get(core, []) for moment in span
+        ]
+        for moment in moments:
+            if moment - CONFIG_APPLY_LIMIT_S < committed_at < moment + RECOVERY_MARGIN_S:
+                due_at = max(due_at, moment + RECOVERY_MARGIN_S)
+        return due_at
+
+    def _restarts(self, host: str) -> list[tuple[float, float]]:
+        """From the end of a process of the proxy until the next one runs, as spans around each start."""
+        name = f"{host}/proxy"
+        starts = [
+            at for at, of, event, _ in self.world.recorded_events if of == name and event is Event.STARTED
+        ]
+        return [(at - GRACE_PERIOD_S - 2.0, at) for at in starts]
+
+    def _check_contact(self) -> None:
+        """At the end every registry has a primary and hears every store, and every proxy has two registries."""
+        for (host, role), program in self.world.programs.items():
+            if role == "registry" and program._stores.heard_count < len(self.world.cores):
+                self.violations.append(
+                    f"{host}: the registry hears {program._stores.heard_count} stores at the end"
+                )
+            if role == "registry" and program._stores.primary() is None:
+                self.violations.append(f"{host}: the registry has no primary at the end")
+            if role == "proxy" and program._registries.connected < 2:
+                self.violations.append(f"{host}: {program._registries.connected} registries at the end")
+
     def _check_versions(self) -> None:
         """A proxy process never reverts to a lower version; at the end all have the newest acknowledged one."""
         held: dict[str, int] = {}
@@ -538,11 +639,14 @@
 
 def main() -> int:
     """Run COUNT soaks with seeds from FIRST on, and print the violations."""
-    overload = sys.argv[-1] == "overload"
-    numbers = [int(text) for text in (sys.argv[1:-1] if overload else sys.argv[1:])]
-    first, count, proxies = (*numbers, 6)[:3]
+    options = {text for text in sys.argv[1:] if not text.isdigit()}
+    first, count, proxies = (*[int(text) for text in sys.argv[1:] if text.isdigit()], 6)[:3]
+    overload, partitions = "overload" in options, "partitions" in options
     return run_soaks(
-        first, count, lambda seed, folder: Soak(seed, folder, proxies, overload=overload), _summary
+        first,
+        count,
+        lambda seed, folder: Soak(seed, folder, proxies, overload=overload, partitions=partitions),
+        _summary,
     )
 
 
--- a/tests/mesh/test_soak.py
+++ b/tests/mesh/test_soak.py
@@ -27,6 +27,14 @@
     assert statuses.count(200) > 0 and statuses.count(503) > len(statuses) / 10
 
 
+# Guards against registries, stores and proxies that hear of changes late, or never, after a partition (CONFIG).
+@pytest.mark.parametrize(("seed", "proxies"), [(1, 6), (2, 6), (3, 9), (4, 12)])
+def test_soak_with_partitions(seed: int, proxies: int, tmp_path: Path) -> None:
+    soak = Soak(seed, tmp_path, proxies, partitions=True)
+    assert soak.run() == []
+    assert sum(bool(change.acknowledged_at) for change in soak.changes) >= 10
+
+
 # Guards against orders, sign-offs and heartbeats that are executed although their caller gave them up (EVAC, DRAIN).
 @pytest.mark.parametrize(("seed", "proxies"), [(1, 6), (2, 6), (3, 9), (4, 12)])
 def test_soak_of_orders_and_departures(seed: int, proxies: int, tmp_path: Path) -> None:
