One test of whether a pinged peer is reached; names of the proxy's reasons

The registry and the store held the same limit and comparison twice; both ask the link now (Link.answering). loss_reason and unfit_reason say what they return.

--- a/lupinreach/mesh/link.py
+++ b/lupinreach/mesh/link.py
@@ -21,6 +21,7 @@
 KEEPALIVE_INTERVAL_S = 1  # between two probes; unanswered ones end the connection after `USER_TIMEOUT_MS`
 INITIAL_RECONNECT_DELAY_S = 0.1  # doubled after each failed attempt
 MIN_LINK_LIFETIME_S = 1.0  # a link that closes sooner counts as a failed attempt
+ANSWERING_LIMIT_S = 0.8  # a pinged peer that has not answered for this long does not count as reached
 STALL_THRESHOLD_S = 0.5  # a heartbeat that is late by more than this says that this process stood still
 
 Address = tuple[str, int]
@@ -135,9 +136,14 @@
         return self._loop.time() - self.last_heard
 
     def unanswered_s(self) -> float:
-        """Seconds since the peer last answered a `Ping`, which shows that both directions work."""
+        """Seconds since the peer last answered a `Ping`."""
         return self._loop.time() - self.answered_at
 
+    @property
+    def answering(self) -> bool:
+        """Whether the peer of a pinged link answered lately, which shows that both directions work."""
+        return self.unanswered_s() <= ANSWERING_LIMIT_S
+
     def abort(self) -> None:
         """Close the connection at once and discard unsent data."""
         if self._transport is not None:
--- a/lupinreach/mesh/proxy/registry_client.py
+++ b/lupinreach/mesh/proxy/registry_client.py
@@ -78,7 +78,7 @@
 
     def _close_lost(self, now: float) -> None:
         for registry_link in list(self._links):
-            reason = registry_link.is_lost(now)
+            reason = registry_link.loss_reason(now)
             if reason is not None:
                 self._close(registry_link, now, reason)
 
@@ -87,11 +87,11 @@
 
         If all registries are without a primary, nothing is gained by leaving the ones that are linked.
         """
-        unfit = [one for one in self._links if one.unfitness(now) is not None]
+        unfit = [one for one in self._links if one.unfit_reason(now) is not None]
         proven = [one for one in self._links if one.is_proven(now)]
         if len(proven) >= LINK_COUNT:
             for registry_link in unfit:
-                self._close(registry_link, now, registry_link.unfitness(now))
+                self._close(registry_link, now, registry_link.unfit_reason(now))
             for registry_link in self._links[LINK_COUNT:]:
                 self._close(registry_link, now, LossReason.SURPLUS)
             return
@@ -99,7 +99,7 @@
         if not unfit or not alternatives:
             return
         if len(self._links) >= MAX_LINKS:
-            self._close(unfit[0], now, unfit[0].unfitness(now))
+            self._close(unfit[0], now, unfit[0].unfit_reason(now))
         self._open(alternatives, now)
 
     def _alternatives(self, now: float) -> list[str]:
--- a/lupinreach/mesh/proxy/registry_link.py
+++ b/lupinreach/mesh/proxy/registry_link.py
@@ -60,14 +60,14 @@
         elif self._isolated_since is None:
             self._isolated_since = now
 
-    def is_lost(self, now: float) -> LossReason | None:
+    def loss_reason(self, now: float) -> LossReason | None:
         """Why the link must be closed whether or not there is another registry; None if it may stay."""
         if self.link is None:
-            is_lost = now - self.started_at > 3 * SILENCE_TIMEOUT_S
-            return LossReason.UNREACHABLE if is_lost else None
+            is_down = now - self.started_at > 3 * SILENCE_TIMEOUT_S
+            return LossReason.UNREACHABLE if is_down else None
         return LossReason.SILENT if self.link.silent_s() > SILENCE_TIMEOUT_S else None
 
-    def unfitness(self, now: float) -> LossReason | None:
+    def unfit_reason(self, now: float) -> LossReason | None:
         """Why another registry would be better; None if this one is fit, or still connecting."""
         if self.link is None:
             assert self.dialer is not None
@@ -80,4 +80,4 @@
 
     def is_proven(self, now: float) -> bool:
         """Whether the link is up and the registry has reported contact to a primary store on it."""
-        return self.link is not None and self._fresh_at >= self.started_at and self.unfitness(now) is None
+        return self.link is not None and self._fresh_at >= self.started_at and self.unfit_reason(now) is None
--- a/lupinreach/mesh/registry/orders.py
+++ b/lupinreach/mesh/registry/orders.py
@@ -23,7 +23,6 @@
 
 CUT_OFF_AFTER_S = 2.5  # longer than a takeover; without a primary for this long orders are rejected at once
 RETRY_INTERVAL_S = 0.05
-SILENT_AFTER_S = 0.8  # a store that has not answered a ping for this long is not used as primary
 
 
 @dataclass(slots=True)
@@ -45,7 +44,7 @@
     @property
     def heard(self) -> bool:
         """Whether it answered a ping lately."""
-        return self.link is not None and self.link.unanswered_s() <= SILENT_AFTER_S
+        return self.link is not None and self.link.answering
 
 
 @dataclass(slots=True)
--- a/lupinreach/mesh/store/program.py
+++ b/lupinreach/mesh/store/program.py
@@ -33,7 +33,6 @@
 STATUS_TICKS = 2  # ticks between two heartbeats to other stores
 SUBSCRIBER_STATUS_TICKS = 5  # ticks between two heartbeats to registries
 GOSSIP_TICKS = 20  # ticks between two heartbeats that list the linked stores
-LINK_SILENT_AFTER_S = 0.8  # a store that has not answered a ping for this long does not count as reached
 HAND_OVER_GRACE_FRACTION = 0.4  # share of the grace period to wait at most for other stores to take over
 
 
@@ -208,7 +207,7 @@
 
     def _reaches(self, identity: str) -> bool:
         link = self._links.get(identity)
-        return link is not None and link.unanswered_s() <= LINK_SILENT_AFTER_S
+        return link is not None and link.answering
 
     def _send_status_to_subscribers(self, stores: list[list[Any]]) -> None:
         self._told_state = self._state_to_tell()
