--- a/lupinreach/mesh/proxy/registry_link.py
+++ b/lupinreach/mesh/proxy/registry_link.py
@@ -8,7 +8,7 @@
 from lupinreach.mesh.messages import Message, RegistryStatus
 
 SILENCE_TIMEOUT_S = 1.7  # a registry from which nothing is received for this long is replaced by another
-STALE_TIMEOUT_S = 1.5  # without a primary for this long a registry is unfit; longer than a takeover
+STALE_TIMEOUT_S = 1.5  # without a primary for this long a registry is unfit; most takeovers are shorter
 ISOLATED_TIMEOUT_S = 0.3  # a registry that reaches no majority of the stores for this long is unfit
 CONNECT_GRACE_S = 0.6  # a link that is not up after this time is unfit
 MAX_CONNECT_FAILURES = 3  # failed connects after which another registry is tried
