Encode a store's status once for all registries; ask why a registry is unfit once

The status that goes out with each commit was built and encoded for every registry, though it is the same for all; its in_majority made that dearer. A proxy asked for the reason twice, and _close took None only to reject it. No change of behaviour.

--- a/lupinreach/mesh/proxy/registry_client.py
+++ b/lupinreach/mesh/proxy/registry_client.py
@@ -87,11 +87,11 @@
 
         If all registries are without a primary, nothing is gained by leaving the ones that are linked.
         """
-        unfit = [one for one in self._links if one.unfit_reason(now) is not None]
+        unfit = [(one, reason) for one in self._links if (reason := one.unfit_reason(now)) is not None]
         proven = [one for one in self._links if one.is_proven(now)]
         if len(proven) >= LINK_COUNT:
-            for registry_link in unfit:
-                self._close(registry_link, now, registry_link.unfit_reason(now))
+            for registry_link, reason in unfit:
+                self._close(registry_link, now, reason)
             for registry_link in self._links[LINK_COUNT:]:
                 self._close(registry_link, now, LossReason.SURPLUS)
             return
@@ -99,7 +99,8 @@
         if not unfit or not alternatives:
             return
         if len(self._links) >= MAX_LINKS:
-            self._close(unfit[0], now, unfit[0].unfit_reason(now))
+            oldest, reason = unfit[0]
+            self._close(oldest, now, reason)
         self._open(alternatives, now)
 
     def _alternatives(self, now: float) -> list[str]:
@@ -123,8 +124,8 @@
             self._next_zone_move = now + ZONE_MOVE_INTERVAL_S
             self._close(self._links[-1], now, LossReason.ZONE)
 
-    def _close(self, registry_link: RegistryLink, now: float, reason: LossReason | None) -> None:
-        assert registry_link.dialer is not None and reason is not None
+    def _close(self, registry_link: RegistryLink, now: float, reason: LossReason) -> None:
+        assert registry_link.dialer is not None
         self._links.remove(registry_link)
         unfit = reason in (LossReason.STALE, LossReason.ISOLATED)
         self._avoid_until[registry_link.address] = now + (AVOID_UNFIT_S if unfit else AVOID_LOST_S)
--- a/lupinreach/mesh/store/program.py
+++ b/lupinreach/mesh/store/program.py
@@ -327,6 +327,7 @@
             version=document.version or "none",
             evacuations=active_zones(document.evacuations),
         )
+        status = encode(self._status(None, []))
         for link in self._subscribers:
-            link.send(self._status(None, []))
+            link.send_encoded(status)
             self._send_news(link)
