--- a/tests/mesh/network.py
+++ b/tests/mesh/network.py
@@ -238,6 +238,12 @@
         blocked = frozenset((source, target)) in self.cuts or (source, target) in self.one_way
         return not blocked and not {source, target} & self.down
 
+    def heal(self) -> None:
+        """End all partitions and extra delays."""
+        self.cuts.clear()
+        self.one_way.clear()
+        self.extra_delays.clear()
+
     def deliver(self, end: MemoryTransport, work: Callable[..., Any], *args: Any) -> None:
         """Schedule a callback at the peer of a transport after the delay of the link."""
         end.last_arrival = max(end.last_arrival, self.time() + self._delay_s(end, args))
--- a/tests/mesh/scenario.py
+++ b/tests/mesh/scenario.py
@@ -135,9 +135,7 @@
         self.world.loop.extra_delays[(source, target)] = float(seconds)
 
     def do_heal(self) -> None:
-        self.world.loop.cuts.clear()
-        self.world.loop.extra_delays.clear()
-        self.world.loop.one_way.clear()
+        self.world.loop.heal()
 
     def do_term(self, host: str) -> None:
         program = self.world.programs[(host, "proxy")]
--- a/tests/mesh/test_half_open.py
+++ b/tests/mesh/test_half_open.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from pathlib import Path
 
 import pytest
@@ -54,6 +54,17 @@
     )
 
 
+@pytest.fixture
+def world(tmp_path: Path) -> Iterator[World]:
+    """Three core machines and three proxies, with a configuration in force."""
+    world = World(tmp_path)
+    try:
+        _start(world)
+        yield world
+    finally:
+        world.end()
+
+
 def _start(world: World) -> None:
     for number, zone in enumerate(("za", "zb", "zc"), 1):
         world.add_core(f"c{number}", zone)
@@ -65,70 +76,50 @@
     assert world.loop.run_until_complete(world.replace_configuration("c1", "00000001")) == 200
 
 
-def _heal(world: World) -> None:
-    world.loop.cuts.clear()
-    world.loop.one_way.clear()
-
-
 # Guards against links of which one end is gone and the other one waits for it for good (incident of issue 68).
 @pytest.mark.parametrize("name", PARTITIONS)
-def test_no_link_stays_half_open_after_a_partition(name: str, tmp_path: Path) -> None:
-    world = World(tmp_path)
-    try:
-        _start(world)
-        PARTITIONS[name](world)
-        world.run_until(world.now + PARTITION_S)
-        _heal(world)
-        world.run_until(world.now + CORE_LIMIT_S)
-        diallers = [program._stores for (_, role), program in world.programs.items() if role == "registry"]
-        assert [stores.heard_count for stores in diallers] == [3, 3, 3]
-        assert [stores.primary() is not None for stores in diallers] == [True, True, True]
-        assert world.programs[("s1", "proxy")]._registries.connected == 2
-        world.run_until(world.now + IDLE_LIMIT_S - CORE_LIMIT_S)
-        assert _half_open(world) == []
-    finally:
-        world.end()
+def test_no_link_stays_half_open_after_a_partition(name: str, world: World) -> None:
+    PARTITIONS[name](world)
+    world.run_until(world.now + PARTITION_S)
+    world.loop.heal()
+    world.run_until(world.now + CORE_LIMIT_S)
+    diallers = [program._stores for (_, role), program in world.programs.items() if role == "registry"]
+    assert [stores.heard_count for stores in diallers] == [3, 3, 3]
+    assert [stores.primary() is not None for stores in diallers] == [True, True, True]
+    assert world.programs[("s1", "proxy")]._registries.connected == 2
+    world.run_until(world.now + IDLE_LIMIT_S - CORE_LIMIT_S)
+    assert _half_open(world) == []
 
 
 # Guards against a proxy that believes what a link reported before its other end was gone.
-def test_backend_that_returns_during_a_partition_is_used_again(tmp_path: Path) -> None:
-    world = World(tmp_path)
-    try:
-        _start(world)
-        world.run_until(world.now + 1.0)
-        peers = world.programs[("s1", "proxy")].peers
-        peer = peers.linked["s2:8300"]
-        assert peer.status.available
-        world.stop_backend("s2")  # the proxies learn that it is away
-        world.backends["s2"].state = "draining"
-        world.loop.run_until_complete(world.send_heartbeat("s2"))
-        world.run_until(world.now + 0.5)
-        assert not peer.status.available
-        _cut(("s1", "s2"))(world)
-        world.run_until(world.now + 1.0)
-        world.new_instance("s2")
-        world.start_backend("s2")
-        world.run_until(world.now + PARTITION_S)
-        _heal(world)
-        world.run_until(world.now + CORE_LIMIT_S)
-        assert peers.linked["s2:8300"].status.available
-        assert peers.linked["s2:8300"].status.instance_id == world.backends["s2"].instance
-    finally:
-        world.end()
+def test_backend_that_returns_during_a_partition_is_used_again(world: World) -> None:
+    world.run_until(world.now + 1.0)
+    peers = world.programs[("s1", "proxy")].peers
+    peer = peers.linked["s2:8300"]
+    assert peer.status.available
+    world.stop_backend("s2")  # the proxies learn that it is away
+    world.backends["s2"].state = "draining"
+    world.loop.run_until_complete(world.send_heartbeat("s2"))
+    world.run_until(world.now + 0.5)
+    assert not peer.status.available
+    _cut(("s1", "s2"))(world)
+    world.run_until(world.now + 1.0)
+    world.new_instance("s2")
+    world.start_backend("s2")
+    world.run_until(world.now + PARTITION_S)
+    world.loop.heal()
+    world.run_until(world.now + CORE_LIMIT_S)
+    assert peers.linked["s2:8300"].status.available
+    assert peers.linked["s2:8300"].status.instance_id == world.backends["s2"].instance
 
 
 # Guards against orders that wait to their deadline for a result that was lost with the link.
-def test_order_is_sent_again_when_its_link_to_the_primary_is_reset(tmp_path: Path) -> None:
-    world = World(tmp_path)
-    try:
-        _start(world)
-        stores = world.programs[("c2", "registry")]._stores
-        order = world.loop.create_task(world.replace_configuration("c2", "00000002"))
-        while not stores._in_flight:
-            world.run_until(world.now + 0.0005)
-        with world.loop.owned_by(world.owners[("c2", "registry")]):
-            stores.primary().abort()
-        world.run_until(world.now + 0.5)
-        assert order.done() and order.result() == 200
-    finally:
-        world.end()
+def test_order_is_sent_again_when_its_link_to_the_primary_is_reset(world: World) -> None:
+    stores = world.programs[("c2", "registry")]._stores
+    order = world.loop.create_task(world.replace_configuration("c2", "00000002"))
+    while not stores._in_flight:
+        world.run_until(world.now + 0.0005)
+    with world.loop.owned_by(world.owners[("c2", "registry")]):
+        stores.primary().abort()
+    world.run_until(world.now + 0.5)
+    assert order.done() and order.result() == 200
