--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,21 +1,21 @@
-"""A backend that answers before it has read a long body never gets the rest of it, and the client is told success.
+"""An acknowledged configuration is never in force: proxies reject the update and are not sent the whole one.
 
-Backends answer an upload once they have read its first part, keep the connection, and read on a little later, as the
-pages allow. The proxy stops sending at the answer, resets the connection, and passes the 200 on. Rule UNASKED: a backend
-runs a request whose body was changed; the upload that the client was told to be taken is lost.
+The operator moves a route to another service and leaves the four limits to their defaults, which are the values that he
+gave before. The configuration is acknowledged, and every proxy goes on with the old one; so it is with the next. Rule CONFIG: machines
+in touch handle requests as only an older version allows, later than `config_apply_ms` after the acknowledgement.
 """
 
 from __future__ import annotations
 
 import asyncio
-import hashlib
 import sys
+from collections import Counter
 from pathlib import Path
+from typing import Any
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
 from harness_2 import (
-    REQUEST_ID,
     Backend,
     ConnectionBroken,
     Machine,
@@ -29,97 +29,85 @@
     run_case,
 )
 
-BODY_BYTES = 8_000_000  # of the 67,108,864 that the configuration allows
-READ_FIRST_BYTES = 64_000
-READS_ON_AFTER_S = 0.3
-DEADLINE_MS = 5000
-UPLOADS = 6
-
-
-class UploadBackend(Backend):
-    """Takes uploads; with `answers_early` it answers after the first part of a body and reads the rest later."""
-
-    def __init__(self, mesh: Mesh, machine: Machine, answers_early: bool) -> None:
-        super().__init__(mesh, machine, work_s=0.0)
-        self.received: dict[str, bytes] = {}  # by request id: the body as far as it came
-        self._answers_early = answers_early
-
-    async def _serve_one(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bool:
-        head = await reader.readuntil(b"\r\n\r\n")
-        lines = head.split(b"\r\n")
-        pairs = [line.partition(b":") for line in lines[1:] if line]
-        headers = {name.strip().lower(): value.strip() for name, _, value in pairs}
-        request_id = headers[REQUEST_ID].decode()
-        id_line = b"Lupinreach-Request-Id: " + request_id.encode() + b"\r\n"
-        if headers.get(b"lupinreach-target-instance", b"").decode() != self.instance_id:
-            writer.write(self._head(421, id_line, 0))
-            return False
-        length = int(headers[b"content-length"])
-        seal = b"Lupinreach-Response-Seal: %b.1\r\n" % self.instance_id.encode()
-        answer = self._head(200, id_line + seal, 0)
-        if self._answers_early:
-            await self._read_body(request_id, reader, min(READ_FIRST_BYTES, length))
-            writer.write(answer)
-            self._mesh.record.write(f"backend answers 200 to {request_id}, and reads on later")
-            await asyncio.sleep(READS_ON_AFTER_S)
-        await self._read_body(request_id, reader, length - len(self.received.get(request_id, b"")))
-        self._mesh.record.write(
-            f"backend has {len(self.received[request_id])} of {length} bytes of {request_id}"
-        )
-        if not self._answers_early:
-            writer.write(answer)
-        return len(self.received[request_id]) == length
-
-    async def _read_body(self, request_id: str, reader: asyncio.StreamReader, count: int) -> None:
-        parts = [self.received.get(request_id, b"")]
+WORK_S = 0.02
+DEADLINE_MS = 2000
+APPLY_S = 2.0  # `config_apply_ms`
+MARGIN_S = 0.5
+WATCHED_S = 20.0  # requests are judged for this long after each change
+INTERVAL_S = 0.5  # between two requests to each proxy
+OLD_SERVICE, NEW_SERVICE = "desk", "till"
+
+
+def version(number: int, service: str, with_limits: bool, new_routes: int = 0) -> dict[str, Any]:
+    """A configuration whose route `/read/` goes to a service, with four further routes and some new ones."""
+    routes = [route("/read/", "safe", DEADLINE_MS, 400, target_service=service)]
+    routes += [route(f"/other-{index}/", "safe", DEADLINE_MS, 400) for index in range(4)]
+    routes += [route(f"/new-{index}/", "safe", DEADLINE_MS, 400) for index in range(new_routes)]
+    whole = configuration(number, routes)
+    whole["services"].append(whole["services"][0] | {"name": NEW_SERVICE})
+    if not with_limits:
+        whole["limits"] = {}  # each limit has the value of `configuration` by default
+    return whole
+
+
+class Checker:
+    """Sends requests to each proxy and compares who ran them with the configuration in force."""
+
+    def __init__(self, record: Record, mesh: Mesh, backends: list[Backend]) -> None:
+        self.stale: Counter[str] = Counter()
+        self.checked = 0
+        self._record = record
+        self._mesh = mesh
+        self._services = {
+            backend.instance_id: machine.service
+            for backend, machine in zip(backends, mesh.sidecars, strict=True)
+        }
+
+    async def watch(self, path: str, expected: str) -> None:
+        """Judge requests to each proxy for `WATCHED_S`; only successes and 404 say which version was used."""
+        end = self._record.now() + WATCHED_S
+        while self._record.now() < end:
+            for machine in self._mesh.sidecars:
+                await self._check(machine, path, expected)
+            await asyncio.sleep(INTERVAL_S)
+
+    async def _check(self, machine: Machine, path: str, expected: str) -> None:
         try:
-            while count > 0 and (part := await reader.read(min(count, 65536))):
-                parts.append(part)
-                count -= len(part)
-        except ConnectionError as ended:
-            self._mesh.record.write(f"backend: connection of {request_id} ended, {ended!r}")
-        self.received[request_id] = b"".join(parts)
-
-
-async def upload(record: Record, machine: Machine, request_id: str, body: bytes) -> int:
-    """Send one upload; returns the status of a sealed answer, else 0."""
-    try:
-        async with asyncio.timeout(DEADLINE_MS / 1000 + 0.5):
-            reader, writer = await asyncio.open_connection(*machine.address("outbound"))
-            writer.write(request_bytes("POST", "/upload/photo", request_id, DEADLINE_MS, body))
-            answer = await read_response(reader)
-            writer.close()
-    except (OSError, TimeoutError, ConnectionBroken) as failed:
-        record.write(f"client: {request_id} got no answer, {failed!r}")
-        return 0
-    record.write(
-        f"client gets {answer.status} ({'sealed' if answer.sealed else 'without a seal'}) for {request_id}"
-    )
-    return answer.status if answer.sealed else 0
+            async with asyncio.timeout(DEADLINE_MS / 1000):
+                reader, writer = await asyncio.open_connection(*machine.address("outbound"))
+                writer.write(request_bytes("GET", path, new_request_id(), DEADLINE_MS))
+                answer = await read_response(reader)
+                writer.close()
+        except (OSError, TimeoutError, ConnectionBroken) as failed:
+            self._record.write(f"client at {machine.name}: no answer, {failed!r}")
+            return
+        instance = answer.headers.get(b"lupinreach-response-seal", b"").decode().rpartition(".")[0]
+        found = self._services.get(instance) if instance else str(answer.status)
+        if answer.status != 404 and not instance:
+            return
+        self.checked += 1
+        if found != expected:
+            self.stale[machine.name] += 1
+            self._record.write(f"CONFIG: GET {path} at {machine.name}: {found}, not {expected}")
 
 
 async def case(record: Record, folder: Path, trouble: bool) -> bool:
     """Play the case; returns whether the rule held."""
     mesh = Mesh(record, folder)
-    backends = [UploadBackend(mesh, machine, answers_early=trouble) for machine in mesh.sidecars]
+    mesh.sidecars[2].service = NEW_SERVICE
+    backends = [Backend(mesh, machine, WORK_S) for machine in mesh.sidecars]
     try:
-        await mesh.start(configuration(1, [route("/upload/", "upload", DEADLINE_MS, 800)]), backends)
-        await asyncio.sleep(2.0)
-        broken = 0
-        for number in range(UPLOADS):
-            request_id = new_request_id()
-            body = hashlib.sha256(request_id.encode()).digest() * (BODY_BYTES // 32)
-            record.write(f"client sends {request_id}, {len(body)} bytes")
-            status = await upload(record, mesh.sidecars[number % len(mesh.sidecars)], request_id, body)
-            await asyncio.sleep(2 * READS_ON_AFTER_S)
-            got = next((b.received[request_id] for b in backends if request_id in b.received), b"")
-            if status == 200 and got != body:
-                broken += 1
-                record.write(
-                    f"UNASKED: {request_id} was answered 200, and its backend got {len(got)} of {len(body)} bytes"
-                )
-        record.write(f"{UPLOADS} sent, {broken} taken in part and answered 200")
-        return not broken
+        await mesh.start(version(1, OLD_SERVICE, with_limits=True), backends)
+        await asyncio.sleep(5.0)
+        checker = Checker(record, mesh, backends)
+        await mesh.order(version(2, NEW_SERVICE, with_limits=not trouble))
+        await asyncio.sleep(APPLY_S + MARGIN_S)
+        await checker.watch("/read/ticket", NEW_SERVICE)
+        await mesh.order(version(3, NEW_SERVICE, with_limits=not trouble, new_routes=1))
+        await asyncio.sleep(APPLY_S + MARGIN_S)
+        await checker.watch("/new-0/ticket", OLD_SERVICE)
+        record.write(f"{checker.checked} requests judged, handled by an older version: {dict(checker.stale)}")
+        return not checker.stale
     finally:
         await mesh.stop_all()
 
