--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -116,14 +116,12 @@
     return Response(int(lines[0].split(b" ")[1]), headers, body)
 
 
-async def call(
-    address: tuple[str, int], method: str, path: str, body: bytes = b"", extra: str = ""
-) -> Response:
+async def call(address: tuple[str, int], method: str, path: str, body: bytes = b"") -> Response:
     """One request on a connection of its own; raises OSError, TimeoutError or ConnectionBroken."""
     async with asyncio.timeout(CALL_TIMEOUT_S):
         reader, writer = await asyncio.open_connection(*address)
         try:
-            head = f"{method} {path} HTTP/1.1\r\nHost: control\r\n{extra}Content-Length: {len(body)}\r\n\r\n"
+            head = f"{method} {path} HTTP/1.1\r\nHost: control\r\nContent-Length: {len(body)}\r\n\r\n"
             writer.write(head.encode() + body)
             return await read_response(reader)
         finally:
@@ -433,7 +431,7 @@
             await process.wait()
 
     async def start(self, configuration: dict[str, Any], backends: list[Backend]) -> None:
-        """Start everything; returns once each proxy is ready and each backend is used."""
+        """Start everything; returns once each proxy is ready."""
         for machine in self.machines:
             await self.launch_all(machine, first_start=True)
         for backend in backends:
@@ -551,12 +549,16 @@
     record.write(f"start, {'with' if trouble else 'without'} the disruption")
 
     async def bounded() -> bool:
+        task = asyncio.current_task()
+        assert task is not None
+        # A case that is told to end still ends all processes that it started.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         async with asyncio.timeout(timeout_s):
             return await case(record, work_folder, trouble)
 
     try:
         held = asyncio.run(bounded())
-    except (CannotRun, OSError, TimeoutError) as failed:
+    except (CannotRun, OSError, TimeoutError, asyncio.CancelledError) as failed:
         record.write(f"the case could not run: {failed!r}")
         print(f"the case could not run: {failed!r}", file=sys.stderr)
         return NOT_RUN
