--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -153,9 +153,9 @@
         machine: Machine,
         work_s: float,
         answer_bytes: int = 1000,
-        instance_id: str = "",
+        receive_buffer_bytes: int = 0,
     ) -> None:
-        self.instance_id = instance_id or f"i-{random.getrandbits(32):08x}"
+        self.instance_id = f"i-{random.getrandbits(32):08x}"
         self.work_s = work_s
         self.answer_bytes = answer_bytes
         self.state = "ready"
@@ -165,6 +165,7 @@
         self.requests: list[tuple[float, str, str, bytes]] = []  # when, id, method, path
         self._mesh = mesh
         self._machine = machine
+        self._receive_buffer_bytes = receive_buffer_bytes  # of each connection; 0: as the system has it
         self._slots = asyncio.Semaphore(SLOTS)
         self._waiting = 0
         self._connections: set[asyncio.Task[None]] = set()
@@ -174,7 +175,12 @@
 
     async def start(self) -> None:
         """Listen, and begin to send heartbeats."""
-        self._server = await asyncio.start_server(self._serve, self._machine.host, APP_PORT)
+        listener = socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        if self._receive_buffer_bytes:
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self._receive_buffer_bytes)
+        listener.bind((self._machine.host, APP_PORT))
+        self._server = await asyncio.start_server(self._serve, sock=listener)
         self._heartbeats = asyncio.create_task(self._send_heartbeats())
 
     async def end(self) -> None:
