--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,7 +1,8 @@
 """An acknowledged configuration is never in force: proxies reject the update and are not sent the whole one.
 
-The operator moves a route to another service and leaves the four limits to their defaults, which are the values that he
-gave before. The configuration is acknowledged, and every proxy goes on with the old one; so it is with the next. Rule CONFIG: machines
+The first configuration leaves the four limits to their defaults. Then the operator moves a route to another service, and
+spells the limits out with the same values. The configuration is acknowledged, and every proxy goes on with the first one;
+so it is with the next, which adds a route. Rule CONFIG: machines
 in touch handle requests as only an older version allows, later than `config_apply_ms` after the acknowledgement.
 """
 
@@ -97,13 +98,13 @@
     mesh.sidecars[2].service = NEW_SERVICE
     backends = [Backend(mesh, machine, WORK_S) for machine in mesh.sidecars]
     try:
-        await mesh.start(version(1, OLD_SERVICE, with_limits=True), backends)
+        await mesh.start(version(1, OLD_SERVICE, with_limits=not trouble), backends)
         await asyncio.sleep(5.0)
         checker = Checker(record, mesh, backends)
-        await mesh.order(version(2, NEW_SERVICE, with_limits=not trouble))
+        await mesh.order(version(2, NEW_SERVICE, with_limits=True))
         await asyncio.sleep(APPLY_S + MARGIN_S)
         await checker.watch("/read/ticket", NEW_SERVICE)
-        await mesh.order(version(3, NEW_SERVICE, with_limits=not trouble, new_routes=1))
+        await mesh.order(version(3, NEW_SERVICE, with_limits=True, new_routes=1))
         await asyncio.sleep(APPLY_S + MARGIN_S)
         await checker.watch("/new-0/ticket", OLD_SERVICE)
         record.write(f"{checker.checked} requests judged, handled by an older version: {dict(checker.stale)}")
