A departure is recorded by the stores before it is acknowledged; a restart asks for it

Cause, class: an acknowledgement whose content is in the memory of processes that may all end. Now they are part of the stores' document: recorded on the disks of all copies first, whichever way they come. A restarted proxy asks what is recorded of it, by a read that all copies confirm; until it knows, its gate takes nothing for the backend. Where the stores can't confirm, the call is refused at once and the gate holds to the departure.

--- a/lupinreach/mesh/errors.py
+++ b/lupinreach/mesh/errors.py
@@ -40,6 +40,9 @@
     PROXY_UNREACHABLE = 30  # the proxy of the backend that sent the request does not respond
     ORDER_SUPERSEDED = 31  # another evacuation was ordered after the state that the registry knew
     CALL_TOO_OLD = 32  # it may have waited here for so long that its caller has given it up
+    DEPARTURE_NOT_RECORDED = (
+        33  # the backend gets no new requests, but that would be forgotten with this process
+    )
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,6 +81,9 @@
     ),
     ErrorKind.ORDER_SUPERSEDED: ErrorResponse(503, "another evacuation was ordered meanwhile", retry=True),
     ErrorKind.CALL_TOO_OLD: ErrorResponse(503, "the call may have waited here for too long", retry=True),
+    ErrorKind.DEPARTURE_NOT_RECORDED: ErrorResponse(
+        503, "the stores have not recorded that this backend leaves", retry=True
+    ),
     ErrorKind.VERSION_CONFLICT: ErrorResponse(409, "this version is held with another content"),
     ErrorKind.BODY_TIMED_OUT: ErrorResponse(408, "the request body took too long"),
 }
--- a/lupinreach/mesh/messages/registry.py
+++ b/lupinreach/mesh/messages/registry.py
@@ -116,9 +116,21 @@
 
 @register
 @dataclass(slots=True)
-class DepartedInstances(Message):
-    """Backends beside a proxy that are draining or have signed off, also in its earlier lives."""
+class RecordDepartures(Message):
+    """Asks a registry to have the stores record which backends leave; without any it only asks what is recorded."""
 
-    NUMBER: ClassVar[int] = 39
-    address: str = ""  # of the proxy
+    NUMBER: ClassVar[int] = 40
+    number: int = 0
+    address: str = ""  # of the proxy beside these backends
     instances: list[str] = field(default_factory=list)
+
+
+@register
+@dataclass(slots=True)
+class DeparturesRecorded(Message):
+    """Answer to `RecordDepartures` with the same number."""
+
+    NUMBER: ClassVar[int] = 41
+    number: int = 0
+    recorded: bool = False  # false: not confirmed by the stores, and given up
+    instances: list[str] = field(default_factory=list)  # all that are recorded of that proxy
--- a/lupinreach/mesh/messages/stores.py
+++ b/lupinreach/mesh/messages/stores.py
@@ -35,6 +35,7 @@
     healthy: bool = True  # the sender's disk accepts writes
     leaving: bool = False  # the sender's process is shutting down
     in_majority: bool = True  # the sender and a majority of the voters reach each other
+    records_departures: bool = False  # the sender executes `OrderKind.RECORD_DEPARTURES`
 
 
 @register
--- a/lupinreach/mesh/proxy/gate.py
+++ b/lupinreach/mesh/proxy/gate.py
@@ -59,10 +59,9 @@
     def on_heartbeat(self, instance_id: str, heartbeat: Heartbeat) -> None:
         """Apply a heartbeat of the backend."""
         replaced = instance_id != self.backend.instance_id
-        if self.backend.on_heartbeat(instance_id, heartbeat, self._now()):
-            if replaced:
-                self._pool.close_idle()
-            self.refresh()
+        if self.backend.on_heartbeat(instance_id, heartbeat, self._now()) and replaced:
+            self._pool.close_idle()
+        self.refresh()
 
     def on_deregister(self, instance_id: str) -> None:
         """Apply the deregistration of the backend."""
@@ -70,10 +69,17 @@
         self.refresh()
 
     def on_departed(self, instances: list[str]) -> None:
-        """Apply the departures that an earlier life of this proxy acknowledged."""
+        """Apply departures that this proxy acknowledged, also in an earlier life."""
         self.backend.on_departed(instances)
         self.refresh()
 
+    def on_departures_learned(self, confirmed: bool) -> None:
+        """Believe heartbeats from now on; those before only if the stores have confirmed which backends had left."""
+        if not confirmed:
+            self.backend.forget_heartbeats()
+        self.backend.on_departures_learned()
+        self.refresh()
+
     def on_evacuation_end(self) -> None:
         """Assume a cold backend after an evacuation of its zone: it may have gone cold without requests."""
         self.backend.assume_cold(self._now() + ASSUMED_COLD_AFTER_EVACUATION_S)
--- a/lupinreach/mesh/proxy/inbound.py
+++ b/lupinreach/mesh/proxy/inbound.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 from lupinreach.mesh.link import Address, Link, listen
@@ -41,7 +41,7 @@
         configuration: ConfigurationState,
         gossip: Gossip,
         describe: Callable[[], dict[str, Any]],
-        on_heartbeat: Callable[[ForwardedHeartbeat], bool],
+        on_heartbeat: Callable[[ForwardedHeartbeat], Awaitable[bool]],
         bandwidth_mbps: float,
         budget: BufferBudget,
     ) -> None:
@@ -95,11 +95,14 @@
         elif isinstance(message, StateUpdatePull):
             link.send(self._configuration.to_message())
         elif isinstance(message, ForwardedHeartbeat):
-            if self._on_heartbeat(message):
-                link.send(HeartbeatAccepted(message.number))
+            spawn(self._forwarded_heartbeat(link, message))
         elif isinstance(message, Describe):
             link.send(Description(self._describe()))
 
+    async def _forwarded_heartbeat(self, link: Link, message: ForwardedHeartbeat) -> None:
+        if await self._on_heartbeat(message):
+            link.send(HeartbeatAccepted(message.number))
+
     def _age_s(self, link: Link, sent_at: float) -> float:
         delay = self._delays.setdefault(link, LinkDelay())
         return delay.age_s(sent_at, asyncio.get_running_loop().time())
--- a/lupinreach/mesh/proxy/local_backend.py
+++ b/lupinreach/mesh/proxy/local_backend.py
@@ -64,12 +64,14 @@
         self._superseded: dict[str, _Superseded] = {}  # by instance
         self._deregistered: dict[str, None] = {}
         self.departed: dict[str, None] = {}  # instances that were ever draining or signed off, oldest first
-        self.departure_count = 0  # of all that were noted
+        self.departures_known = (
+            True  # false in a restarted proxy that does not know what it acknowledged before
+        )
 
     @property
     def serving(self) -> bool:
         """True if it takes new requests."""
-        return self.state is BackendState.READY
+        return self.state is BackendState.READY and self.departures_known
 
     def cold_s(self, now: float) -> float:
         """Return the seconds for which it stays cold, as far as is known."""
@@ -83,6 +85,8 @@
         A heartbeat of an unknown instance may be a late one of an instance that ended long ago. The one that it
         supersedes therefore returns if it goes on sending heartbeats.
         """
+        if heartbeat.state != "ready":
+            self._depart(instance_id)
         if instance_id in self._deregistered:
             return False
         if instance_id in self.departed and self.instance_id not in ("", instance_id):
@@ -99,8 +103,6 @@
         self.capacity = max(1, heartbeat.capacity)
         self.cold_until = now + heartbeat.cold_remaining_ms / 1000
         self._cold_assumed = False
-        if heartbeat.state != "ready":
-            self._note_departure(instance_id)
         self.state = BackendState.DRAINING if instance_id in self.departed else BackendState.READY
         return True
 
@@ -115,24 +117,33 @@
 
     def on_deregister(self, instance_id: str) -> None:
         """Apply a deregistration."""
-        self._note_departure(instance_id)
+        self._depart(instance_id)
         self._deregistered[instance_id] = None
         _forget_oldest(self._deregistered)
         if instance_id == self.instance_id:
             self.state = BackendState.DEREGISTERED
 
     def on_departed(self, instances: list[str]) -> None:
-        """Apply the departures that an earlier life of the proxy acknowledged: these instances get no new requests."""
+        """Apply departures that this proxy acknowledged, also in an earlier life: these instances get no new requests."""
         for instance_id in instances:
-            self._note_departure(instance_id)
-        if self.instance_id in self.departed and self.state is not BackendState.DEREGISTERED:
-            self.state = BackendState.DRAINING
+            self._depart(instance_id)
 
-    def _note_departure(self, instance_id: str) -> None:
-        if instance_id not in self.departed:
-            self.departed[instance_id] = None
-            self.departure_count += 1
-            _forget_oldest(self.departed)
+    def on_departures_learned(self) -> None:
+        """All acknowledged departures are known."""
+        self.departures_known = True
+
+    def forget_heartbeats(self) -> None:
+        """Go back to the state before the first heartbeat, as those received may be from before a departure."""
+        self.instance_id = ""
+        self.state = BackendState.UNKNOWN
+        self._sequence = -1
+
+    def _depart(self, instance_id: str) -> None:
+        """Note that an instance leaves, for good."""
+        self.departed[instance_id] = None
+        _forget_oldest(self.departed)
+        if instance_id == self.instance_id and self.state is not BackendState.DEREGISTERED:
+            self.state = BackendState.DRAINING
 
     def on_connection_refused(self) -> None:
         """Note that a connection to it was refused, so nothing listens at its address."""
--- a/lupinreach/mesh/proxy/program.py
+++ b/lupinreach/mesh/proxy/program.py
@@ -16,9 +16,10 @@
 from lupinreach.mesh.evacuations import active_zones
 from lupinreach.mesh.events import Event, EventLog
 from lupinreach.mesh.instance_calls import add_instance_calls, parse_heartbeat
-from lupinreach.mesh.messages import AgentEntry, AgentHello, ForwardedHeartbeat
+from lupinreach.mesh.messages import AgentEntry, AgentHello, ForwardedHeartbeat, Message
 from lupinreach.mesh.metrics import Metric
 from lupinreach.mesh.proxy.configuration_state import ConfigurationState
+from lupinreach.mesh.proxy.departure_reporter import DepartureReporter
 from lupinreach.mesh.proxy.gate import Gate
 from lupinreach.mesh.proxy.gossip import Gossip
 from lupinreach.mesh.proxy.inbound import Inbound
@@ -71,6 +72,7 @@
         self._address = settings.listen_addresses["inbound"]
         self.configuration = ConfigurationState()
         self.backend = LocalBackend(settings.target_service)
+        self.backend.departures_known = settings.first_start
         self.gate = Gate(self.backend, settings.app_address, settings.zone, self.configuration)
         self.peers = PeerTable(self._address, settings.zone, lambda: self.configuration.version)
         self.peers.add_local(LocalPeer(self._address, settings.zone, self.gate))
@@ -109,6 +111,7 @@
         readiness.add("GET", "readiness", call=self._readiness)
         self._readiness_server = HttpServer(readiness.handle, on_fault=self._on_fault)
         self._registries: RegistryClient | None = None
+        self._departures = DepartureReporter(self._address, self._send_to_registries, self._on_departed)
 
     async def start(self) -> None:
         """Open the listeners and the links to registries."""
@@ -128,10 +131,11 @@
             self._own_entry,
             self.configuration,
             self._on_registry_entry,
-            self.backend,
-            self._on_departed,
+            self._departures.on_answer,
             self._log,
         )
+        if not settings.first_start:
+            self._departures.learn(self.gate.on_departures_learned)
         self._housekeeping_task = spawn(self._housekeeping())
 
     def _on_fault(self, fault: BaseException) -> None:
@@ -146,41 +150,49 @@
         self._change_backend(lambda: self.gate.on_deregister(instance_id))
 
     def _on_departed(self, instances: list[str]) -> None:
-        """Apply what an earlier life of this proxy told the registries."""
+        """Apply what the stores have recorded of this proxy, also in an earlier life."""
         self._change_backend(lambda: self.gate.on_departed(instances))
 
+    def _send_to_registries(self, message: Message) -> int:
+        return self._registries.broadcast(message) if self._registries is not None else 0
+
     def _change_backend(self, change: Callable[[], None]) -> None:
-        """Make a change of the backend's state; log it, and report departures before anybody is answered."""
+        """Make a change of the backend's state, and log it."""
         previous = (self.backend.instance_id, self.backend.state)
-        departures = self.backend.departure_count
         change()
-        if departures != self.backend.departure_count and self._registries is not None:
-            self._registries.announce_departures()
         if previous != (self.backend.instance_id, self.backend.state):
             self._log_backend_change()
 
     async def heartbeat(
         self, instance_id: str, body: bytes, heartbeat: Heartbeat, arrived_after: float
     ) -> Result[str, ErrorKind]:
-        """Handle a heartbeat of the backend beside this proxy."""
+        """Handle a heartbeat of the backend beside this proxy; one that it leaves is acknowledged once recorded."""
         self._on_heartbeat(instance_id, heartbeat)
-        return Ok("")
+        if heartbeat.state == "ready":
+            return Ok("")
+        return await self._record_departure(instance_id)
 
     async def sign_off(self, instance_id: str, arrived_after: float) -> Result[str, ErrorKind]:
         """Handle the deregistration of the backend beside this proxy."""
         self._on_deregister(instance_id)
-        return Ok("")
+        return await self._record_departure(instance_id)
+
+    async def _record_departure(self, instance_id: str) -> Result[str, ErrorKind]:
+        """Have the stores record what the gate holds to already, so that it outlives this process."""
+        if await self._departures.report(instance_id):
+            return Ok("")
+        return Err(ErrorKind.DEPARTURE_NOT_RECORDED)
 
-    def _on_forwarded_heartbeat(self, forwarded: ForwardedHeartbeat) -> bool:
+    async def _on_forwarded_heartbeat(self, forwarded: ForwardedHeartbeat) -> bool:
         """Handle a heartbeat or deregistration that a registry forwards; return true once it is in force."""
+        now = asyncio.get_running_loop().time()
         if forwarded.body is None:
-            self._on_deregister(forwarded.instance_id)
-            return True
+            return isinstance(await self.sign_off(forwarded.instance_id, now), Ok)
         parsed = parse_heartbeat(forwarded.body)
         if isinstance(parsed, Err):
             return False
-        self._on_heartbeat(forwarded.instance_id, parsed.ok_value)
-        return True
+        handled = await self.heartbeat(forwarded.instance_id, forwarded.body, parsed.ok_value, now)
+        return isinstance(handled, Ok)
 
     def _log_backend_change(self) -> None:
         self._log.write(
--- a/lupinreach/mesh/proxy/registry_client.py
+++ b/lupinreach/mesh/proxy/registry_client.py
@@ -11,7 +11,7 @@
 from lupinreach.mesh.messages import (
     AgentEntry,
     AgentHello,
-    DepartedInstances,
+    DeparturesRecorded,
     Message,
     RegistryStatus,
     StateUpdate,
@@ -19,7 +19,6 @@
     StateUpdatePull,
 )
 from lupinreach.mesh.proxy.configuration_state import ConfigurationState
-from lupinreach.mesh.proxy.local_backend import LocalBackend
 from lupinreach.mesh.proxy.registry_link import LossReason, RegistryLink
 from lupinreach.mesh.rendezvous import rendezvous_rank
 from lupinreach.mesh.tasks import spawn
@@ -44,8 +43,7 @@
         own_entry: Callable[[], AgentEntry],
         configuration: ConfigurationState,
         on_entry: Callable[[AgentEntry], None],
-        backend: LocalBackend,
-        on_departed: Callable[[list[str]], None],
+        on_departures: Callable[[DeparturesRecorded], None],
         log: EventLog,
     ) -> None:
         self._address = address  # of this proxy
@@ -54,8 +52,7 @@
         self._own_entry = own_entry
         self._configuration = configuration
         self._on_entry = on_entry
-        self._backend = backend
-        self._on_departed = on_departed
+        self._on_departures = on_departures
         self._log = log
         self._zones_by_address: dict[str, str] = dict.fromkeys(
             seeds, ""
@@ -162,8 +159,6 @@
         registry_link.on_up(asyncio.get_running_loop().time())
         link.send(self._hello())
         link.send(self._own_entry())
-        if self._backend.departed:
-            link.send(DepartedInstances(self._address, list(self._backend.departed)))
         self._log.write(Event.REGISTRY_UP, registry=registry_link.address)
 
     def _on_link_down(self, registry_link: RegistryLink) -> None:
@@ -182,8 +177,8 @@
             )
         elif isinstance(message, AgentEntry):
             self._on_entry(message)
-        elif isinstance(message, DepartedInstances):
-            self._on_departed(message.instances)
+        elif isinstance(message, DeparturesRecorded):
+            self._on_departures(message)
         elif isinstance(message, RegistryStatus):
             registry_link.on_status(message, asyncio.get_running_loop().time())
             for address, zone in message.registries:
@@ -193,15 +188,14 @@
 
     def announce(self) -> None:
         """Send this proxy's current entry to the registries."""
-        entry = self._own_entry()
-        for registry_link in self._links:
-            registry_link.send(entry)
-
-    def announce_departures(self) -> None:
-        """Tell the registries which backends leave, so that the next life of this proxy learns of them."""
-        message = DepartedInstances(self._address, list(self._backend.departed))
-        for registry_link in self._links:
-            registry_link.send(message)
+        self.broadcast(self._own_entry())
+
+    def broadcast(self, message: Message) -> int:
+        """Send a message to all linked registries; returns their number."""
+        links = [one.link for one in self._links if one.link is not None]
+        for link in links:
+            link.send(message)
+        return len(links)
 
     @property
     def silent_s(self) -> float:
--- a/lupinreach/mesh/registry/agents.py
+++ b/lupinreach/mesh/registry/agents.py
@@ -36,10 +36,6 @@
         """The proxies with a link to this registry."""
         return [known for known in self._by_address.values() if known.link is not None]
 
-    def find(self, address: str) -> KnownProxy | None:
-        """The proxy with this address, if it is in the table."""
-        return self._by_address.get(address)
-
     def local_proxy_address(self, instance_id: str, host: str) -> str | None:
         """Address of the proxy beside a backend, found by the backend's instance or else by its host."""
         on_host = None
--- a/lupinreach/mesh/registry/orders.py
+++ b/lupinreach/mesh/registry/orders.py
@@ -20,6 +20,7 @@
     Subscribe,
 )
 from lupinreach.mesh.registry.operator_order import OperatorOrder, OrderFailure, OrderOutcome
+from lupinreach.mesh.store.document import OrderKind
 
 CUT_OFF_AFTER_S = 2.5  # longer than a takeover; without a primary for this long orders are rejected at once
 RETRY_INTERVAL_S = 0.05
@@ -34,6 +35,7 @@
     epoch: int = -1
     serving: bool = False
     in_majority: bool = True
+    records_departures: bool = False
     zone: str = ""  # of its machine; empty until a store has reported it
 
     @property
@@ -41,6 +43,10 @@
         """The link to it, None while it is down."""
         return self.dialer.link if self.dialer is not None else None
 
+    def executes(self, order: OperatorOrder) -> bool:
+        """Whether its release knows the kind of an order."""
+        return self.records_departures or order.kind is not OrderKind.RECORD_DEPARTURES
+
     @property
     def heard(self) -> bool:
         """Whether it answered a ping lately."""
@@ -118,6 +124,7 @@
         if isinstance(message, StoreStatus):
             store.epoch, store.serving = message.epoch, message.serving
             store.in_majority = message.in_majority
+            store.records_departures = message.records_departures
             for _, host, zone, _ in message.stores:
                 self.dial(host, zone)
         elif isinstance(message, OrderResult):
@@ -181,8 +188,9 @@
         if not self.in_contact() and (self.isolated or loop.time() - self._primary_seen_at > CUT_OFF_AFTER_S):
             return Err(OrderFailure(ErrorKind.NO_PRIMARY))
         while not order.expired(loop.time()):
-            link = self.primary()
-            if link is None:
+            store = self._primary_store()
+            link = store.link if store is not None else None
+            if store is None or link is None or not store.executes(order):
                 order.no_primary()
             else:
                 result = await self._send_order(link, order)
--- a/lupinreach/mesh/registry/program.py
+++ b/lupinreach/mesh/registry/program.py
@@ -19,10 +19,10 @@
     AgentEntry,
     AgentHello,
     AliveAgents,
-    DepartedInstances,
     Describe,
     Description,
     Message,
+    RecordDepartures,
     RegistryHello,
     RegistryStatus,
     StateUpdate,
@@ -32,7 +32,7 @@
 )
 from lupinreach.mesh.metrics import Metric
 from lupinreach.mesh.registry.agents import AgentTable
-from lupinreach.mesh.registry.departures import DepartureTable
+from lupinreach.mesh.registry.departure_recorder import DepartureRecorder
 from lupinreach.mesh.registry.entry_feed import EntryFeed
 from lupinreach.mesh.registry.heartbeat_forwarder import HeartbeatForwarder
 from lupinreach.mesh.registry.news_feed import NewsFeed
@@ -58,9 +58,9 @@
         self.agents = AgentTable()
         self._registries: dict[str, Dialer] = {}  # by host
         self._entries = EntryFeed(self.agents)
-        self._departures = DepartureTable()
         self._told_status = RegistryStatus()  # the last one that the proxies were sent
         self._stores = StoreLinks(settings.store_port, lambda: self.feed.history.version, self._on_news, log)
+        self._departures = DepartureRecorder(self._stores)
         self.feed = NewsFeed(self._stores.in_contact, log)
         calls = Dispatcher()
         calls.add("POST", "configuration", "replace", call=self._replace_configuration)
@@ -121,7 +121,6 @@
         for entry in self.agents.expire(now):
             self._log.write(Event.AGENT_REMOVED, agent=entry.address)
             self._entries.changed(entry)
-        self._departures.expire(now)
 
     # Other registries.
 
@@ -137,8 +136,6 @@
         link.send(RegistryHello(f"{self._settings.ip_address}:{self._settings.registry_port}"))
         for known in self.agents.connected():
             link.send(known.entry)
-        for address in self._departures.addresses():
-            link.send(DepartedInstances(address, self._departures.of(address)))
 
     def _send_to_registries(self, message: Message) -> None:
         data = encode(message)
@@ -158,8 +155,8 @@
             self._on_agent(link, message, now)
         elif isinstance(message, AgentEntry):
             self._on_entry(link, message, now)
-        elif isinstance(message, DepartedInstances):
-            self._on_departed(link, message, now)
+        elif isinstance(message, RecordDepartures):
+            self._departures.on_request(link, message)
         elif isinstance(message, StateUpdateAcknowledged):
             self.feed.on_acknowledged(link, message)
         elif isinstance(message, StateUpdatePull):
@@ -180,9 +177,6 @@
         self.agents.connect(hello.address, hello.life, link, now)
         self._log.write(Event.AGENT_JOINED, agent=hello.address)
         link.send(self._status(with_registries=True))
-        departed = self._departures.of(hello.address)
-        if departed:
-            link.send(DepartedInstances(hello.address, departed))
         self.feed.join(link, hello)
         self._entries.join(link)
 
@@ -193,17 +187,6 @@
         if link.owner is not None:
             self._send_to_registries(entry)
 
-    def _on_departed(self, link: Link, message: DepartedInstances, now: float) -> None:
-        """Pass a proxy's report on to the other registries, and one of theirs on to the proxy."""
-        if not self._departures.add(message.address, message.instances, now):
-            return
-        if link.owner is not None:
-            self._send_to_registries(message)
-            return
-        known = self.agents.find(message.address)
-        if known is not None and known.link is not None:
-            known.link.send(message)
-
     def _status(self, with_registries: bool) -> RegistryStatus:
         port = self._settings.registry_port
         zones = self._stores.zones if with_registries else {}
--- a/lupinreach/mesh/store/program.py
+++ b/lupinreach/mesh/store/program.py
@@ -236,6 +236,7 @@
             replica.healthy,
             replica.leaving,
             self._is_in_majority(),
+            records_departures=True,
         )
 
     def describe(self) -> dict[str, Any]:
--- a/lupinreach/mesh/store/serving.py
+++ b/lupinreach/mesh/store/serving.py
@@ -11,7 +11,7 @@
 
 from lupinreach.mesh.errors import ErrorKind
 from lupinreach.mesh.messages import Message, Order, OrderResult, Outdated, Write, Written
-from lupinreach.mesh.store.document import Document, OrderKind, Outcome
+from lupinreach.mesh.store.document import DepartureRecord, Document, OrderKind, Outcome
 from lupinreach.mesh.store.state import StoreState
 
 RESEND_AFTER_S = 0.3  # a write that a backup has not answered for this long is sent again
@@ -107,7 +107,7 @@
         state = self._state
         if self._held.get(identity) == previous.sequence:
             base = previous.sequence
-            values = document.to_list(with_config=document.version != previous.version)
+            values = document.to_list(held=previous)
         else:
             base, values = FULL_DOCUMENT, document.to_list()
         view = state.view
@@ -180,6 +180,9 @@
             )
         elif order.kind == OrderKind.READ_CONFIGURATION:
             result = OrderResult(order.number, 0, done.document.config)
+        elif order.kind == OrderKind.RECORD_DEPARTURES:
+            recorded = done.document.departures_of(DepartureRecord.unpack(order.payload))
+            result = OrderResult(order.number, 0, recorded.pack())
         else:
             result = OrderResult(order.number)
         answers.append((pending, result))
--- a/tests/mesh/control_soak.py
+++ b/tests/mesh/control_soak.py
@@ -18,11 +18,13 @@
 SILENCE_S = 1.0  # after which callers turn to another agent
 EVACUATION_LIMIT_S = 5.0  # from the acknowledgement until no request reaches the zone
 UNSETTLED_CORE_S = 5.0  # by which trouble in the core extends it
+CATCH_UP_S = 4.0  # after which a core machine counts as back
 DRAIN_LIMIT_S = 2.0  # from the acknowledgement until no request reaches a backend that leaves
 EVENT_KINDS = (
     *("evacuate",) * 4,
     *("leave",) * 3,
     *("core_freeze",) * 4,
+    *("kill_all",) * 2,
     *("order", "term", "kill", "freeze", "core_kill"),
 )
 
@@ -92,6 +94,27 @@
             await asyncio.sleep(0.05 * attempt)
         return False
 
+    # Faults.
+
+    async def _do_kill_all(self) -> None:
+        """Kill all processes that run at one moment; they return within a second, with their disks."""
+        if self.busy & set(self.world.cores):
+            return
+        hosts = sorted(set(self.world.zones) - self.busy)
+        self.busy |= set(hosts)
+        down_s = {host: self.rng.uniform(0.1, 1.0) for host in hosts}
+        for host in hosts:
+            self._record_disturbance(host, down_s[host])
+            self.world.kill(host)
+        for host in sorted(hosts, key=down_s.__getitem__):
+            self._start_task(self._start_after(host, down_s[host]))
+        await asyncio.sleep(1.0 + CATCH_UP_S)
+        self.busy -= set(hosts)
+
+    async def _start_after(self, host: str, seconds: float) -> None:
+        await asyncio.sleep(seconds)
+        self._start_proxy(host)
+
     # Backends.
 
     async def _do_leave(self) -> None:
@@ -110,8 +133,7 @@
         await asyncio.sleep(self.rng.choice([0.0, 0.5]))
         if await self._announce_departure(host):
             self.departures.append(Departure(backend, self.world.now))
-            if self.rng.random() < 0.5 and host not in self.busy and (host, "proxy") in self.world.programs:
-                self._start_task(self._kill_and_restart(host))
+            self._disturb_after_departure(host)
         await asyncio.sleep(self.rng.uniform(DRAIN_LIMIT_S, 6.0))
         self._replace_instance(host)
         if (host, "backend") in self.world.owners:
@@ -119,6 +141,14 @@
         self.world.start_backend(host)
         self.busy.discard(leaving)
 
+    def _disturb_after_departure(self, host: str) -> None:
+        """Perhaps kill the proxy that has just acknowledged a departure, or all processes."""
+        fault = self.rng.choice(["none", "kill", "kill_all", "kill_all"])
+        if fault == "kill_all":
+            self._start_task(self._do_kill_all())
+        elif fault == "kill" and host not in self.busy and (host, "proxy") in self.world.programs:
+            self._start_task(self._kill_and_restart(host))
+
     async def _announce_departure(self, host: str) -> bool:
         """Say `draining`, or sign off, to the proxy or a registry; return whether it was acknowledged in time."""
         signs_off = self.rng.random() < 0.5
--- a/tests/mesh/world.py
+++ b/tests/mesh/world.py
@@ -192,8 +192,8 @@
                 continue
             self.loop.kill(owner)
             self.loop.close_connections(owner)
-            program = self.programs.pop((host, role))
-            if role == "store":
+            program = self.programs.pop((host, role), None)  # None: killed before it began to run
+            if role == "store" and program is not None:
                 program._record.close()
 
     def wipe(self, host: str) -> None:
