A close waits for what was written: half-close, then read; idle ones once delivered

Cause, class: a close that takes what was written for delivered. Now a connection whose last answer says that it closes is closed in one direction and read, without use, until the client closes it; any other one is closed only when the client's kernel has acknowledged everything (TCP_INFO), and a request that comes first is answered. So at SIGTERM, after error replies, at idle timeouts. Proxies end once their answers have arrived, those to other proxies too; registries answer the calls that they are at work on.

--- a/lupinreach/mesh/link.py
+++ b/lupinreach/mesh/link.py
@@ -11,6 +11,7 @@
 
 import msgpack
 
+from lupinreach.mesh.delivery import is_undelivered
 from lupinreach.mesh.messages import Message, Ping, Pong, UnknownMessage, decode, encode
 from lupinreach.mesh.tasks import spawn
 
@@ -131,6 +132,11 @@
         """Bytes in the send buffer of this process, not yet handed to the kernel."""
         return self._transport.get_write_buffer_size() if self._transport is not None else 0
 
+    @property
+    def undelivered(self) -> bool:
+        """Whether something that was sent has not arrived at the peer's machine."""
+        return self.open and self._transport is not None and is_undelivered(self._transport)
+
     def silent_s(self) -> float:
         """Seconds since data was last received."""
         return self._loop.time() - self.last_heard
--- a/lupinreach/mesh/proxy/inbound.py
+++ b/lupinreach/mesh/proxy/inbound.py
@@ -56,6 +56,7 @@
         self._budget = budget
         self._seen_requests = SeenRequests()
         self._max_age_s = 0.0  # of the requests since the last read
+        self._answered_links: set[Link] = set()  # on which an answer was written that may not have arrived
         self._server: asyncio.Server | None = None
         gate.on_status(self._broadcast)
 
@@ -65,8 +66,13 @@
 
     @property
     def sending(self) -> bool:
-        """True while an answer or another message to a proxy waits in this process."""
-        return any(link.unsent for link in self._tasks_by_link)
+        """True while a message to a proxy waits in this process, or an answer has not arrived at its machine.
+
+        Other messages follow an answer on its link, on which something may always be on its way. So a link is looked
+        at only until all of it had arrived once.
+        """
+        self._answered_links = {link for link in self._answered_links if link.undelivered}
+        return bool(self._answered_links) or any(link.unsent for link in self._tasks_by_link)
 
     def close(self) -> None:
         """Stop accepting and end all links."""
@@ -124,6 +130,7 @@
     async def _serve(self, link: Link, request: Request, age_s: float) -> None:
         try:
             link.send(await self._outcome(link, request, age_s))
+            self._answered_links.add(link)
         finally:
             self._tasks_by_link.get(link, {}).pop(request.number, None)
 
@@ -166,5 +173,6 @@
 
     def _on_link_closed(self, link: Link) -> None:
         self._delays.pop(link, None)
+        self._answered_links.discard(link)
         for task in self._tasks_by_link.pop(link, {}).values():
             task.cancel()
--- a/lupinreach/mesh/registry/program.py
+++ b/lupinreach/mesh/registry/program.py
@@ -45,6 +45,7 @@
 
 TICK_INTERVAL_S = 0.1
 HEARTBEAT_TICKS = 5  # ticks between two heartbeats; one goes out at once when what it says has changed
+FINISH_TIMEOUT_S = ORDER_TIMEOUT_S + 0.3  # for orders in progress, and for their answers to arrive
 ORDER_RETRY_AFTER_MS = 200.0  # sent to operators whose order was not confirmed: when to retry
 ALIVE_AGENTS_HEARTBEATS = 2  # heartbeats between two lists of connected proxies to the other registries
 
@@ -94,9 +95,9 @@
             self._stores.dial(host)
 
     async def stop(self) -> None:
-        """End at once: proxies and operators use another registry."""
-        self._server.close()
+        """Answer the calls in progress, then end: proxies, operators and backends use another registry."""
         self._links.close()
+        await self._server.finish(FINISH_TIMEOUT_S)
 
     async def _run(self) -> None:
         ticks = 0
--- a/lupinreach/mesh/server.py
+++ b/lupinreach/mesh/server.py
@@ -1,4 +1,9 @@
-"""HTTP/1.1 server of the mesh processes: complete requests in, complete responses out, in request order."""
+"""HTTP/1.1 server of the mesh processes: complete requests in, complete responses out, in request order.
+
+Data that reaches a closed socket resets its connection, and the kernel then drops what it has not sent yet. So a
+connection whose last response says that it closes is closed in one direction first, and read, without use, until the
+client has closed it; any other one is closed only when the client's kernel has everything.
+"""
 
 from __future__ import annotations
 
@@ -10,6 +15,7 @@
 
 from lupinreach.http1.message import CONTINUE, Head, response_head
 from lupinreach.mesh.arrival import ArrivalClock
+from lupinreach.mesh.delivery import is_undelivered
 from lupinreach.mesh.errors import ERROR_RESPONSES, ErrorKind
 from lupinreach.mesh.link import Address, tune
 from lupinreach.mesh.reader import CompleteMessage, MessageReader
@@ -18,6 +24,9 @@
 
 MAX_PIPELINED_REQUESTS = 16  # requests read ahead per connection
 TIMEOUT_SWEEP_INTERVAL_S = 0.5
+STOP_SWEEP_INTERVAL_S = 0.05  # between two looks for connections that a stopping server can close
+LINGER_S = 2.0  # a client that has the last response and sends nothing for this long should have closed
+MAX_LINGER_S = 10.0  # from the moment at which the last response was written until the connection is aborted
 MIN_RETRY_AFTER_MS = 20
 UNCHARGED_BODY_BYTES = 16 << 10  # bodies up to this size don't count against the buffer budget
 
@@ -132,6 +141,7 @@
         self.connections: set[_Connection] = set()
         self._server: asyncio.Server | None = None
         self._sweeper: asyncio.Task[None] | None = None
+        self._idle_closer: asyncio.Task[None] | None = None
 
     async def listen(self, address: Address) -> None:
         """Start accepting connections."""
@@ -151,20 +161,37 @@
 
     @property
     def busy(self) -> bool:
-        """True while any request is being received or served, or a response is not yet handed to the kernel."""
+        """True while any request is being received or served, or a response has not arrived."""
         return any(connection.busy for connection in self.connections)
 
     @property
     def sending(self) -> bool:
-        """True while a part of any response waits in this process."""
+        """True while a part of any response has not arrived at its client's machine."""
         return any(connection.sending for connection in self.connections)
 
     def stop(self) -> None:
         """Start a graceful shutdown: close each connection after its last response, and idle ones at once."""
         self.stopping = True
+        self._close_idle()
+        self._idle_closer = spawn(self._close_until_none_is_left())
+
+    def _close_idle(self) -> None:
         for connection in list(self.connections):
             connection.close_if_idle()
 
+    async def _close_until_none_is_left(self) -> None:
+        while self.connections:
+            await asyncio.sleep(STOP_SWEEP_INTERVAL_S)
+            self._close_idle()
+
+    async def finish(self, timeout_s: float) -> None:
+        """Accept no more connections, and wait until all requests are answered and the answers have arrived."""
+        self.close()
+        self.stop()
+        deadline = asyncio.get_running_loop().time() + timeout_s
+        while self.busy and asyncio.get_running_loop().time() < deadline:
+            await asyncio.sleep(STOP_SWEEP_INTERVAL_S)
+
     def abandon(self) -> None:
         """Answer all requests still in progress as outcome unknown, and unstarted ones as stopping.
 
@@ -174,7 +201,10 @@
             connection.abandon()
 
     def close(self) -> None:
-        """Stop accepting; a connection accepted after this is aborted without reading from it."""
+        """Stop accepting, and reading requests on open connections.
+
+        A connection accepted after this is aborted without reading from it.
+        """
         self.closed = True
         if self._server is not None:
             self._server.close()
@@ -191,13 +221,16 @@
         self._reader = MessageReader(responses=False, body_limit=server.limits.max_body_bytes)
         self._queue: deque[_Exchange] = deque()
         self._transport: Any = None
-        self._phase_started_at = self._loop.time()  # of receiving or serving, or of being idle
+        self._phase_started_at = (
+            self._loop.time()
+        )  # of receiving or serving, of being idle, or of silence in the end
         self._paused = False
         self._arrived_after = 0.0  # see `HttpRequest`; of the request being received
         self._arrived_while_paused = False  # the next data may have waited since reading was paused
         self._stops_reading = False  # no further request is read from this connection
         self._sent_continue = False
         self._reserved_bytes = 0  # budget reserved for the body being received
+        self._lingers_since: float | None = None  # loop time at which the last response was written
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = transport
@@ -229,12 +262,38 @@
 
     @property
     def sending(self) -> bool:
-        """True while a part of a response waits in this process: it would be lost with it."""
-        return self._transport is not None and self._transport.get_write_buffer_size() > 0
+        """True while a part of a response has not arrived: it could be lost with this process, or with the connection."""
+        return self._transport is not None and is_undelivered(self._transport)
 
     def close_if_idle(self) -> None:
-        """Close the connection unless a request on it awaits its response; a response is sent to its end."""
-        if not self._awaits_response and self._transport is not None:
+        """Close the connection if no request on it awaits its response and the last response has arrived."""
+        if self._transport is None:
+            return
+        if self._lingers_since is not None:
+            self._end_linger(self._loop.time(), self._lingers_since)
+        elif not self.busy:
+            self._transport.close()
+
+    def _linger(self) -> None:
+        """Send nothing more, and read until the client has closed: the last response says that it should."""
+        self._stops_reading = True
+        if self._transport.is_closing():
+            return
+        self._lingers_since = self._loop.time()
+        try:
+            self._transport.write_eof()
+        except OSError:  # the client has reset the connection
+            self._transport.abort()
+            return
+        if self._paused:
+            self._paused = False
+            self._transport.resume_reading()
+
+    def _end_linger(self, now: float, since: float) -> None:
+        """Close the connection if its client has had the time to do so."""
+        if now - since > MAX_LINGER_S:
+            self._transport.abort()
+        elif now - max(since, self._phase_started_at) > LINGER_S and not self.sending:
             self._transport.close()
 
     def abandon(self) -> None:
@@ -251,20 +310,33 @@
     def check_timeouts(self, now: float) -> None:
         """Enforce the timeouts for idle connections and partly received requests."""
         limits = self._server.limits
+        if self._lingers_since is not None:
+            self._end_linger(now, self._lingers_since)
         if self._queue or self._stops_reading:
             return
         waited_ms = (now - self._phase_started_at) * 1000
         if not self._reader.begun:
             if waited_ms > limits.idle_timeout_ms:
-                self._transport.close()
+                self._on_idle_timeout(now)
         elif self._reader.head is None:
             if waited_ms > limits.header_timeout_ms:
                 self._reject(ErrorKind.HEAD_TIMED_OUT)
         elif waited_ms > limits.idle_timeout_ms:
             self._reject(ErrorKind.BODY_TIMED_OUT)
 
+    def _on_idle_timeout(self, now: float) -> None:
+        """Close the connection; its client is not idle while a response is on its way."""
+        if self.sending:
+            self._phase_started_at = now
+        else:
+            self._transport.close()
+
     def data_received(self, data: bytes) -> None:
         if self._stops_reading:
+            self._phase_started_at = self._loop.time()
+            return
+        if self._server.closed and not self._reader.begun:
+            self._refuse_to_read()
             return
         if not self._reader.begun or self._reader.head is not None:
             self._phase_started_at = self._loop.time()
@@ -273,6 +345,12 @@
         self._reader.feed(data)
         self._read()
 
+    def _refuse_to_read(self) -> None:
+        """Read no request that begins now; the response before it says that the connection closes, or one of its own."""
+        self._stops_reading = True
+        if not self._queue:
+            self._reject(ErrorKind.STOPPING)
+
     def _note_arrival(self) -> None:
         """Note when the first byte of a request can have arrived at the earliest."""
         if self._server.arrivals is not None and not self._arrived_while_paused:
@@ -371,8 +449,7 @@
         body = b"" if request.method == b"HEAD" else response.body
         self._transport.write(response_head(response.status, (response.headers,), not closes, framing) + body)
         if closes:
-            self._stops_reading = True
-            self._transport.close()
+            self._linger()
 
     def _pause(self) -> None:
         if not self._paused:
