A stopping gate refuses what might run longer than its process

Now such a gate refuses, as surely not run, a request that has more time left than the process; its sender goes on to another backend.

--- a/lupinreach/mesh/proxy/gate.py
+++ b/lupinreach/mesh/proxy/gate.py
@@ -42,6 +42,9 @@
         self.admission = Admission()
         self.counts = GateCounts()
         self.stopping = False
+        self._breaks_off_at: float | None = (
+            None  # loop time at which a process that is told to end drops what runs
+        )
         self.in_flight = 0  # requests that a stopping process waits for
         self._run_is_retry: dict[bytes, bool] = {}  # runs at the backend, by request id
         self._zone = zone
@@ -84,6 +87,10 @@
         """Assume a cold backend after an evacuation of its zone: it may have gone cold without requests."""
         self.backend.assume_cold(self._now() + ASSUMED_COLD_AFTER_EVACUATION_S)
 
+    def prepare_to_stop(self, breaks_off_at: float) -> None:
+        """Refuse requests that might run longer than this process, whose proxies could not be told what became of them."""
+        self._breaks_off_at = breaks_off_at
+
     def stop(self) -> None:
         """Refuse new requests; running ones continue."""
         self.stopping = True
@@ -149,6 +156,11 @@
             return NotTakenReason.NO_BACKEND
         if incoming.instance_id and incoming.instance_id != self.backend.instance_id:
             return NotTakenReason.NO_BACKEND
+        if (
+            self._breaks_off_at is not None
+            and self._now() + incoming.remaining_ms / 1000 > self._breaks_off_at
+        ):
+            return NotTakenReason.STOPPING
         if is_newer(self._configuration.version, incoming.config_version) and not self._route_allows(
             incoming
         ):
--- a/lupinreach/mesh/proxy/program.py
+++ b/lupinreach/mesh/proxy/program.py
@@ -362,6 +362,7 @@
         deadline = started_at + self._settings.bounds.grace_period_s - GRACE_RESERVE_S
         self._outbound_server.stop()
         self.outbound.stopping = True
+        self.gate.prepare_to_stop(deadline)
         while loop.time() < deadline:
             await asyncio.sleep(STOP_POLL_INTERVAL_S)
             if not self.gate.stopping and loop.time() > started_at + GATE_OPEN_AFTER_SIGTERM_S:
