The rest of an upload is delivered though its backend has answered

Now the response is passed on at once, the rest follows until the backend's machine has it, for 10 s at most, and the connection is closed then; its memory stays charged. A backend that declines gets no more. BufferBudget has a module of its own. Simulated connections have windows, and processes buffers, where a test asks for them.

--- a/lupinreach/mesh/backend_client.py
+++ b/lupinreach/mesh/backend_client.py
@@ -6,14 +6,20 @@
 import re
 from typing import Any
 
+from lupinreach.mesh.buffer_budget import BufferBudget
+from lupinreach.mesh.delivery import is_undelivered
 from lupinreach.mesh.errors import AttemptFailure
 from lupinreach.mesh.link import Address, tune
 from lupinreach.mesh.reader import CompleteMessage, MessageReader
+from lupinreach.mesh.tasks import spawn
 from lupinreach.net.connection_end import ConnectionEnded
 
 REQUEST_ID = b"lupinreach-request-id"
+NOT_EXECUTED = b"lupinreach-not-executed"
 MAX_RESPONSE_BYTES = 64 << 20
 WRITE_STEP_BYTES = 256 << 10  # of a body that is handed to the connection before it must have room again
+REST_TIMEOUT_S = 10.0  # for a backend to read the rest of a body that it has answered already
+DELIVERY_POLL_INTERVAL_S = 0.05
 MAX_STALE_RESPONSES = 4  # responses to earlier requests that are skipped before the expected one
 CONNECT_TIMEOUT_S = 1.0
 KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout=(\d+)")
@@ -41,9 +47,10 @@
         self._request_id = b""
         self._stale_responses = 0
         self._accepts_any_id = False
-        self._unwritten_bytes = 0  # of the body of the request in progress
+        self._unwritten = memoryview(b"")  # rest of the body of the request in progress, or of the last one
         self._has_room: asyncio.Future[None] | None = None  # set while the transport's buffer is full
         self.open = False
+        self._owes_body = False
         self.reusable = False
         self.idle_since = 0.0
         self.idle_limit_s = DEFAULT_IDLE_LIMIT_S
@@ -63,6 +70,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.open = self.reusable = False
+        self.resume_writing()
         if self._future is not None and not self._future.done():
             whole = None if exc is not None else self._reader.at_end()
             if whole is not None and self._is_expected(whole):
@@ -71,6 +79,8 @@
                 self._future.set_exception(AttemptError(AttemptFailure.BROKEN, ran=True))
 
     def data_received(self, data: bytes) -> None:
+        if self.owes_body:
+            return  # the connection is closed once the rest of the body is written
         if self._future is None or self._future.done():
             # Bytes outside any request: a later response could not be matched, so the connection is closed.
             self.close()
@@ -100,8 +110,9 @@
 
     def _finish(self, whole: CompleteMessage) -> None:
         assert self._future is not None
-        # A response may arrive before the end of a long request body was sent.
-        request_sent = not self._unwritten_bytes and self._transport.get_write_buffer_size() == 0
+        # A response may arrive before the end of a long request body was sent, and the backend may read on.
+        request_sent = not self._unwritten and self._transport.get_write_buffer_size() == 0
+        self._owes_body = not request_sent and NOT_EXECUTED not in whole.head.headers
         self.reusable = (
             request_sent and whole.head.keep_alive and not self._reader.begun and not self._stale_responses
         )
@@ -134,20 +145,38 @@
             return await self._future
         finally:
             self._future = None
-            self._unwritten_bytes = 0
 
     async def _write_body(self, body: bytes | bytearray, response: asyncio.Future[CompleteMessage]) -> None:
         """Write a body as the connection takes it, until it is written or the exchange has ended."""
-        view = memoryview(body)
-        self._unwritten_bytes = len(body)
-        while self._unwritten_bytes and not response.done():
-            written_bytes = len(body) - self._unwritten_bytes
-            step = view[written_bytes : written_bytes + WRITE_STEP_BYTES]
-            self._unwritten_bytes -= len(step)
-            self._transport.write(step)
+        self._unwritten = memoryview(body)
+        while self._unwritten and not response.done():
+            self._write_step()
             if self._has_room is not None:
                 await asyncio.wait((self._has_room, response), return_when=asyncio.FIRST_COMPLETED)
 
+    def _write_step(self) -> None:
+        step, self._unwritten = self._unwritten[:WRITE_STEP_BYTES], self._unwritten[WRITE_STEP_BYTES:]
+        self._transport.write(step)
+
+    @property
+    def owes_body(self) -> bool:
+        """Whether the rest of a body is still to be delivered, though its response has arrived."""
+        return self.open and self._owes_body
+
+    @property
+    def unwritten_bytes(self) -> int:
+        """Size of the rest of a body that was not written yet."""
+        return len(self._unwritten)
+
+    async def deliver_rest(self) -> None:
+        """Write the rest of a body whose response has arrived, until the backend's machine has all of it."""
+        while self._unwritten and self.open:
+            self._write_step()
+            if self._has_room is not None:
+                await self._has_room
+        while self.open and is_undelivered(self._transport):
+            await asyncio.sleep(DELIVERY_POLL_INTERVAL_S)
+
     async def probe(self, data: bytes) -> CompleteMessage:
         """Like `exchange`, for a health check, whose response carries no request id."""
         self._accepts_any_id = True
@@ -159,6 +188,7 @@
     def close(self) -> None:
         """Abort the connection; the backend then drops the request in flight on it."""
         self.open = self.reusable = False
+        self._unwritten = memoryview(b"")
         if self._transport is not None:
             self._transport.abort()
 
@@ -166,9 +196,11 @@
 class BackendPool:
     """A pool of idle keep-alive connections to one address."""
 
-    def __init__(self, address: Address) -> None:
+    def __init__(self, address: Address, budget: BufferBudget | None = None) -> None:
         self.address = address
         self.opened_count = 0
+        self.delivering = 0  # connections on which the rest of an answered body is being written
+        self._budget = budget or BufferBudget(0)
         self._idle: list[BackendConnection] = []
 
     async def acquire(self, repeatable: bool, timeout_s: float = CONNECT_TIMEOUT_S) -> BackendConnection:
@@ -198,9 +230,26 @@
         if connection.open and connection.reusable:
             connection.idle_since = asyncio.get_running_loop().time()
             self._idle.append(connection)
+        elif connection.owes_body:
+            spawn(self._close_after_body(connection))
         else:
             connection.close()
 
+    async def _close_after_body(self, connection: BackendConnection) -> None:
+        """Let the backend read the whole body that it has answered; its memory stays charged meanwhile."""
+        size = connection.unwritten_bytes
+        self._budget.charge(size)
+        self.delivering += 1
+        try:
+            async with asyncio.timeout(REST_TIMEOUT_S):
+                await connection.deliver_rest()
+        except TimeoutError:
+            pass
+        finally:
+            self.delivering -= 1
+            self._budget.release(size)
+            connection.close()
+
     def _close_expired(self, now: float) -> None:
         kept = []
         for connection in self._idle:
--- a/lupinreach/mesh/delivery.py
+++ b/lupinreach/mesh/delivery.py
@@ -17,6 +17,8 @@
     if transport.get_write_buffer_size() > 0:
         return True
     sock = transport.get_extra_info("socket")
+    if sock is None:
+        return False
     try:
         info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, _TCP_INFO_BYTES)
     except OSError:  # the socket is closed
--- a/lupinreach/mesh/proxy/gate.py
+++ b/lupinreach/mesh/proxy/gate.py
@@ -11,7 +11,8 @@
 from collections.abc import Callable
 
 from lupinreach.http1.message import HOP_BY_HOP_HEADERS, request
-from lupinreach.mesh.backend_client import AttemptError, BackendPool
+from lupinreach.mesh.backend_client import NOT_EXECUTED, AttemptError, BackendPool
+from lupinreach.mesh.buffer_budget import BufferBudget
 from lupinreach.mesh.configuration import is_newer
 from lupinreach.mesh.errors import AttemptFailure, NotTakenReason
 from lupinreach.mesh.link import parse_address
@@ -24,7 +25,6 @@
 from lupinreach.mesh.reader import LARGE_BODY_BYTES, CompleteMessage
 
 DEADLINE_HEADER = b"lupinreach-request-deadline"
-NOT_EXECUTED_HEADER = b"lupinreach-not-executed"
 MISDIRECTED_STATUS = 421
 MIN_RUN_TIME_MS = 2  # a request with less time left is not passed to the backend
 ASSUMED_COLD_AFTER_EVACUATION_S = 10.0  # at most; the next heartbeat reports the actual cold period
@@ -36,7 +36,12 @@
     """Checks requests and passes them to the local backend."""
 
     def __init__(
-        self, backend: LocalBackend, app_address: str, zone: str, configuration: ConfigurationState
+        self,
+        backend: LocalBackend,
+        app_address: str,
+        zone: str,
+        configuration: ConfigurationState,
+        budget: BufferBudget | None = None,
     ) -> None:
         self.backend = backend
         self.admission = Admission()
@@ -49,7 +54,7 @@
         self._run_is_retry: dict[bytes, bool] = {}  # runs at the backend, by request id
         self._zone = zone
         self._configuration = configuration
-        self._pool = BackendPool(parse_address(app_address))
+        self._pool = BackendPool(parse_address(app_address), budget)
         self._status_listeners: list[Callable[[BackendStatus], None]] = []
         self._last_reported: tuple[object, ...] = ()
 
@@ -57,6 +62,11 @@
         """Call the listener whenever `status` changes in anything but load."""
         self._status_listeners.append(listener)
 
+    @property
+    def busy(self) -> bool:
+        """True while a request waits or runs, or its body is still being read by the backend."""
+        return bool(self.in_flight or self.admission.running or self._pool.delivering)
+
     # State changes.
 
     def on_heartbeat(self, instance_id: str, heartbeat: Heartbeat) -> None:
@@ -250,7 +260,7 @@
                 self.backend.on_connection_refused()
                 self.refresh()
             return self._failed(incoming, failed.failure, failed.ran)
-        if NOT_EXECUTED_HEADER in response.head.headers or response.head.start_line[2] == MISDIRECTED_STATUS:
+        if NOT_EXECUTED in response.head.headers or response.head.start_line[2] == MISDIRECTED_STATUS:
             if response.head.start_line[2] == MISDIRECTED_STATUS:
                 self.backend.on_misdirected(instance_id)
                 self.refresh()
--- a/lupinreach/mesh/proxy/inbound.py
+++ b/lupinreach/mesh/proxy/inbound.py
@@ -6,6 +6,7 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
+from lupinreach.mesh.buffer_budget import BufferBudget
 from lupinreach.mesh.link import Address, Link, listen
 from lupinreach.mesh.messages import (
     BackendStatus,
@@ -26,7 +27,6 @@
 from lupinreach.mesh.proxy.gate import Gate, Outcome
 from lupinreach.mesh.proxy.gossip import Gossip
 from lupinreach.mesh.proxy.request_age import LinkDelay, SeenRequests
-from lupinreach.mesh.server import BufferBudget
 from lupinreach.mesh.tasks import spawn
 
 MAX_BODY_WAIT_DUE_FRACTION = 0.5  # of the time until due; a body that would wait longer goes elsewhere
--- a/lupinreach/mesh/proxy/program.py
+++ b/lupinreach/mesh/proxy/program.py
@@ -10,6 +10,7 @@
 
 from result import Err, Ok, Result
 
+from lupinreach.mesh.buffer_budget import BufferBudget
 from lupinreach.mesh.configuration import version_number
 from lupinreach.mesh.dispatch import Dispatcher
 from lupinreach.mesh.errors import ErrorKind
@@ -29,7 +30,7 @@
 from lupinreach.mesh.proxy.pool_policy import PoolPolicy
 from lupinreach.mesh.proxy.registry_client import RegistryClient
 from lupinreach.mesh.proxy.retry_budget import RetryBudget
-from lupinreach.mesh.server import BufferBudget, HttpRequest, HttpResponse, HttpServer, ServerLimits
+from lupinreach.mesh.server import HttpRequest, HttpResponse, HttpServer, ServerLimits
 from lupinreach.mesh.settings import Settings
 from lupinreach.mesh.tasks import spawn
 
@@ -73,7 +74,9 @@
         self.configuration = ConfigurationState()
         self.backend = LocalBackend(settings.target_service)
         self.backend.departures_known = settings.first_start
-        self.gate = Gate(self.backend, settings.app_address, settings.zone, self.configuration)
+        # Bodies from clients here and those from other proxies for the backend here share one budget.
+        body_budget = BufferBudget(int(settings.limits.memory_mb * BODY_MEMORY_FRACTION) << 20)
+        self.gate = Gate(self.backend, settings.app_address, settings.zone, self.configuration, body_budget)
         self.peers = PeerTable(self._address, settings.zone, lambda: self.configuration.version)
         self.peers.add_local(LocalPeer(self._address, settings.zone, self.gate))
         zones = settings.zones
@@ -90,8 +93,6 @@
         )
         self.gossip = Gossip(self._address, self.configuration)
         self.peers.on_proxy_added = self.gossip.view.offer
-        # Bodies from clients here and those from other proxies for the backend here share one budget.
-        body_budget = BufferBudget(int(settings.limits.memory_mb * BODY_MEMORY_FRACTION) << 20)
         self.inbound = Inbound(
             self.gate,
             self.configuration,
@@ -367,12 +368,7 @@
             await asyncio.sleep(STOP_POLL_INTERVAL_S)
             if not self.gate.stopping and loop.time() > started_at + GATE_OPEN_AFTER_SIGTERM_S:
                 self.gate.stop()
-            busy = (
-                self._outbound_server.busy
-                or self.inbound.sending
-                or self.gate.in_flight
-                or self.gate.admission.running
-            )
+            busy = self._outbound_server.busy or self.inbound.sending or self.gate.busy
             if loop.time() <= started_at + READ_AFTER_SIGTERM_S:
                 continue
             self._outbound_server.close()  # a request read from here on could not be finished in time
--- a/lupinreach/mesh/server.py
+++ b/lupinreach/mesh/server.py
@@ -15,6 +15,7 @@
 
 from lupinreach.http1.message import CONTINUE, Head, response_head
 from lupinreach.mesh.arrival import ArrivalClock
+from lupinreach.mesh.buffer_budget import BufferBudget
 from lupinreach.mesh.delivery import is_undelivered
 from lupinreach.mesh.errors import ERROR_RESPONSES, ErrorKind
 from lupinreach.mesh.link import Address, tune
@@ -87,25 +88,6 @@
     idle_timeout_ms: float = 15000
 
 
-class BufferBudget:
-    """Bounds the total size of the message bodies that a process buffers."""
-
-    def __init__(self, capacity_bytes: int) -> None:
-        self._capacity_bytes = capacity_bytes
-        self.used = 0
-
-    def take(self, size: int) -> bool:
-        """Reserve `size` bytes; false if that would exceed the capacity."""
-        if self.used + size > self._capacity_bytes:
-            return False
-        self.used += size
-        return True
-
-    def release(self, size: int) -> None:
-        """Release reserved bytes."""
-        self.used -= size
-
-
 @dataclass(slots=True)
 class _Exchange:
     """A queued request, its budget reservation and its response once known."""
--- a/tests/mesh/network.py
+++ b/tests/mesh/network.py
@@ -80,13 +80,18 @@
         self._unacknowledged_since: float | None = None  # loop time
         self._probing_since: float | None = None  # loop time of the first unanswered keepalive probe
         self._sent_eof = False
+        # What the kernel holds for the process; None: no limit.
+        self.receive_window_bytes: int | None = getattr(protocol, "receive_window_bytes", None)
+        self._buffer = bytearray()  # of the process: what the peer's window has no room for
+        self._unread_bytes = 0  # sent and not read by the peer's process
+        self._writing_paused = False
         self._in_flight: deque[tuple[float, asyncio.TimerHandle]] = deque()  # by time of arrival
 
     def get_extra_info(self, name: str, default: Any = None) -> Any:
         return self.socket if name == "socket" else default
 
     def get_write_buffer_size(self) -> int:
-        return 0
+        return len(self._buffer)
 
     def is_closing(self) -> bool:
         return not self.open
@@ -101,7 +106,29 @@
         if not self.open:
             return
         assert not self._sent_eof
-        self.send(self.peer._receive, bytes(data))
+        self._buffer += data
+        self._fill_window()
+        if self._buffer and not self._writing_paused:
+            self._writing_paused = True
+            self.protocol.pause_writing()
+
+    def _fill_window(self) -> None:
+        """Hand as much of the buffer to the kernel as the peer's window has room for."""
+        window_bytes = self.peer.receive_window_bytes
+        room = len(self._buffer) if window_bytes is None else max(0, window_bytes - self._unread_bytes)
+        data, self._buffer = bytes(self._buffer[:room]), self._buffer[room:]
+        if data:
+            self._unread_bytes += len(data)
+            self.send(self.peer._receive, data)
+        if not self._buffer and self._writing_paused:
+            self._writing_paused = False
+            self.protocol.resume_writing()
+
+    def _on_read(self, size: int) -> None:
+        """The peer's process has read some data, which makes room in its window."""
+        self._unread_bytes -= size
+        if self.open and self._buffer:
+            self._fill_window()
 
     def can_write_eof(self) -> bool:
         return True
@@ -206,6 +233,7 @@
         if self._paused_data is not None:
             self._paused_data.append(data)
         else:
+            self.peer._on_read(len(data))
             self.protocol.data_received(data)
 
     def _reset_peer(self) -> None:
--- a/tests/mesh/test_body_memory.py
+++ b/tests/mesh/test_body_memory.py
@@ -9,10 +9,17 @@
 
 import pytest
 
-from lupinreach.mesh.backend_client import WRITE_STEP_BYTES, AttemptError, BackendConnection
+from lupinreach.mesh.backend_client import (
+    DELIVERY_POLL_INTERVAL_S,
+    WRITE_STEP_BYTES,
+    AttemptError,
+    BackendConnection,
+    BackendPool,
+)
+from lupinreach.mesh.buffer_budget import BufferBudget
 from lupinreach.mesh.errors import AttemptFailure
 from lupinreach.mesh.reader import MessageReader
-from mesh.world import World
+from mesh.world import APP, World
 
 BODY = bytes(range(256)) * (4 << 10)  # 1 MB
 RESPONSE = b"HTTP/1.1 200 OK\r\nLupinreach-Request-Id: a\r\nContent-Length: 2\r\n\r\nok"
@@ -45,6 +52,7 @@
         self.written = bytearray()
         self.steps: list[int] = []
         self._pending = 0
+        self.aborted = False
         self.protocol: BackendConnection
 
     def get_extra_info(self, name: str) -> Any:
@@ -64,7 +72,7 @@
         self.protocol.resume_writing()
 
     def abort(self) -> None:
-        pass
+        self.aborted = True
 
 
 async def _begin_exchange() -> tuple[BackendConnection, _SlowTransport, asyncio.Task[Any]]:
@@ -100,8 +108,9 @@
     asyncio.run(run())
 
 
-# Guards against a connection that is used again while the rest of a body is still due on it.
-def test_response_before_the_end_of_a_large_body_ends_the_writing() -> None:
+# Guards against a connection that is used again while the rest of a body is still due on it, and against a body that the
+# backend never gets to its end although it has answered and reads on (review/5).
+def test_response_before_the_end_of_a_large_body_is_returned_and_the_rest_is_delivered() -> None:
     async def run() -> None:
         connection, transport, work = await _begin_exchange()
         await _take_step(transport)
@@ -109,9 +118,37 @@
         connection.data_received(RESPONSE)
         assert (await work).body == b"ok"
         written = len(transport.written)
+        assert written < len(BODY)
+        assert connection.owes_body and not connection.reusable
+        budget = BufferBudget(0)
+        pool = BackendPool(("h", 1), budget)
+        pool.release(connection)
+        while len(transport.written) < len(b"head") + len(BODY):
+            written = len(transport.written)
+            await _take_step(transport)
+            assert 0 < len(transport.written) - written <= WRITE_STEP_BYTES
+            assert pool.delivering == 1 and budget.used > 0 and not transport.aborted
+        assert bytes(transport.written) == b"head" + BODY
+        await _take_step(transport)
+        await asyncio.sleep(2 * DELIVERY_POLL_INTERVAL_S)
+        assert transport.aborted and pool.delivering == 0 == budget.used
+
+    asyncio.run(run())
+
+
+# Guards against a body that is sent on to a backend that has said that it does not run it.
+def test_response_that_declines_ends_the_writing() -> None:
+    async def run() -> None:
+        connection, transport, work = await _begin_exchange()
+        await _take_step(transport)
+        transport.take()
+        connection.data_received(RESPONSE.replace(b"\r\n\r\n", b"\r\nLupinreach-Not-Executed: 1\r\n\r\n"))
+        assert (await work).body == b"ok"
+        written = len(transport.written)
+        BackendPool(("h", 1)).release(connection)
         await _take_step(transport)
         assert len(transport.written) == written < len(BODY)
-        assert not connection.reusable
+        assert not connection.reusable and transport.aborted
 
     asyncio.run(run())
 
@@ -163,3 +200,57 @@
         assert sum(world.run_count(f"u{number}") for number in range(uploads)) == statuses.count(200)
     finally:
         world.end()
+
+
+class _EarlyBackend(asyncio.Protocol):
+    """Answers as soon as the head of a request is there, and reads the body only later."""
+
+    READS_ON_AFTER_S = 0.3
+    receive_window_bytes = 64 << 10
+
+    def __init__(self, received: bytearray, heads: list[bytes]) -> None:
+        self._received, self._heads = received, heads
+        self._head = b""
+
+    def connection_made(self, transport: Any) -> None:
+        self._transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        if self._head:
+            self._received += data
+            return
+        self._head, _, body = data.partition(b"\r\n\r\n")
+        self._heads.append(self._head)
+        self._received += body
+        request_id = next(line for line in self._head.split(b"\r\n") if b"request-id" in line.lower())
+        self._transport.write(
+            b"HTTP/1.1 200 OK\r\n"
+            + request_id
+            + b"\r\nLupinreach-Response-Seal: s\r\nContent-Length: 2\r\n\r\nok"
+        )
+        self._transport.pause_reading()
+        asyncio.get_running_loop().call_later(self.READS_ON_AFTER_S, self._transport.resume_reading)
+
+
+# Guards against an upload that is answered with success and never reaches its backend whole (review/5).
+def test_backend_that_answers_early_gets_the_whole_upload(tmp_path: Path) -> None:
+    size = 3 << 20
+    world = World(tmp_path)
+    received: bytearray = bytearray()
+    heads: list[bytes] = []
+
+    def accept() -> _EarlyBackend:
+        return _EarlyBackend(received, heads)
+
+    try:
+        world.start_small()
+        assert world.loop.run_until_complete(world.replace_configuration("c1", "00000001")) == 200
+        world.run_until(5.0)
+        world.loop.listeners[("s1", APP)] = (accept, world.owners[("s1", "backend")])
+        upload = world.loop.create_task(world.send_request("s1", "/unsafe/x", "u", 4000, "POST", size))
+        world.run_until(world.now + 3.0)
+        assert upload.result() == 200 and world.answers["u"][1] < _EarlyBackend.READS_ON_AFTER_S
+        assert len(heads) == 1 and len(received) == size
+        assert world.programs[("s1", "proxy")].gate._pool.delivering == 0
+    finally:
+        world.end()
