--- a/lupinreach/mesh/demo.py
+++ b/lupinreach/mesh/demo.py
@@ -16,7 +16,8 @@
 from lupinreach.http1.message import request
 from lupinreach.mesh.backend_client import AttemptError, BackendConnection
 from lupinreach.mesh.describe import describe
-from lupinreach.mesh.server import HttpRequest, HttpResponse, HttpServer
+from lupinreach.mesh.http_types import HttpRequest, HttpResponse
+from lupinreach.mesh.server import HttpServer
 from lupinreach.mesh.settings import SETTINGS_VARIABLE
 from lupinreach.mesh.tasks import spawn
 
--- a/lupinreach/mesh/dispatch.py
+++ b/lupinreach/mesh/dispatch.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 
 from lupinreach.mesh.errors import ErrorKind
-from lupinreach.mesh.server import HttpRequest, HttpResponse, error_response
+from lupinreach.mesh.http_types import HttpRequest, HttpResponse, error_response
 
 ANY_SEGMENT = "*"  # matches any non-empty segment and passes it to the handler
 
--- a/lupinreach/mesh/instance_calls.py
+++ b/lupinreach/mesh/instance_calls.py
@@ -10,8 +10,8 @@
 from lupinreach.mesh.dispatch import ANY_SEGMENT, Dispatcher
 from lupinreach.mesh.errors import ErrorKind
 from lupinreach.mesh.fields import Fields, read_object
+from lupinreach.mesh.http_types import HttpRequest, HttpResponse, error_response
 from lupinreach.mesh.proxy.local_backend import Heartbeat
-from lupinreach.mesh.server import HttpRequest, HttpResponse, error_response
 
 JSON_CONTENT_TYPE_HEADER = b"Content-Type: application/json\r\n"
 
--- a/lupinreach/mesh/metrics.py
+++ b/lupinreach/mesh/metrics.py
@@ -8,8 +8,9 @@
 from result import Err, Ok, Result
 
 from lupinreach.mesh.dispatch import Dispatcher
+from lupinreach.mesh.http_types import HttpRequest, HttpResponse
 from lupinreach.mesh.link import Address
-from lupinreach.mesh.server import HttpRequest, HttpResponse, HttpServer
+from lupinreach.mesh.server import HttpServer
 
 METRICS_OPTION = "--metrics"
 NAME_PREFIX = "lupinreach"
--- a/lupinreach/mesh/proxy/outbound.py
+++ b/lupinreach/mesh/proxy/outbound.py
@@ -9,13 +9,13 @@
 from lupinreach.http1.message import HOP_BY_HOP_HEADERS
 from lupinreach.mesh.configuration import Route
 from lupinreach.mesh.errors import AttemptFailure, ErrorKind, NotTakenReason
+from lupinreach.mesh.http_types import HttpRequest, HttpResponse, error_response
 from lupinreach.mesh.messages import Answer, Failed, Request, RequestRejected
 from lupinreach.mesh.proxy.configuration_state import ConfigurationState
 from lupinreach.mesh.proxy.gate import DEADLINE_HEADER, Gate, Outcome
 from lupinreach.mesh.proxy.peers import Peer, PeerTable
 from lupinreach.mesh.proxy.pool_policy import DEFAULT_LATENCY_TARGET_MS, BackendQuery, PoolPolicy
 from lupinreach.mesh.proxy.retry_budget import RetryBudget
-from lupinreach.mesh.server import HttpRequest, HttpResponse, error_response
 
 REQUEST_ID_HEADER = b"lupinreach-request-id"
 MESH_HEADERS = frozenset((DEADLINE_HEADER, b"lupinreach-target-instance", b"lupinreach-caller-service"))
--- a/lupinreach/mesh/proxy/program.py
+++ b/lupinreach/mesh/proxy/program.py
@@ -16,6 +16,7 @@
 from lupinreach.mesh.errors import ErrorKind
 from lupinreach.mesh.evacuations import active_zones
 from lupinreach.mesh.events import Event, EventLog
+from lupinreach.mesh.http_types import HttpRequest, HttpResponse, ServerLimits
 from lupinreach.mesh.instance_calls import add_instance_calls, parse_heartbeat
 from lupinreach.mesh.messages import AgentEntry, AgentHello, ForwardedHeartbeat, Message
 from lupinreach.mesh.metrics import Metric
@@ -30,7 +31,7 @@
 from lupinreach.mesh.proxy.pool_policy import PoolPolicy
 from lupinreach.mesh.proxy.registry_client import RegistryClient
 from lupinreach.mesh.proxy.retry_budget import RetryBudget
-from lupinreach.mesh.server import HttpRequest, HttpResponse, HttpServer, ServerLimits
+from lupinreach.mesh.server import HttpServer
 from lupinreach.mesh.settings import Settings
 from lupinreach.mesh.tasks import spawn
 
--- a/lupinreach/mesh/registry/program.py
+++ b/lupinreach/mesh/registry/program.py
@@ -13,6 +13,7 @@
 from lupinreach.mesh.dispatch import ANY_SEGMENT, Dispatcher
 from lupinreach.mesh.errors import ErrorKind
 from lupinreach.mesh.events import Event, EventLog
+from lupinreach.mesh.http_types import HttpRequest, HttpResponse, error_response
 from lupinreach.mesh.instance_calls import JSON_CONTENT_TYPE_HEADER, add_instance_calls
 from lupinreach.mesh.link import CORE_LINK_POLICY, Dialer, Link, listen
 from lupinreach.mesh.messages import (
@@ -38,7 +39,7 @@
 from lupinreach.mesh.registry.news_feed import NewsFeed
 from lupinreach.mesh.registry.operator_order import ORDER_TIMEOUT_S, OperatorOrder, OrderFailure
 from lupinreach.mesh.registry.orders import StoreLinks
-from lupinreach.mesh.server import HttpRequest, HttpResponse, HttpServer, error_response
+from lupinreach.mesh.server import HttpServer
 from lupinreach.mesh.settings import Settings
 from lupinreach.mesh.store.document import OrderKind
 from lupinreach.mesh.tasks import spawn
--- a/tests/mesh/test_arrival.py
+++ b/tests/mesh/test_arrival.py
@@ -9,7 +9,9 @@
 import pytest
 
 from lupinreach.mesh.arrival import ITERATIONS_UNTIL_HANDLED, MARK_INTERVAL_S, ArrivalClock
-from lupinreach.mesh.server import MAX_PIPELINED_REQUESTS, HttpRequest, HttpResponse, HttpServer
+from lupinreach.mesh.http_types import HttpRequest, HttpResponse
+from lupinreach.mesh.server import HttpServer
+from lupinreach.mesh.server_connection import MAX_PIPELINED_REQUESTS
 from mesh.world import CONTROL, World
 
 CALL = b"POST /evacuations/za/stop HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n"
--- a/tests/mesh/test_last_answers.py
+++ b/tests/mesh/test_last_answers.py
@@ -12,11 +12,12 @@
 
 import pytest
 
+from lupinreach.mesh.http_types import HttpRequest, HttpResponse, ServerLimits
 from lupinreach.mesh.link import Link
 from lupinreach.mesh.messages import Answer, PeerHello, Ping, Request, encode
 from lupinreach.mesh.messages import Message as MeshMessage
 from lupinreach.mesh.reader import MessageReader
-from lupinreach.mesh.server import HttpRequest, HttpResponse, HttpServer, ServerLimits
+from lupinreach.mesh.server import HttpServer
 from mesh.network import MeshLoop
 from mesh.world import CONTROL, INBOUND, OUTBOUND, World
 
--- a/tests/mesh/test_stopping.py
+++ b/tests/mesh/test_stopping.py
@@ -7,8 +7,9 @@
 
 import pytest
 
+from lupinreach.mesh.http_types import HttpRequest, HttpResponse
 from lupinreach.mesh.messages import PeerHello, encode
-from lupinreach.mesh.server import HttpRequest, HttpResponse, HttpServer
+from lupinreach.mesh.server import HttpServer
 from mesh.network import MemoryTransport
 from mesh.world import INBOUND, OUTBOUND, World
 
--- a/tests/mesh/world.py
+++ b/tests/mesh/world.py
@@ -13,9 +13,10 @@
 from lupinreach.http1.message import request
 from lupinreach.mesh.backend_client import AttemptError, BackendConnection
 from lupinreach.mesh.events import Event
+from lupinreach.mesh.http_types import HttpRequest, HttpResponse
 from lupinreach.mesh.proxy.program import ProxyProgram
 from lupinreach.mesh.registry.program import RegistryProgram
-from lupinreach.mesh.server import HttpRequest, HttpResponse, HttpServer
+from lupinreach.mesh.server import HttpServer
 from lupinreach.mesh.settings import Bounds, FaultTolerance, Limits, Settings
 from lupinreach.mesh.store.disk import DiskWriteError
 from lupinreach.mesh.store.program import StoreProgram
