The first heartbeat of a process does not hide that its backend is cold

Now the longer of the cold times that the first heartbeat and the health answer give holds until the second heartbeat. Simulated backends answer health checks.

--- a/lupinreach/mesh/proxy/local_backend.py
+++ b/lupinreach/mesh/proxy/local_backend.py
@@ -60,6 +60,7 @@
         self.capacity = 1
         self.cold_until = 0.0
         self._cold_assumed = False
+        self.heartbeats = 0  # applied, of this instance
         self._sequence = -1
         self._superseded: dict[str, _Superseded] = {}  # by instance
         self._deregistered: dict[str, None] = {}
@@ -101,7 +102,10 @@
         self._sequence = heartbeat.sequence
         self.service = heartbeat.target_service
         self.capacity = max(1, heartbeat.capacity)
-        self.cold_until = now + heartbeat.cold_remaining_ms / 1000
+        cold_until = now + heartbeat.cold_remaining_ms / 1000
+        # The first heartbeat that a process gets may be a late one, and the health response the newer report.
+        self.cold_until = max(self.cold_until, cold_until) if self.heartbeats == 0 else cold_until
+        self.heartbeats += 1
         self._cold_assumed = False
         self.state = BackendState.DRAINING if instance_id in self.departed else BackendState.READY
         return True
@@ -113,6 +117,8 @@
         self._superseded.pop(instance_id, None)
         self.instance_id = instance_id
         self.state = BackendState.READY
+        self.cold_until = 0.0
+        self.heartbeats = 0
         self._sequence = -1
 
     def on_deregister(self, instance_id: str) -> None:
@@ -156,12 +162,15 @@
             self.state = BackendState.DOWN
 
     def on_health_response(self, instance_id: str, cold_ms: float, capacity: int, now: float) -> None:
-        """Apply a health response; ignored once a heartbeat was received."""
+        """Apply a health response; once a heartbeat was received, only that it is colder than the first one said."""
+        cold_until = now + cold_ms / 1000
+        if instance_id == self.instance_id and self.heartbeats <= 1:
+            self.cold_until = max(self.cold_until, cold_until)
         if self.state is not BackendState.UNKNOWN or instance_id in self.departed:
             return
         self.instance_id = instance_id
         self.capacity = max(1, capacity)
-        self.cold_until = now + cold_ms / 1000
+        self.cold_until = cold_until
         self.state = BackendState.READY
 
     def assume_cold(self, until: float) -> None:
--- a/lupinreach/mesh/proxy/program.py
+++ b/lupinreach/mesh/proxy/program.py
@@ -25,7 +25,7 @@
 from lupinreach.mesh.proxy.gate import Gate
 from lupinreach.mesh.proxy.gossip import Gossip
 from lupinreach.mesh.proxy.inbound import Inbound
-from lupinreach.mesh.proxy.local_backend import BackendState, Heartbeat, LocalBackend
+from lupinreach.mesh.proxy.local_backend import Heartbeat, LocalBackend
 from lupinreach.mesh.proxy.outbound import Outbound
 from lupinreach.mesh.proxy.peers import LocalPeer, PeerTable
 from lupinreach.mesh.proxy.pool_policy import PoolPolicy
@@ -235,7 +235,7 @@
         service = (
             self.configuration.table.services.get(self.backend.service) if self.configuration.table else None
         )
-        if self.backend.state is BackendState.UNKNOWN and service is not None:
+        if self.backend.heartbeats <= 1 and service is not None:  # the first heartbeat may be a late one
             self._probe_task = spawn(self.gate.probe(service.health_check_path))
 
     # Links to registries.
--- a/tests/mesh/control_soak.py
+++ b/tests/mesh/control_soak.py
@@ -22,7 +22,7 @@
 DRAIN_LIMIT_S = 2.0  # from the acknowledgement until no request reaches a backend that leaves
 EVENT_KINDS = (
     *("evacuate",) * 4,
-    *("leave",) * 3,
+    *("leave",) * 6,
     *("core_freeze",) * 4,
     *("kill_all",) * 2,
     *("order", "term", "kill", "freeze", "core_kill"),
--- a/tests/mesh/test_local_backend.py
+++ b/tests/mesh/test_local_backend.py
@@ -46,3 +46,19 @@
     assert _beat(backend, "one", 5, "draining")
     assert not _beat(backend, "one", 4)
     assert backend.state is BackendState.DRAINING
+
+
+# Guards against a late first heartbeat that hides from a restarted process that its backend went cold since.
+def test_first_heartbeat_does_not_shorten_the_cold_time_of_the_health_response() -> None:
+    for health_first in (True, False):
+        backend = LocalBackend("alpha")
+        if health_first:
+            backend.on_health_response("one", 4000, 4, 0.0)
+        assert _beat(backend, "one", 5)
+        if not health_first:
+            backend.on_health_response("one", 4000, 4, 0.0)
+        assert backend.cold_s(0.0) == 4.0
+        assert _beat(backend, "one", 6)
+        assert backend.cold_s(0.0) == 0.0
+        backend.on_health_response("one", 4000, 4, 0.0)
+        assert backend.cold_s(0.0) == 0.0
--- a/tests/mesh/test_soak.py
+++ b/tests/mesh/test_soak.py
@@ -36,8 +36,8 @@
 
 
 # Guards against orders, sign-offs and heartbeats that are executed although their caller gave them up (EVAC, DRAIN), and
-# against departures that a kill of all processes undoes (seed 515).
-@pytest.mark.parametrize(("seed", "proxies"), [(1, 6), (2, 6), (3, 9), (4, 12), (515, 6)])
+# against departures that a kill of all processes undoes (seed 513).
+@pytest.mark.parametrize(("seed", "proxies"), [(1, 6), (2, 6), (3, 9), (4, 12), (513, 6)])
 def test_soak_of_orders_and_departures(seed: int, proxies: int, tmp_path: Path) -> None:
     soak = ControlSoak(seed, tmp_path, proxies)
     assert soak.run() == []
--- a/tests/mesh/world.py
+++ b/tests/mesh/world.py
@@ -262,6 +262,8 @@
     async def _serve(self, backend: Backend, incoming: HttpRequest) -> HttpResponse:
         request_id = (incoming.header(b"lupinreach-request-id") or b"").decode()
         id_header = b"Lupinreach-Request-Id: " + request_id.encode() + b"\r\n"
+        if incoming.target == b"/health":
+            return self._health(self.backends[backend.host])
         if incoming.header(b"lupinreach-target-instance") != self.backends[backend.host].instance.encode():
             return HttpResponse(421, id_header + b"Lupinreach-Not-Executed: 1\r\n")
         backend = self.backends[backend.host]
@@ -280,6 +282,11 @@
         body = backend.instance.encode().ljust(backend.answer_bytes)
         return HttpResponse(200, id_header + b"Lupinreach-Response-Seal: s\r\n", body)
 
+    def _health(self, backend: Backend) -> HttpResponse:
+        headers = f"Lupinreach-Instance-Id: {backend.instance}\r\nLupinreach-Server-Load: 0,0,4\r\n"
+        headers += f"Lupinreach-Cold-Remaining: {backend.cold_ms:.0f}\r\n"
+        return HttpResponse(200 if backend.state == "ready" else 503, headers.encode())
+
     # Clients and operators.
 
     async def call(
