--- a/lupinreach/mesh/store/document.py
+++ b/lupinreach/mesh/store/document.py
@@ -15,9 +15,9 @@
 from lupinreach.mesh.configuration import is_newer
 from lupinreach.mesh.messages import NOT_FENCED, Order
 
-# An instance needs no record any more once this many have left beside the same proxy after it: each of them ran for
-# longer than a heartbeat can be late.
-MAX_DEPARTURES_PER_PROXY = 4
+# An instance needs no record any more once this many have left beside the same proxy after it: each served on for
+# seconds after its departure, which is longer in sum than a heartbeat can be late.
+MAX_DEPARTURES_PER_PROXY = 8
 MAX_PROXIES_WITH_DEPARTURES = 4000
 
 
