An unknown service beside a split is refused; responses to HEAD end with their head

A response to HEAD with chunks announced was waited for until the timeout. Evidence: 3 of 4 new cases failed before (an unknown service beside a split, and in it by its key; HEAD), all pass now.

--- a/lupinreach/mesh/configuration_check.py
+++ b/lupinreach/mesh/configuration_check.py
@@ -86,9 +86,11 @@
         return "max_attempts: below 1"
     if route.target_service is None and not route.traffic_split:
         return "target_service: missing"
+    if route.target_service and route.target_service not in services:
+        return f"target_service: unknown service {route.target_service!r}"
     for target in route.targets():
         if target.target_service not in services:
-            return f"target_service: unknown service {target.target_service!r}"
+            return f"traffic_split.target_service: unknown service {target.target_service!r}"
         if target.weight < 0:
             return "traffic_split.weight: negative"
     if sum(target.weight for target in route.targets()) <= 0:
--- a/lupinreach/mesh/reader.py
+++ b/lupinreach/mesh/reader.py
@@ -71,7 +71,7 @@
         self._pending = self._pending[head.size :]
         self.head = head
         self._size = 0
-        self._chunked_decoder = ChunkedDecoder() if head.chunked else None
+        self._chunked_decoder = ChunkedDecoder() if head.chunked and not self._is_bodyless(head) else None
         self._length = self._body_length(head)
         if self._length is not None and self._length > self.body_limit:
             raise ConnectionEnded(ConnectionEnd.TOO_LARGE)
@@ -79,13 +79,20 @@
             self._large_body = bytearray(self._length)
         return True
 
+    def _is_bodyless(self, head: Head) -> bool:
+        """Whether it is a response that has no body, whatever its head says."""
+        if not self._responses:
+            return False
+        status = head.start_line[2]
+        return self.without_body or status < 200 or status in NO_BODY_STATUSES
+
     def _body_length(self, head: Head) -> int | None:
+        if self._is_bodyless(head):
+            return 0
         if head.chunked:
             return None
         if not self._responses:
             return head.length or 0
-        if self.without_body or head.start_line[2] < 200 or head.start_line[2] in NO_BODY_STATUSES:
-            return 0
         return head.length  # None: the body ends when the connection is closed
 
     def _read_body(self) -> CompleteMessage | None:
--- a/tests/mesh/test_reading.py
+++ b/tests/mesh/test_reading.py
@@ -66,6 +66,28 @@
     assert isinstance(parse_heartbeat(orjson.dumps(HEARTBEAT)), Ok)
 
 
+# Guards against an invalid configuration that is acknowledged because a split hides the unknown service.
+@pytest.mark.parametrize(
+    ("change", "expected_key"),
+    [
+        ({"target_service": "nowhere"}, "target_service"),
+        (
+            {"target_service": "nowhere", "traffic_split": [{"target_service": "alpha", "weight": 1}]},
+            "target_service",
+        ),
+        ({"traffic_split": [{"target_service": "nowhere", "weight": 1}]}, "traffic_split.target_service"),
+    ],
+)
+def test_unknown_service_of_a_route_is_named(change: dict[str, object], expected_key: str) -> None:
+    route = {"path_prefix": "/a/", "route_type": "safe", "timeout_ms": 1000, "target_service": "alpha"}
+    hosts = [{"hostname": "h", "path_rules": [route | change]}]
+    whole = {"version": "00000001", "services": [{"name": "alpha"}], "limits": {}, "virtual_hosts": hosts}
+    parsed = parse_configuration(orjson.dumps(whole))
+    assert isinstance(parsed, Err)
+    assert parsed.err_value.startswith(f"virtual_hosts[0].path_rules[0].{expected_key}: unknown service")
+    assert isinstance(parse_configuration(orjson.dumps(whole).replace(b"nowhere", b"alpha")), Ok)
+
+
 def test_configuration_survives_a_round_trip() -> None:
     parsed = parse_configuration(orjson.dumps(CONFIGURATION))
     assert isinstance(parsed, Ok)
--- a/tests/mesh/test_requests.py
+++ b/tests/mesh/test_requests.py
@@ -11,6 +11,7 @@
 from lupinreach.mesh.errors import AttemptFailure
 from lupinreach.mesh.proxy.peers import RequestNumbers
 from lupinreach.mesh.proxy.request_age import BUCKET_S, MAX_REMEMBERED_REQUESTS, LinkDelay, SeenRequests
+from lupinreach.mesh.reader import MessageReader
 
 WITHOUT_LENGTH = b"HTTP/1.1 200 OK\r\nLupinreach-Request-Id: a\r\n\r\nhalf"
 WITH_LENGTH = b"HTTP/1.1 200 OK\r\nLupinreach-Request-Id: a\r\nContent-Length: 4\r\n\r\nhalf"
@@ -69,6 +70,16 @@
     assert exchange(WITH_LENGTH, False, unsent_bytes) == (b"half", reusable)
 
 
+# Guards against a response to HEAD that is waited for until the timeout, as its head announces chunks that never come.
+def test_response_without_a_body_is_complete_whatever_its_head_announces() -> None:
+    for framing in (b"Transfer-Encoding: chunked", b"Content-Length: 7"):
+        reader = MessageReader(responses=True, body_limit=100)
+        reader.without_body = True
+        reader.feed(b"HTTP/1.1 200 OK\r\n" + framing + b"\r\n\r\n")
+        whole = reader.next()
+        assert whole is not None and whole.body == b""
+
+
 def test_age_is_the_delay_beyond_the_shortest_one() -> None:
     delay = LinkDelay()
     assert delay.age_s(sent_at=50.0, now=1000.2) == 0.0  # the offset between the clocks does not count
