--- a/lupinreach/mesh/server_connection.py
+++ b/lupinreach/mesh/server_connection.py
@@ -117,6 +117,7 @@
     def _linger(self) -> None:
         """Send nothing more, and read until the client has closed: the last response says that it should."""
         self._stops_reading = True
+        self._drop_partial_request()
         if self._transport.is_closing():
             return
         self._lingers_since = self._loop.time()
@@ -129,6 +130,12 @@
             self._paused = False
             self._transport.resume_reading()
 
+    def _drop_partial_request(self) -> None:
+        """Free the memory of a request that is not read to its end."""
+        self._reader = MessageReader(responses=False, body_limit=0)
+        self._server.budget.release(self._reserved_bytes)
+        self._reserved_bytes = 0
+
     def _end_linger(self, now: float, since: float) -> None:
         """Close the connection if its client has had the time to do so."""
         if now - since > MAX_LINGER_S:
@@ -308,6 +315,7 @@
     def _reject(self, kind: ErrorKind) -> None:
         """Queue an error response for an unreadable request behind those before it, then close the connection."""
         self._stops_reading = True
+        self._drop_partial_request()
         head = Head((b"GET", b"/", 0), {}, [], frozenset(), False, 0, False, 0)
         exchange = _Exchange(HttpRequest(head, b"", self._loop.time()), 0, response=error_response(kind))
         self._queue.append(exchange)
--- a/tests/mesh/test_last_answers.py
+++ b/tests/mesh/test_last_answers.py
@@ -12,6 +12,7 @@
 
 import pytest
 
+from lupinreach.mesh.buffer_budget import BufferBudget
 from lupinreach.mesh.http_types import HttpRequest, HttpResponse, ServerLimits
 from lupinreach.mesh.link import Link
 from lupinreach.mesh.messages import Answer, PeerHello, Ping, Request, encode
@@ -33,6 +34,7 @@
     def __init__(self, outstanding: int = 0) -> None:
         self.answers: list[tuple[int, int]] = []  # status and size
         self.closes = False  # an answer said so
+        self.closes_when_told = True
         self.ended_by: str = ""
         self.sent = 0
         self.outstanding = outstanding
@@ -54,7 +56,7 @@
         )
 
     def _fill(self) -> None:
-        while not self.closes and self.sent - len(self.answers) < self.outstanding:
+        while self.outstanding and not self.closes and self.sent - len(self.answers) < self.outstanding:
             self.send()
 
     def data_received(self, data: bytes) -> None:
@@ -63,10 +65,14 @@
             self.answers.append((whole.head.start_line[2], len(whole.body)))
             if not whole.head.keep_alive:
                 self.closes = True
-                self.transport.close()
+                if self.closes_when_told:
+                    self.transport.close()
                 return
         self._fill()
 
+    def eof_received(self) -> bool:
+        return not self.closes_when_told
+
     def connection_lost(self, exc: BaseException | None) -> None:
         self.ended_by = type(exc).__name__ if exc is not None else "end of stream"
 
@@ -170,6 +176,29 @@
     assert client.closes and not server.connections
 
 
+# Guards against memory that stays reserved, and a process that stays busy, for a request that was refused and still comes.
+def test_refused_upload_holds_no_memory_while_its_rest_comes(loop: MeshLoop) -> None:
+    client = Client()
+    client.closes_when_told = False
+    server = _connect(loop, client)
+    server.budget = BufferBudget(100_000)
+    client.send(b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 90000\r\n\r\n" + b"x" * 50_000)
+    other = Client()
+    other.closes_when_told = False
+    with loop.owned_by(2):
+        loop.run_until_complete(loop.create_connection(lambda: other, "server", 80))
+    other.send(b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 80000\r\n\r\n" + b"x" * 20_000)
+    _run(loop, 0.3)
+    assert [status for status, _ in other.answers] == [503]
+    assert server.budget.used == 90_000
+    other.send(b"x" * 20_000)
+    client.send(b"x" * 40_000)
+    _run(loop, 0.5)
+    assert [status for status, _ in client.answers] == [200]
+    assert server.budget.used == 0 and not server.busy
+    assert len(server.connections) == 2  # the refused one lingers
+
+
 # Guards against an idle timeout that runs while an answer is still under way, and resets it.
 def test_idle_timeout_counts_from_the_delivery_of_the_answer(loop: MeshLoop) -> None:
     client = Client()
